--- /dev/null
+++ b/src/godwitfall/commands.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace godwitfall {
+
+/** Exit statuses of the binary. */
+enum ExitStatus {
+    ExitOk = 0,
+    ExitRefused = 1,
+    ExitUsage = 2,
+    ExitUnclean = 3,
+    ExitUnknown = 4,
+};
+
+/** Runs an entry instance; the arguments begin with the command's name. */
+int runServe(const std::vector<std::string> &arguments);
+
+/** Sends operators' commands and prints the replies. */
+int runCtl(const std::vector<std::string> &arguments);
+
+/** Checks settings and tells every fault at once. */
+int runCheckSettings(const std::vector<std::string> &arguments);
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/godwitfall/logging.cpp
@@ -0,0 +1,92 @@
+#include "logging.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/support/date_time.hpp>
+
+namespace godwitfall {
+
+namespace {
+
+namespace logs = boost::log;
+
+constexpr std::array<std::string_view, 5> levelNames = {"trace", "debug", "info", "warning",
+                                                        "error"};
+
+std::string &instanceName()
+{
+    static std::string name;
+    return name;
+}
+
+/** Returns the value in quotes, when it has anything but plain characters. */
+std::string quotedValue(const std::string &value)
+{
+    const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos;
+    if (plain) {
+        return value;
+    }
+    std::string text = "\"";
+    for (const char character : value) {
+        if (character == '\n' || character == '\r') {
+            text += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            text += '\\';
+        }
+        text += character;
+    }
+    return text + "\"";
+}
+
+} // namespace
+
+bool startLogging(const std::string &level, const std::string &instance)
+{
+    const auto found = std::find(levelNames.begin(), levelNames.end(), level);
+    if (found == levelNames.end()) {
+        return false;
+    }
+    instanceName() = instance;
+    using Backend = logs::sinks::text_ostream_backend;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<logs::sinks::synchronous_sink<Backend>>(backend);
+    sink->set_formatter(
+        logs::expressions::stream
+        << "time="
+        << logs::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp",
+                                                                         "%Y-%m-%dT%H:%M:%S.%f")
+        << " " << logs::expressions::smessage);
+    logs::core::get()->add_sink(sink);
+    logs::add_common_attributes();
+    const auto least = static_cast<int>(found - levelNames.begin());
+    logs::core::get()->set_filter(logs::expressions::attr<int>("Severity") >= least);
+    return true;
+}
+
+void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    static logs::sources::severity_logger_mt<int> logger;
+    const int severity = static_cast<int>(level);
+    std::string line = "level=" + std::string(levelNames.at(static_cast<std::size_t>(severity)))
+                       + " instance=" + quotedValue(instanceName()) + " event=" + std::string(event);
+    for (const LogField &field : fields) {
+        line += " " + std::string(field.name) + "=" + quotedValue(field.value);
+    }
+    BOOST_LOG_SEV(logger, severity) << line;
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/godwitfall/logging.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace godwitfall {
+
+/** One named value of a log line. */
+struct LogField
+{
+    std::string_view name;
+    std::string value;
+};
+
+enum class LogLevel {
+    Trace,
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/** Sends log lines of the level and above to standard error as key=value; false for no such level. */
+bool startLogging(const std::string &level, const std::string &instance);
+
+/** Writes one log line. */
+void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/godwitfall/platformclient.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "httpclient.h"
+#include "outbox.h"
+
+namespace godwitfall {
+
+/** Talks to the platform's log service and instance list: the only place that knows how. */
+class PlatformClient
+{
+public:
+    struct Handlers
+    {
+        std::function<void(Stream, const Result<Offset> &)> appended;
+        std::function<void(Stream, const Result<wire::ReadReply> &)> read;
+        std::function<void(const Result<wire::InstanceList> &)> list;
+    };
+
+    PlatformClient(HttpClient &client, std::string logAddress, std::string listAddress,
+                   Handlers handlers);
+
+    void append(Stream stream, const std::string &payload);
+    void read(Stream stream, Offset from, std::size_t most, Duration wait);
+    void fetchList();
+
+private:
+    HttpClient &client;
+    const std::string logAddress;
+    const std::string listAddress;
+    const Handlers handlers;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/guarded.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <mutex>
+#include <shared_mutex>
+#include <utility>
+
+namespace godwitfall {
+
+/**
+ * A table that is only reached under its lock.
+ *
+ * Lock order of the library, outermost first: RequestRouter, TaskScheduler, WorkerKeeper, WorkerTable,
+ * LogFollower, LogWriter, Membership, ClusterState. Whoever holds one of these locks takes only later
+ * ones.
+ */
+template <class Table>
+class Guarded
+{
+public:
+    template <class... Arguments>
+    explicit Guarded(Arguments &&...arguments) : table(std::forward<Arguments>(arguments)...)
+    {
+    }
+
+    /** Calls the function with the table under a shared lock and returns what it returns. */
+    template <class Function>
+    auto read(Function &&function) const
+    {
+        std::shared_lock lock(this->mutex);
+        return function(this->table);
+    }
+
+    /** Calls the function with the table under an exclusive lock and returns what it returns. */
+    template <class Function>
+    auto write(Function &&function)
+    {
+        std::unique_lock lock(this->mutex);
+        return function(this->table);
+    }
+
+private:
+    mutable std::shared_mutex mutex;
+    Table table;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/node.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "clusterstate.h"
+#include "command/commanddesk.h"
+#include "command/queries.h"
+#include "guarded.h"
+#include "logfollower.h"
+#include "logwriter.h"
+#include "membership.h"
+#include "outbox.h"
+#include "random.h"
+#include "requestrouter.h"
+#include "taskscheduler.h"
+#include "workerkeeper.h"
+#include "workertable.h"
+
+namespace godwitfall {
+
+/** What an instance is told at its start. */
+struct NodeSettings
+{
+    InstanceId instance;
+    ZoneId zone;
+    Incarnation incarnation;
+    LeaseTimes times;
+    Duration peerTimeout{3500};
+    Duration commitEvery{20};
+    std::uint64_t snapshotEvery = 2000;
+    RequestLimits limits;
+    std::string chooser = "peak-ewma";
+    CommandDesk::WallClock wallClock = [] { return std::uint64_t(0); };
+};
+
+/** Figures that an instance tells of itself. */
+struct NodeFigures
+{
+    RequestTotals requests;
+    std::uint64_t appends = 0;
+    std::uint64_t recordsAppended = 0;
+    std::uint64_t nextOffset = 0;
+    std::size_t ownedWorkers = 0;
+    std::size_t pendingTasks = 0;
+    std::size_t inFlight = 0;
+    std::size_t openCalls = 0;
+    std::size_t logBacklog = 0;
+    std::int64_t contactAgeMs = -1; ///< Age of the last log contact; -1 when there was none.
+};
+
+/**
+ * One entry instance: all its decisions, without sockets, threads or a clock of its own.
+ *
+ * Every call hands in what came from outside and the time; what is to be done goes to the outbox. All
+ * calls may come from several threads at once.
+ */
+class Node
+{
+public:
+    /** The chooser named in the settings must be one of workerChooserNames(). */
+    Node(const NodeSettings &settings, Outbox &outbox, Random &random);
+
+    void onTick(Instant now);
+    void onPeer(const wire::PeerMessage &message, Instant now);
+    void onWorkerReply(const SentOrder &order, const Result<wire::WorkerReply> &answer,
+                       Instant now);
+    void onAppended(Stream stream, const Result<Offset> &answer, Instant now);
+    void onRead(Stream stream, const Result<wire::ReadReply> &answer, Instant now);
+    void onList(const Result<wire::InstanceList> &list, Instant now);
+    void onRequest(const wire::CallerRequest &request, CallerToken caller, Instant now);
+    void onCommand(const wire::CommandRequest &command, const std::string &author,
+                   CallerToken caller, Instant now);
+
+    /** Begins a planned stop: nothing new is taken, what is in flight is finished. */
+    void startDraining(Instant now);
+
+    /** Returns whether a planned stop has nothing left to do. */
+    bool drained() const;
+
+    /** Returns whether callers may be sent here. */
+    bool ready() const;
+
+    NodeFigures figures(Instant now) const;
+
+    /** Returns the replicated state, for queries and tests. */
+    const Guarded<ClusterState> &clusterState() const { return this->state; }
+    const Guarded<WorkerTable> &workerTable() const { return this->workers; }
+
+private:
+    void sendHeartbeats(Instant now);
+    wire::PeerMessage envelope() const;
+    void sendTo(const std::string &instance, const wire::PeerMessage &message);
+    void onFetchLog(const wire::PeerMessage &message);
+    void onFetchSnapshot(const wire::PeerMessage &message);
+    static void deliver(const std::vector<DueDecision> &decisions, Instant now);
+
+    const NodeSettings settings;
+    Outbox &outbox;
+    Guarded<ClusterState> state;
+    Guarded<Membership> members;
+    Guarded<WorkerTable> workers;
+    LogWriter writer;
+    LogFollower follower;
+    WorkerKeeper keeper;
+    TaskScheduler scheduler;
+    RequestRouter router;
+    Queries queries;
+    CommandDesk desk;
+    std::atomic<bool> draining = false;
+    std::mutex tickMutex;
+    Instant heartbeatAt;
+    Instant listAt;
+    Instant schedulerAt;
+    std::uint64_t round = 0;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/requestrouter.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "clusterstate.h"
+#include "fairqueue.h"
+#include "guarded.h"
+#include "logfollower.h"
+#include "logwriter.h"
+#include "membership.h"
+#include "outbox.h"
+#include "random.h"
+#include "workertable.h"
+
+namespace godwitfall {
+
+/** Limits of the request path. */
+struct RequestLimits
+{
+    std::size_t queueLimit = 512;
+    Duration defaultBudget{2000};
+    /** Log contact older than this fails a request that must run at most once. */
+    Duration intentContact{3000};
+};
+
+/** Counts of what became of requests. */
+struct RequestTotals
+{
+    std::uint64_t taken = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t brokenAnswers = 0;
+};
+
+/**
+ * Brings callers' requests to workers and answers to callers.
+ *
+ * Outcomes are never blurred: answered whole, not run, or unknown. Whenever the fate of a call is not
+ * known the worker is asked to void it; until it says what became of the call the slot stays taken.
+ * A request that must run at most once is sent only after this instance's intent was read back.
+ */
+class RequestRouter
+{
+public:
+    RequestRouter(Guarded<ClusterState> &state, Guarded<Membership> &members,
+                  Guarded<WorkerTable> &workers, LogWriter &writer, const LogFollower &follower,
+                  Outbox &outbox, Random &random, const RequestLimits &limits);
+
+    /** Takes a request from a caller of this instance. */
+    void submit(const wire::CallerRequest &request, CallerToken caller, Instant now);
+
+    /** Takes a request that a peer passed on; it is not passed on again. */
+    void submitForwarded(const wire::Forward &forward, const InstanceId &from, Instant now);
+
+    void onForwardAnswer(const wire::ForwardAnswer &answer, const InstanceId &from, Instant now);
+
+    /** Takes in the answer to an execute or void order. */
+    void onReply(const SentOrder &order, const Result<wire::WorkerReply> &answer, Instant now);
+
+    void onTick(Instant now);
+
+    /** Refuses all new requests, because this instance is about to stop. */
+    void startDraining();
+
+    /** Returns how many requests have not got their answer. */
+    std::size_t inFlight() const;
+
+    /** Returns how many calls have a fate that is not known yet. */
+    std::size_t openCalls() const;
+
+    RequestTotals totals() const;
+
+private:
+    enum class Phase {
+        AwaitsIntent,
+        Queued,
+        Dispatched,
+        Forwarded,
+    };
+
+    struct Origin
+    {
+        CallerToken caller;
+        InstanceId peer; ///< Empty for a caller of this instance.
+    };
+
+    struct Pending
+    {
+        Origin origin;
+        wire::CallerRequest request;
+        Instant arrivedAt;
+        Instant deadline;
+        Phase phase = Phase::Queued;
+        CallId call;
+        Ticket intentTicket;
+        Offset intent; ///< Offset of the open intent; 0 when there is none.
+        InstanceId forwardedTo;
+        std::uint64_t forwardToken = 0;
+        std::set<InstanceId> refusedBy;
+        bool mayHaveRun = false; ///< An earlier try was given up on without knowing its fate.
+        std::uint32_t tries = 0;
+    };
+
+    struct Call
+    {
+        std::uint64_t pending = 0; ///< 0 once the caller has its answer.
+        std::string request;
+        Reservation reservation;
+        Offset intent;
+        Instant sentAt;
+        bool resolving = false;
+        bool askOutstanding = false;
+        Instant askAt;
+        Instant giveUpAt;
+    };
+
+    using Token = std::uint64_t;
+
+    void admit(Pending pending, Instant now);
+    std::optional<std::string> objectionTo(const wire::CallerRequest &request) const;
+    std::optional<std::string> fullFor(const Pending &pending, Instant now) const;
+    void openIntent(Token token, Instant now);
+    void onIntentDecided(Token token, const std::string &request,
+                         const std::optional<Decision> &decision, Instant now);
+    void closeIntent(const std::string &request, Offset intent, wire::IntentState state);
+
+    void enqueue(Token token, Instant now);
+    void pump(Instant now);
+    bool dispatch(Token token, Instant now);
+    bool forward(Token token, Instant now);
+    void retryOrRefuse(Token token, const std::string &reason, Instant now);
+
+    void onExecuteReply(const CallId &id, const Result<wire::WorkerReply> &answer, Instant now);
+    void onVoidReply(const CallId &id, const Result<wire::WorkerReply> &answer, Instant now);
+    bool completeCall(const CallId &id, const wire::WorkerReply &reply, Instant now);
+    void callNeverRan(const CallId &id, const std::string &reason, Instant now);
+    void resolve(const CallId &id, Instant now);
+    void askAboutCalls(Instant now);
+    void forgetCall(const CallId &id);
+
+    void giveUpOverdue(Instant now);
+    void checkForwards(Instant now);
+    void finish(Token token, wire::Outcome outcome, const std::string &body,
+                const std::string &reason, Instant now);
+    void answer(const Origin &origin, const wire::CallerAnswer &answer);
+    Duration expectedWait(Instant now) const;
+    Duration retryAfter(Instant now);
+
+    Guarded<ClusterState> &state;
+    Guarded<Membership> &members;
+    Guarded<WorkerTable> &workers;
+    LogWriter &writer;
+    const LogFollower &follower;
+    Outbox &outbox;
+    Random &random;
+    const RequestLimits limits;
+    mutable std::mutex mutex;
+    bool draining = false;
+    std::uint64_t lastToken = 0;
+    std::uint64_t lastCall = 0;
+    std::map<Token, Pending> pending;
+    std::set<std::pair<Instant, Token>> byDeadline;
+    std::map<std::string, FairQueue> queues;
+    std::size_t queued = 0;
+    std::map<CallId, Call> calls;
+    std::uint64_t lastForward;
+    std::map<std::uint64_t, Token> forwards;
+    std::set<std::pair<InstanceId, std::uint64_t>> takenForwards;
+    std::deque<std::pair<InstanceId, std::uint64_t>> takenForwardsInOrder;
+    double serviceMs = 50.0;
+    double retryTokens = 10.0;
+    RequestTotals counts;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/resources.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "godwitfall.pb.h"
+
+namespace godwitfall {
+
+/** An amount of each thing that a worker has and that work takes. */
+struct Resources
+{
+    std::int64_t milliCores = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t slots = 0;
+
+    static Resources fromWire(const wire::Resources &message);
+    wire::Resources toWire() const;
+
+    Resources &operator+=(const Resources &other);
+    Resources &operator-=(const Resources &other);
+    bool operator==(const Resources &) const = default;
+
+    /** Returns whether no part of this exceeds the same part of the other. */
+    bool fitsIn(const Resources &other) const;
+
+    /** Returns the amounts as text, with units. */
+    std::string text() const;
+};
+
+Resources operator+(Resources left, const Resources &right);
+Resources operator-(Resources left, const Resources &right);
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/taskscheduler.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clusterstate.h"
+#include "guarded.h"
+#include "logfollower.h"
+#include "logwriter.h"
+#include "membership.h"
+#include "outbox.h"
+#include "workertable.h"
+
+namespace godwitfall {
+
+/**
+ * Claims pending tasks for the workers that this instance owns, starts them once the claim was read
+ * back from the log, and brings what runs in line with what the log says.
+ */
+class TaskScheduler
+{
+public:
+    TaskScheduler(Guarded<ClusterState> &state, Guarded<Membership> &members,
+                  Guarded<WorkerTable> &workers, LogWriter &writer, const LogFollower &follower,
+                  Outbox &outbox, const LeaseTimes &times);
+
+    void onTick(Instant now);
+
+    /** Takes in the answer to an order about a task. */
+    void onReply(const SentOrder &order, const Result<wire::WorkerReply> &answer, Instant now);
+
+    /** Stops claiming, because this instance is about to stop. */
+    void startDraining();
+
+    /** Returns why a pending task does not start from this instance's point of view. */
+    std::string whyWaiting(const wire::TaskRecord &task, Instant now) const;
+
+private:
+    using Attempt = std::pair<std::string, std::uint32_t>;
+
+    /** What the log says of an attempt on a worker. */
+    struct LogView
+    {
+        bool current = false; ///< The log has the task claimed by just this attempt.
+        bool cancelled = false;
+        bool moves = false;
+        bool fenced = false;
+        std::uint32_t throttlePercent = 100;
+        wire::TaskRecord task; ///< Filled only for an attempt that is still to be started.
+    };
+
+    LogView viewOf(const Worker &worker, const std::string &name,
+                   const AttemptOnWorker &attempt) const;
+    void reconcile(Worker &worker, bool fresh, Instant now);
+    void reconcileAttempt(Worker &worker, const std::string &name, AttemptOnWorker &attempt,
+                          bool fresh, std::vector<wire::TaskKey> &acknowledged, Instant now);
+    void reconcileClaims(const Worker &worker);
+    void recordEnd(Worker &worker, const std::string &name, AttemptOnWorker &attempt, Instant now);
+    void sendStart(Worker &worker, const LogView &view, AttemptOnWorker &attempt,
+                   Instant now);
+    void sendStop(Worker &worker, const std::string &name, AttemptOnWorker &attempt,
+                  bool checkpoint, Instant now);
+    void sendThrottle(Worker &worker, const std::string &name, AttemptOnWorker &attempt,
+                      std::uint32_t percent, Instant now);
+    void sendAck(Worker &worker, const std::vector<wire::TaskKey> &keys, Instant now);
+    bool orderDue(AttemptOnWorker &attempt, Instant now) const;
+    void send(const Worker &worker, wire::WorkerOrder order, Instant notAfter, Instant now);
+
+    void claimPending(Instant now);
+    Duration claimDelay(const wire::TaskRecord &task, Instant now) const;
+    void claim(const wire::TaskRecord &task, const Reservation &reservation);
+    void onClaimDecided(const std::string &task, std::uint32_t attempt,
+                        const Reservation &reservation, const std::optional<Decision> &decision);
+    void makeRoom(const wire::TaskRecord &task, Instant now);
+
+    Guarded<ClusterState> &state;
+    Guarded<Membership> &members;
+    Guarded<WorkerTable> &workers;
+    LogWriter &writer;
+    const LogFollower &follower;
+    Outbox &outbox;
+    const LeaseTimes times;
+    mutable std::mutex mutex;
+    bool draining = false;
+    std::map<std::string, Instant> firstSeen;
+    std::set<std::string> claiming;
+    std::set<Attempt> resolving;
+    std::map<std::string, Instant> roomMadeAt;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/workerkeeper.cpp
@@ -0,0 +1,251 @@
+#include "workerkeeper.h"
+
+#include <algorithm>
+
+#include "rendezvous.h"
+
+namespace godwitfall {
+
+namespace {
+
+constexpr Duration endOfTime(std::int64_t(1) << 50);
+
+} // namespace
+
+WorkerKeeper::WorkerKeeper(Guarded<ClusterState> &state, Guarded<Membership> &members,
+                           Guarded<WorkerTable> &workers, LogWriter &writer,
+                           const LogFollower &follower, Outbox &outbox,
+                           const LeaseTimes &times)
+    : state(state)
+    , members(members)
+    , workers(workers)
+    , writer(writer)
+    , follower(follower)
+    , outbox(outbox)
+    , times(times)
+{
+}
+
+void WorkerKeeper::startDraining()
+{
+    std::lock_guard lock(this->mutex);
+    this->draining = true;
+}
+
+std::size_t WorkerKeeper::ownedCount() const
+{
+    return this->workers.read([](const WorkerTable &table) {
+        return static_cast<std::size_t>(
+            std::count_if(table.all().begin(), table.all().end(),
+                          [](const auto &entry) { return entry.second.owned; }));
+    });
+}
+
+void WorkerKeeper::onTick(Instant now)
+{
+    std::lock_guard lock(this->mutex);
+    const std::vector<InstanceId> candidates =
+        this->members.read([&](const Membership &table) { return table.candidates(now); });
+    this->workers.write([&](WorkerTable &table) {
+        for (auto &[id, worker] : table.all()) {
+            const InstanceId wanted = rendezvousOwner(id.value(), candidates);
+            if (worker.owned && !table.leaseHolds(worker, now)) {
+                table.loseOwnership(worker);
+            }
+            if (worker.owned) {
+                this->tickOwned(worker, wanted, now);
+            } else {
+                this->tickUnowned(worker, wanted, now);
+            }
+        }
+    });
+}
+
+void WorkerKeeper::tickOwned(Worker &worker, const InstanceId &wanted, Instant now)
+{
+    const bool mine =
+        this->members.read([&](const Membership &table) { return wanted == table.selfId(); });
+    worker.drained = this->state.read(
+        [&](const ClusterState &table) { return table.marks().drained(worker.id.value()); });
+    this->tickFence(worker, mine, now);
+    if (!mine || worker.handingOver) {
+        this->considerHandOver(worker, wanted, now);
+    } else {
+        this->unwantedSince.erase(worker.id);
+    }
+    if (worker.owned && now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
+        this->sendRenewal(worker, now);
+    }
+}
+
+void WorkerKeeper::considerHandOver(Worker &worker, const InstanceId &wanted, Instant now)
+{
+    const auto [since, added] = this->unwantedSince.try_emplace(worker.id, now);
+    const bool settled = this->draining || now - since->second >= this->times.ownerLease * 2;
+    if (!worker.handingOver && (!settled || (wanted.empty() && !this->draining))) {
+        return;
+    }
+    worker.handingOver = true;
+    const bool starting = std::any_of(
+        worker.attempts.begin(), worker.attempts.end(), [](const auto &entry) {
+            const AttemptPhase phase = entry.second.phase;
+            return phase == AttemptPhase::Reserved || phase == AttemptPhase::Starting;
+        });
+    const bool calling =
+        std::any_of(worker.calls.begin(), worker.calls.end(),
+                    [](const auto &entry) { return !entry.second.adopted; });
+    if (!starting && !calling) {
+        this->sendRelease(worker, now);
+    }
+}
+
+void WorkerKeeper::tickUnowned(Worker &worker, const InstanceId &wanted, Instant now)
+{
+    const bool mine =
+        this->members.read([&](const Membership &table) { return wanted == table.selfId(); });
+    this->unwantedSince.erase(worker.id);
+    this->tickFence(worker, mine, now);
+    if (mine && !this->draining && now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
+        this->sendAcquire(worker, now);
+    }
+}
+
+void WorkerKeeper::tickFence(const Worker &worker, bool mine, Instant now)
+{
+    const std::string &name = worker.id.value();
+    const auto [fence, claimed] = this->state.read([&](const ClusterState &table) {
+        return std::pair(table.marks().fence(name), !table.tasks().claimedOn(name).empty());
+    });
+    const bool silent = now - worker.silentSince >= this->times.fenceAfter;
+    if (fence.value() == 0) {
+        this->fences.erase(worker.id);
+        const auto sent = this->fenceSentAt.find(worker.id);
+        const bool recent =
+            sent != this->fenceSentAt.end() && now - sent->second < this->times.fenceAfter;
+        if (silent && claimed && mine && !recent) {
+            this->fenceSentAt[worker.id] = now;
+            wire::Record record;
+            record.mutable_fence()->set_worker(name);
+            this->submit(std::move(record));
+        }
+        return;
+    }
+    FenceWatch &watch = this->fences[worker.id];
+    if (watch.fence != fence) {
+        watch = {fence, now, false};
+    }
+    if (worker.owned && !silent && this->unfenceSent[worker.id] != fence) {
+        this->unfenceSent[worker.id] = fence;
+        wire::Record record;
+        record.mutable_unfence()->set_worker(name);
+        record.mutable_unfence()->set_fence_offset(fence.value());
+        this->submit(std::move(record));
+        return;
+    }
+    const Duration wait = this->times.stretched(this->times.contactAllowance + this->times.taskLease);
+    if (!worker.owned && mine && claimed && !watch.lapseSent && now - watch.seenAt >= wait) {
+        watch.lapseSent = true;
+        wire::Record record;
+        record.mutable_lapse()->set_worker(name);
+        record.mutable_lapse()->set_fence_offset(fence.value());
+        this->submit(std::move(record));
+    }
+}
+
+void WorkerKeeper::submit(wire::Record record)
+{
+    record.set_author(this->writer.name());
+    this->writer.submit(std::move(record), [](const std::optional<Decision> &, Instant) {});
+}
+
+void WorkerKeeper::send(const Worker &worker, wire::WorkerOrder order, Instant notAfter,
+                        Instant now)
+{
+    order.set_worker(worker.id.value());
+    order.set_owner(this->writer.name());
+    order.set_epoch(worker.owned ? worker.epoch.value() : 0);
+    this->outbox.sendWorker({std::move(order), worker.address, now, notAfter, this->times.ownerLease});
+}
+
+void WorkerKeeper::sendAcquire(Worker &worker, Instant now)
+{
+    worker.lastLeaseOrderAt = now;
+    wire::WorkerOrder order;
+    order.mutable_acquire()->set_ttl_ms(static_cast<std::uint64_t>(this->times.ownerLease.count()));
+    this->send(worker, std::move(order), now + this->times.ownerLease, now);
+}
+
+void WorkerKeeper::sendRenewal(Worker &worker, Instant now)
+{
+    const std::optional<Instant> contact = this->follower.lastContact();
+    const Instant yieldUntil = contact ? *contact + this->times.contactAllowance : now;
+    Instant notAfter = worker.leaseUntil;
+    wire::WorkerOrder order;
+    wire::RenewLease &renew = *order.mutable_renew();
+    renew.set_ttl_ms(static_cast<std::uint64_t>(this->times.ownerLease.count()));
+    renew.set_tasks_until(worker.workerTime + static_cast<std::uint64_t>(this->times.taskLease.count()));
+    this->state.read([&](const ClusterState &table) {
+        const bool fenced = table.marks().fence(worker.id.value()).value() != 0;
+        for (const auto &[name, attempt] : worker.attempts) {
+            if (attempt.phase == AttemptPhase::Ended) {
+                continue;
+            }
+            const wire::TaskRecord *task = table.tasks().find(name);
+            const bool yields = task == nullptr || task->spec().on_silence() == wire::YIELD;
+            if (yields && (fenced || now >= yieldUntil)) {
+                continue;
+            }
+            wire::TaskKey &key = *renew.add_tasks();
+            key.set_task(name);
+            key.set_attempt(attempt.attempt);
+            notAfter = yields ? std::min(notAfter, yieldUntil) : notAfter;
+        }
+    });
+    worker.lastLeaseOrderAt = now;
+    this->send(worker, std::move(order), notAfter, now);
+}
+
+void WorkerKeeper::sendRelease(Worker &worker, Instant now)
+{
+    wire::WorkerOrder order;
+    order.mutable_release();
+    worker.lastLeaseOrderAt = now;
+    this->send(worker, std::move(order), now + endOfTime, now);
+    WorkerTable::loseOwnership(worker);
+}
+
+void WorkerKeeper::onReply(const SentOrder &order, const Result<wire::WorkerReply> &answer,
+                           Instant now)
+{
+    std::lock_guard lock(this->mutex);
+    this->workers.write([&](WorkerTable &table) {
+        Worker *worker = table.find(WorkerId(order.order.worker()));
+        if (worker == nullptr || !answer) {
+            return;
+        }
+        worker->silentSince = now;
+        const bool accepted = answer->status() == wire::ACCEPTED;
+        if (order.order.has_acquire()) {
+            const bool newer = !worker->owned || answer->epoch() > worker->epoch.value();
+            const bool inTime = now < order.sentAt + table.leaseTimes().ownerLease;
+            if (accepted && newer && inTime && answer->has_inventory()) {
+                table.becomeOwner(*worker, *answer, order.sentAt, now);
+            }
+            return;
+        }
+        if (!worker->owned || order.order.epoch() != worker->epoch.value()) {
+            return;
+        }
+        if (!accepted) {
+            table.loseOwnership(*worker);
+            return;
+        }
+        if (order.order.has_renew() && table.applyReply(*worker, *answer, now)) {
+            worker->leaseUntil =
+                std::max(worker->leaseUntil, order.sentAt + table.leaseTimes().ownerLease);
+            table.applyInventory(*worker, answer->inventory());
+        }
+    });
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/workerkeeper.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "clusterstate.h"
+#include "guarded.h"
+#include "logfollower.h"
+#include "logwriter.h"
+#include "membership.h"
+#include "outbox.h"
+#include "workertable.h"
+
+namespace godwitfall {
+
+/**
+ * Acquires, renews and hands over the leases under which this instance owns workers, and has the
+ * leases of silent workers declared lapsed.
+ *
+ * Which instance should own a worker follows from rendezvous hashing over the live instances of the
+ * zone; which one does own it only the worker's grant decides.
+ */
+class WorkerKeeper
+{
+public:
+    WorkerKeeper(Guarded<ClusterState> &state, Guarded<Membership> &members,
+                 Guarded<WorkerTable> &workers, LogWriter &writer, const LogFollower &follower,
+                 Outbox &outbox, const LeaseTimes &times);
+
+    void onTick(Instant now);
+
+    /** Takes in the answer to a lease order. */
+    void onReply(const SentOrder &order, const Result<wire::WorkerReply> &answer, Instant now);
+
+    /** Begins to hand all workers over, because this instance is about to stop. */
+    void startDraining();
+
+    /** Returns how many workers this instance owns. */
+    std::size_t ownedCount() const;
+
+private:
+    struct FenceWatch
+    {
+        Offset fence;
+        Instant seenAt;
+        bool lapseSent = false;
+    };
+
+    void tickOwned(Worker &worker, const InstanceId &wanted, Instant now);
+    void tickUnowned(Worker &worker, const InstanceId &wanted, Instant now);
+    void considerHandOver(Worker &worker, const InstanceId &wanted, Instant now);
+    void tickFence(const Worker &worker, bool mine, Instant now);
+    void sendAcquire(Worker &worker, Instant now);
+    void sendRenewal(Worker &worker, Instant now);
+    void sendRelease(Worker &worker, Instant now);
+    void send(const Worker &worker, wire::WorkerOrder order, Instant notAfter, Instant now);
+    void submit(wire::Record record);
+
+    Guarded<ClusterState> &state;
+    Guarded<Membership> &members;
+    Guarded<WorkerTable> &workers;
+    LogWriter &writer;
+    const LogFollower &follower;
+    Outbox &outbox;
+    const LeaseTimes times;
+    std::mutex mutex;
+    bool draining = false;
+    std::map<WorkerId, Instant> unwantedSince;
+    std::map<WorkerId, FenceWatch> fences;
+    std::map<WorkerId, Offset> unfenceSent;
+    std::map<WorkerId, Instant> fenceSentAt;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/tests/fakes/fakeworker.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "godwitfall.pb.h"
+#include "ids.h"
+#include "resources.h"
+
+namespace godwitfall::fakes {
+
+/** How a fake worker differs from one in good order. */
+struct WorkerFaults
+{
+    bool leaving = false;
+    bool failsEverything = false;
+    bool checksEpoch = true;    ///< Off only to show that the checks of the runs bite.
+    bool checksLeases = true;   ///< Off only to show that the checks of the runs bite.
+    bool remembersCalls = true; ///< Off only to show that the checks of the runs bite.
+};
+
+/** A call that has come to its end on the worker. */
+struct FinishedCall
+{
+    std::string call;
+    wire::WorkerReply reply;
+};
+
+/**
+ * A worker as godwitfall's orders see it: grants leases, runs calls and tasks, reports what it holds.
+ *
+ * It refuses by epoch and by lease, never for lack of capacity, so that a run can see whether the
+ * owner commits too much.
+ */
+class FakeWorker
+{
+public:
+    FakeWorker(std::string name, Resources capacity, std::uint64_t incarnation);
+
+    /** Handles the order; nothing is returned for a call that now runs. */
+    std::optional<wire::WorkerReply> handle(const wire::WorkerOrder &order, Instant now);
+
+    /** Moves calls and tasks on and returns the calls that have ended. */
+    std::vector<FinishedCall> advance(Instant now);
+
+    /** Starts a new life: all that ran is gone and forgotten. */
+    void restart(std::uint64_t incarnation);
+
+    WorkerFaults faults;
+    Duration callTime{20};
+    /** The worker's clock runs this much faster than the given time, in thousandths. */
+    std::int64_t driftPerMille = 0;
+
+    const std::string &name() const { return this->workerName; }
+    std::vector<wire::TaskKey> runningTasks() const;
+    std::size_t runningCalls() const { return this->running.size(); }
+    Resources used() const;
+    const Resources &capacity() const { return this->size; }
+
+    /** Returns how often a call for the request was begun here, over all lives. */
+    const std::map<std::string, int> &begunRequests() const { return this->begun; }
+
+private:
+    using Key = std::pair<std::string, std::uint32_t>;
+
+    struct Attempt
+    {
+        wire::TaskSpec spec;
+        bool ended = false;
+        wire::AttemptEnd end = wire::DONE;
+        std::uint64_t progressMs = 0;
+        std::uint64_t leaseUntil = 0;
+        std::uint64_t movedAt = 0;
+        std::uint32_t throttle = 100;
+    };
+
+    struct RunningCall
+    {
+        wire::Execute execute;
+        std::uint64_t endsAt = 0;
+    };
+
+    using Handler = std::optional<wire::WorkerReply> (FakeWorker::*)(const wire::WorkerOrder &);
+    struct Rule
+    {
+        wire::WorkerOrder::OrderCase kind;
+        Handler handler;
+        bool needsEpoch;
+    };
+    static const std::vector<Rule> &rules();
+
+    std::optional<wire::WorkerReply> acquire(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> release(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> renew(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> execute(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> voidCall(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> start(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> stop(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> throttle(const wire::WorkerOrder &order);
+    std::optional<wire::WorkerReply> acknowledge(const wire::WorkerOrder &order);
+
+    wire::WorkerReply reply(wire::OrderStatus status, const std::string &detail = {});
+    wire::WorkerReply resultReply(const std::string &call);
+    void fillInventory(wire::Inventory &inventory) const;
+    void endAttempt(Attempt &attempt, wire::AttemptEnd end);
+    void moveTo(std::uint64_t time);
+
+    std::string workerName;
+    Resources size;
+    std::uint64_t incarnation;
+    std::uint64_t clock = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t grants = 0;
+    std::uint64_t epoch = 0;
+    std::string owner;
+    std::uint64_t ownerUntil = 0;
+    std::map<Key, Attempt> attempts;
+    std::map<std::string, RunningCall> running;
+    std::map<std::string, wire::CallResult> finished;
+    std::set<std::string> voided;
+    std::map<std::string, int> begun;
+};
+
+} // namespace godwitfall::fakes
