Count log offsets from 1, so that an empty log is not read without a pause

Cause: the state began at offset 0 while the log's first entry stands at 1, so an empty log never counted as caught up and a long poll from 0 was answered at once. Ruled out: the pool's idle threads (still there afterwards, at a tenth of the cost). Now the first offset is a named constant, and a log service that does not wait is asked at most every 20 ms.

--- a/src/libgodwitfall/clusterstate.h
+++ b/src/libgodwitfall/clusterstate.h
@@ -14,6 +14,9 @@
 
 namespace godwitfall {
 
+/** The log's first entry stands here; 0 is free to mean "none". */
+constexpr Offset firstOffset(1);
+
 /** What applying one batch did. */
 struct Applied
 {
@@ -96,7 +99,7 @@
     WorkerMarks workerMarks;
     AuditTrail auditTrail;
     std::map<std::string, wire::WriterMark> writers;
-    Offset next;
+    Offset next = firstOffset;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/logfollower.cpp
+++ b/src/libgodwitfall/logfollower.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t entriesInRead = 256;
 constexpr Duration longPoll(500);
+/** Keeps a log service that does not wait from being asked without a pause. */
+constexpr Duration pauseAfterNothing(20);
 constexpr Duration readTimeout(8000);
 constexpr Duration firstRetry(100);
 constexpr Duration longestRetry(3000);
@@ -87,7 +89,7 @@
     }
     this->askedPeerAt = now;
     wire::PeerMessage ask = message;
-    if (next.value() == 0) {
+    if (next == firstOffset) {
         ask.mutable_fetch_snapshot();
     } else {
         ask.mutable_fetch_log()->set_from(next.value());
@@ -122,13 +124,15 @@
     const Offset next = this->state.read([](const ClusterState &table) {
         return table.nextOffset();
     });
-    if (reply.first_retained() > std::max<std::uint64_t>(next.value(), 1)) {
+    if (reply.first_retained() > next.value()) {
         this->source = Source::Snapshots;
         this->snapshotCursor = Offset();
         this->parts.clear();
-        this->readAt = now;
+        this->readAt = now + pauseAfterNothing;
         return {};
     }
+    const bool waited = now - this->readSentAt >= pauseAfterNothing;
+    this->readAt = reply.entries().empty() && !waited ? now + pauseAfterNothing : now;
     std::vector<DueDecision> due;
     for (const wire::LogEntry &entry : reply.entries()) {
         appendAll(due, this->applyEntry(entry));
@@ -238,7 +242,7 @@
         const Offset next = this->state.read([](const ClusterState &table) {
             return table.nextOffset();
         });
-        if (entry.offset() > std::max<std::uint64_t>(next.value(), 1)) {
+        if (entry.offset() > next.value()) {
             break;
         }
         appendAll(due, this->applyEntry(entry));
@@ -287,7 +291,7 @@
     const Offset highest = this->members.read([&](const Membership &table) {
         return table.highestNextOffset(this->tickedAt);
     });
-    return this->failing && next.value() > 0 && next >= highest;
+    return this->failing && next > firstOffset && next >= highest;
 }
 
 void LogFollower::writeSnapshotIfDue(Offset applied)
--- a/src/libgodwitfall/node.cpp
+++ b/src/libgodwitfall/node.cpp
@@ -158,7 +158,7 @@
     wire::PeerMessage reply = this->envelope();
     *reply.mutable_snapshot_offer()->mutable_snapshot() =
         this->state.read([](const ClusterState &table) { return table.snapshot(); });
-    if (reply.snapshot_offer().snapshot().next_offset() > 0) {
+    if (reply.snapshot_offer().snapshot().next_offset() > firstOffset.value()) {
         this->sendTo(message.from(), reply);
     }
 }
