Run the promises under random faults, and finish starts that are under way during a planned stop

tests/promises drives several real nodes, fake workers and a fake platform under one clock and one seed; RapidCheck draws the steps. Cause: a draining node ran the keeper, which waits for started attempts before it hands a worker over, but not the scheduler, which starts them. Ruled out: the log (the claim was read back).

--- a/src/libgodwitfall/node.cpp
+++ b/src/libgodwitfall/node.cpp
@@ -53,11 +53,10 @@
     this->follower.onTick(now);
     this->router.onTick(now);
     this->desk.onTick(now);
-    if (schedule && this->ready()) {
+    // What is under way must go on during a planned stop, or the workers could not be handed over.
+    if (schedule && (this->draining || this->ready())) {
         this->keeper.onTick(now);
         this->scheduler.onTick(now);
-    } else if (schedule && this->draining) {
-        this->keeper.onTick(now);
     }
     this->writer.onTick(now);
 }
--- a/src/libgodwitfall/taskscheduler.cpp
+++ b/src/libgodwitfall/taskscheduler.cpp
@@ -140,7 +140,7 @@
     attempt.endRecorded = true;
     if (attempt.end == wire::DONE || attempt.end == wire::FAILED) {
         const bool failed = attempt.end == wire::FAILED;
-        WorkerTable::observeEnd(worker, name, failed, now);
+        WorkerTable::observeEnd(worker, name, failed, this->times, now);
     }
     wire::Record record;
     record.set_author(this->writer.name());
--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -10,8 +10,7 @@
 
 constexpr double latencyWeight = 0.2;
 constexpr std::size_t failedTasksBeforeEjection = 3;
-constexpr Duration firstEjection(10000);
-constexpr std::uint32_t longestEjectionDoublings = 6;
+constexpr std::uint32_t mostDoublings = 16;
 
 } // namespace
 
@@ -301,7 +300,8 @@
     return "no worker of any zone can hold " + size.text();
 }
 
-void WorkerTable::observeEnd(Worker &worker, const std::string &task, bool failed, Instant now)
+void WorkerTable::observeEnd(Worker &worker, const std::string &task, bool failed,
+                             const LeaseTimes &times, Instant now)
 {
     if (!failed) {
         worker.failedTasks.clear();
@@ -312,8 +312,8 @@
     if (worker.failedTasks.size() < failedTasksBeforeEjection) {
         return;
     }
-    const std::int64_t factor = std::int64_t(1) << std::min(worker.ejections, longestEjectionDoublings);
-    worker.ejectedUntil = now + firstEjection * factor;
+    const std::int64_t factor = std::int64_t(1) << std::min(worker.ejections, mostDoublings);
+    worker.ejectedUntil = now + std::min(times.firstEjection * factor, times.longestEjection);
     ++worker.ejections;
     worker.failedTasks.erase(worker.failedTasks.begin());
 }
--- a/src/libgodwitfall/workertable.h
+++ b/src/libgodwitfall/workertable.h
@@ -22,6 +22,9 @@
     Duration contactAllowance; ///< Age of log contact up to which yielding tasks are renewed.
     Duration fenceAfter;
     std::int64_t driftPerMille = 0;
+    /** A worker that fails everything gets no work for this long, doubled at each return. */
+    Duration firstEjection{10000};
+    Duration longestEjection{600000};
 
     /** Returns the length as the slower of two clocks would measure it at worst. */
     Duration stretched(Duration length) const
@@ -108,7 +111,8 @@
     std::optional<std::string> neverFits(const Resources &size) const;
 
     /** Notes that a task ended here, to tell workers that fail everything. */
-    static void observeEnd(Worker &worker, const std::string &task, bool failed, Instant now);
+    static void observeEnd(Worker &worker, const std::string &task, bool failed,
+                           const LeaseTimes &times, Instant now);
 
     /** Returns how long a worker may be silent before it gets no new work. */
     Duration suspectAfter() const { return this->times.renewEvery * 3; }
--- /dev/null
+++ b/tests/promises/world.h
@@ -0,0 +1,227 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fakes/fakelog.h"
+#include "fakes/fakeworker.h"
+#include "node.h"
+
+namespace godwitfall::promises {
+
+/** A mechanism that a run may do without, to show that the checks notice. */
+enum class Weakening {
+    None,
+    WorkerIgnoresEpochs,
+    WorkerIgnoresTaskLeases,
+    WorkerForgetsCalls,
+    OrdersSentAsRepeatable,
+    ClocksDriftBeyondBound,
+    LeavingIsNotTold,
+    RetriesTakeNewNumbers,
+    StopWithoutDraining,
+};
+
+struct Counts
+{
+    std::uint64_t steps = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t tasks = 0;
+    std::uint64_t finishedTasks = 0;
+};
+
+class World;
+
+/** One entry instance of the world: a real Node, its clock, and its way out. */
+class SimInstance : public Outbox
+{
+public:
+    SimInstance(World &world, std::string name, std::string zone, int index);
+
+    void start();
+    void sendPeer(const std::string &address, const wire::PeerMessage &message) override;
+    void sendWorker(const SentOrder &order) override;
+    void append(Stream stream, const std::string &payload) override;
+    void read(Stream stream, Offset from, std::size_t most, Duration wait) override;
+    void fetchList() override;
+    void answer(CallerToken caller, const wire::CallerAnswer &answer) override;
+    void reply(CallerToken caller, const wire::CommandReply &reply) override;
+
+    /** Returns the instance's own clock, which starts and runs differently from every other. */
+    Instant localNow() const;
+
+    /** Runs the function on the node of this life; later if the instance is frozen by then. */
+    void later(std::int64_t delay, std::function<void(Node &)> function);
+
+    World &world;
+    const std::string name;
+    const std::string zone;
+    const int index;
+    std::unique_ptr<Random> random;
+    std::unique_ptr<Node> node;
+    int life = 0;
+    bool stopping = false;
+    std::int64_t frozenUntil = 0;
+    std::int64_t driftPerMille = 0;
+};
+
+/**
+ * Several real nodes among fake workers and a fake platform, under one clock and one seed.
+ *
+ * It knows the faults that the promises must survive and no others; it is no model of a network.
+ */
+class World
+{
+public:
+    World(std::uint64_t seed, Weakening weakening);
+    ~World();
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    // What operators and callers do.
+    void sendRequest(int instance, bool once);
+    void sendAgain(int instance, int earlier);
+    void submitTask(int instance, int kind);
+    void command(int instance, const std::string &text);
+    std::string task(int which) const;
+    std::string workerName(int which) const;
+
+    // What fails.
+    void kill(int instance);
+    void stop(int instance);
+    void freeze(int instance, std::int64_t milliseconds);
+    void restartWorker(int worker);
+    void freezeWorker(int worker, std::int64_t milliseconds);
+    void leave(int worker, bool listOnly);
+    void failWorker(int worker);
+    void cutZones(std::int64_t milliseconds);
+    void cutPlatform(int zone, std::int64_t milliseconds);
+    void logOutage(std::int64_t milliseconds);
+    void loseAnswers(std::int64_t milliseconds);
+    void slowLog(std::int64_t milliseconds);
+    void loseMessages(std::int64_t milliseconds);
+
+    /** Lets time pass. */
+    void run(std::int64_t milliseconds);
+
+    /** Ends all faults, lets everything settle, and checks what must hold in the end. */
+    void settle();
+
+    const std::vector<std::string> &violations() const { return this->broken; }
+    const Counts &counts() const { return this->total; }
+
+private:
+    friend class SimInstance;
+
+    struct Event
+    {
+        std::int64_t at;
+        std::uint64_t order;
+        std::function<void()> act;
+        bool operator<(const Event &other) const
+        {
+            return this->at != other.at ? this->at > other.at : this->order > other.order;
+        }
+    };
+
+    struct Ask
+    {
+        std::string request;
+        std::string body;
+        std::int64_t deadline = 0;
+        int instance = 0;
+        int life = 0;
+        bool answered = false;
+    };
+
+    struct RequestStory
+    {
+        bool once = false;
+        int asks = 0;
+        int notRun = 0;
+        bool knownAnswered = false;
+    };
+
+    struct LeavingWorker
+    {
+        int worker = 0;
+        std::size_t begunBefore = 0;
+        bool counted = false;
+    };
+
+    void at(std::int64_t delay, std::function<void()> act);
+    std::int64_t delay();
+    bool chance(std::uint64_t perMille);
+    bool platformReachable(const std::string &zone) const;
+    bool zonesReachable(const std::string &from, const std::string &to) const;
+    SimInstance &instance(int which);
+    fakes::FakeWorker &worker(int which);
+    wire::InstanceList list() const;
+    void tickInstances();
+    void tickWorkers();
+    void deliverOrder(SimInstance &from, int life, const SentOrder &order);
+    void returnReply(SimInstance &to, int life, const SentOrder &order,
+                     const Result<wire::WorkerReply> &reply);
+    void answerWaitingReads();
+    void ask(int instance, const std::string &request, const std::string &body, bool once);
+    void onAnswer(int instance, int life, CallerToken caller, const wire::CallerAnswer &answer);
+    void checkNow();
+    void checkEnd();
+    void checkLeavers();
+    void watchLeaver(std::size_t entry, std::int64_t left);
+    void makeRoom();
+    std::size_t begunOn(int worker) const;
+    void report(const std::string &what);
+    bool lost(bool reply);
+
+    const Weakening weakening;
+    Random random;
+    std::int64_t clock = 0;
+    std::uint64_t eventOrder = 0;
+    std::priority_queue<Event> events;
+    std::vector<std::unique_ptr<SimInstance>> instances;
+    std::vector<std::unique_ptr<fakes::FakeWorker>> workers;
+    std::vector<std::int64_t> workerFrozenUntil;
+    std::set<int> listedLeaving;
+    std::vector<LeavingWorker> leavers;
+    std::map<std::string, std::pair<SimInstance *, SentOrder>> runningCalls;
+    std::map<std::string, int> callLives;
+    fakes::FakeLog log;
+    struct WaitingRead
+    {
+        SimInstance *reader;
+        int life;
+        Stream stream;
+        Offset from;
+        std::size_t most;
+        std::int64_t until;
+    };
+    std::vector<WaitingRead> reads;
+    std::int64_t zonesCutUntil = 0;
+    std::map<std::string, std::int64_t> platformCutUntil;
+    std::int64_t outageUntil = 0;
+    std::int64_t answersLostUntil = 0;
+    std::int64_t slowUntil = 0;
+    std::int64_t messagesLostUntil = 0;
+    std::uint64_t lastCaller = 0;
+    std::uint64_t lastName = 0;
+    std::map<std::pair<int, std::uint64_t>, Ask> asks;
+    std::map<std::string, RequestStory> stories;
+    std::vector<std::string> requestNames;
+    std::vector<std::string> taskNames;
+    std::map<std::pair<std::string, std::uint32_t>, std::string> attemptPlaces;
+    std::vector<std::string> broken;
+    std::uint64_t weakenedSeq = 0;
+    Counts total;
+};
+
+} // namespace godwitfall::promises
