--- a/src/godwitfall/settingsloader.cpp
+++ b/src/godwitfall/settingsloader.cpp
@@ -43,6 +43,7 @@
 {
     std::vector<const FieldDescriptor *> all;
     const google::protobuf::Descriptor &descriptor = *wire::Settings::descriptor();
+    all.reserve(static_cast<std::size_t>(descriptor.field_count()));
     for (int index = 0; index < descriptor.field_count(); ++index) {
         all.push_back(descriptor.field(index));
     }
--- a/src/libgodwitfall/command/language.cpp
+++ b/src/libgodwitfall/command/language.cpp
@@ -1,5 +1,7 @@
 #include "command/language.h"
 
+#include <cctype>
+
 #include <boost/spirit/home/x3.hpp>
 
 namespace godwitfall {
@@ -61,9 +63,16 @@
     return x3::lexeme[x3::lit(text) >> !wordCharacter];
 }
 
+/** Gives the parser the name by which an error tells what was expected. */
+template <class Parser>
+auto named(const char *name, const Parser &parser)
+{
+    return x3::rule<struct Named>(name) = parser;
+}
+
 auto expect(const char *text)
 {
-    return x3::rule<struct Expected>(text) = keyword(text);
+    return named(text, keyword(text));
 }
 
 wire::TaskSpec &spec(const auto &context)
@@ -114,7 +123,6 @@
 {
     KindSymbols()
     {
-        this->name("batch, watch or latency-critical");
         this->add("batch", wire::BATCH)("watch", wire::WATCH)("latency-critical",
                                                               wire::LATENCY_CRITICAL);
     }
@@ -127,7 +135,6 @@
 {
     TableSymbols()
     {
-        this->name("workers, tasks, services, zones, instances, config or audit");
         for (const char *table :
              {"workers", "tasks", "services", "zones", "instances", "config", "audit"}) {
             this->add(table, std::string(table));
@@ -136,13 +143,18 @@
 } const tables;
 
 const auto submitOption =
-    (keyword("team") > word[setTeam]) | (keyword("kind") > kinds[setKind]) |
-    (keyword("milli_cores") > number[setMilliCores]) | (keyword("memory_mb") > number[setMemory]) |
-    (keyword("accelerators") > number[setAccelerators]) |
-    (keyword("priority") > integer[setPriority]) | (keyword("run_ms") > wide[setRun]) |
-    keyword("once")[setOnce] | keyword("stay")[setStay] | keyword("yield")[setYield] |
-    (keyword("zone") > word[setZone]) | (keyword("payload") > quoted[setPayload]);
-const auto submit = keyword("submit") > expect("task") > word[startSubmit] > *submitOption;
+    (keyword("team") > named("a name", word[setTeam])) |
+    (keyword("kind") > named("batch, watch or latency-critical", kinds[setKind])) |
+    (keyword("milli_cores") > named("a whole number", number[setMilliCores])) |
+    (keyword("memory_mb") > named("a whole number", number[setMemory])) |
+    (keyword("accelerators") > named("a whole number", number[setAccelerators])) |
+    (keyword("priority") > named("a whole number", integer[setPriority])) |
+    (keyword("run_ms") > named("a whole number", wide[setRun])) | keyword("once")[setOnce] |
+    keyword("stay")[setStay] | keyword("yield")[setYield] |
+    (keyword("zone") > named("a name", word[setZone])) |
+    (keyword("payload") > named("a quoted text", quoted[setPayload]));
+const auto submit = keyword("submit") > expect("task") > named("a name", word[startSubmit]) >
+                    *submitOption;
 
 const auto startCancel = [](auto &context) {
     CancelChange &change = begin<CancelChange>(context);
@@ -152,8 +164,8 @@
 const auto addCancel = [](auto &context) {
     draft(context).cancel->cancel.add_tasks(x3::_attr(context));
 };
-const auto cancel = keyword("cancel") > expect("task") > word[startCancel] >
-                    *(x3::lit(',') > word[addCancel]);
+const auto cancel = keyword("cancel") > expect("task") > named("a name", word[startCancel]) >
+                    *(x3::lit(',') > named("a name", word[addCancel]));
 
 template <bool value>
 const auto startHold = [](auto &context) {
@@ -161,15 +173,15 @@
     change.hold.set_task(x3::_attr(context));
     change.hold.set_hold(value);
 };
-const auto stop = keyword("stop") > expect("task") > word[startHold<true>];
-const auto resume = keyword("resume") > expect("task") > word[startHold<false>];
+const auto stop = keyword("stop") > expect("task") > named("a name", word[startHold<true>]);
+const auto resume = keyword("resume") > expect("task") > named("a name", word[startHold<false>]);
 
 const auto startEvict = [](auto &context) {
     EvictChange &change = begin<EvictChange>(context);
     change.evict.mutable_key()->set_task(x3::_attr(context));
     change.evict.set_reason("an operator's command");
 };
-const auto evict = keyword("evict") > expect("task") > word[startEvict];
+const auto evict = keyword("evict") > expect("task") > named("a name", word[startEvict]);
 
 const auto keepFirst = [](auto &context) {
     draft(context).first = x3::_attr(context);
@@ -183,16 +195,19 @@
     begin<PlaceChange>(context).place.set_task(draft(context).first);
 };
 const auto placeTarget = x3::rule<struct PlaceTarget>("'on worker NAME' or 'anywhere'") =
-    (keyword("on") > expect("worker") > word[placeOn]) | keyword("anywhere")[placeAnywhere];
-const auto place = keyword("place") > expect("task") > word[keepFirst] > placeTarget;
+    (keyword("on") > expect("worker") > named("a name", word[placeOn])) |
+    keyword("anywhere")[placeAnywhere];
+const auto place = keyword("place") > expect("task") >
+                   named("a name", word[keepFirst]) > placeTarget;
 
 const auto throttleTo = [](auto &context) {
     ThrottleChange &change = begin<ThrottleChange>(context);
     change.throttle.set_task(draft(context).first);
     change.throttle.set_percent(x3::_attr(context));
 };
-const auto throttle = keyword("throttle") > expect("task") > word[keepFirst] >
-                      expect("to") > number[throttleTo] > expect("percent");
+const auto throttle = keyword("throttle") > expect("task") > named("a name", word[keepFirst]) >
+                      expect("to") > named("a whole number", number[throttleTo]) >
+                      expect("percent");
 
 template <bool value>
 const auto startDrain = [](auto &context) {
@@ -200,16 +215,18 @@
     change.drain.set_worker(x3::_attr(context));
     change.drain.set_drain(value);
 };
-const auto drain = keyword("drain") > expect("worker") > word[startDrain<true>];
-const auto undrain = keyword("undrain") > expect("worker") > word[startDrain<false>];
+const auto drain = keyword("drain") > expect("worker") > named("a name", word[startDrain<true>]);
+const auto undrain = keyword("undrain") > expect("worker") >
+                     named("a name", word[startDrain<false>]);
 
 const auto priorityTo = [](auto &context) {
     PriorityChange &change = begin<PriorityChange>(context);
     change.prioritise.set_task(draft(context).first);
     change.prioritise.set_priority(x3::_attr(context));
 };
-const auto priority = keyword("priority") > expect("of") > expect("task") > word[keepFirst] >
-                      expect("to") > integer[priorityTo];
+const auto priority = keyword("priority") > expect("of") > expect("task") >
+                      named("a name", word[keepFirst]) > expect("to") >
+                      named("a whole number", integer[priorityTo]);
 const auto configKey = [](auto &context) {
     if (draft(context).config == nullptr) {
         draft(context).config = &begin<ConfigChange>(context);
@@ -220,13 +237,16 @@
     auto &entries = *draft(context).config->config.mutable_entries();
     entries.rbegin()->set_value(x3::_attr(context));
 };
-const auto configEntry = word[configKey] > x3::lit('=') > word[configValue];
-const auto set = keyword("set") > (priority | (configEntry > *(x3::lit(',') > configEntry)));
+const auto configEntry = word[configKey] > named("'='", x3::lit('=')) >
+                         named("a name", word[configValue]);
+const auto set = keyword("set") > named("a key of the configuration or 'priority of task'",
+                                        priority | (configEntry > *(x3::lit(',') > configEntry)));
 
 const auto ifVersion = [](auto &context) {
     draft(context).change->basedOn = x3::_attr(context);
 };
-const auto condition = -(keyword("if") > expect("version") > wide[ifVersion]);
+const auto condition =
+    -(keyword("if") > expect("version") > named("a whole number", wide[ifVersion]));
 
 const auto startList = [](auto &context) {
     ListQuery query;
@@ -243,37 +263,47 @@
 const auto setLimit = [](auto &context) {
     draft(context).list->limit = x3::_attr(context);
 };
-const auto filter = word[filterColumn] > x3::lit('=') > value[filterValue];
-const auto list = keyword("list") > tables[startList] >
+const auto filter = word[filterColumn] > named("'='", x3::lit('=')) >
+                    named("a value", value[filterValue]);
+const auto list = keyword("list") >
+                  named("workers, tasks, services, zones, instances, config or audit",
+                        tables[startList]) >
                   -(keyword("where") > filter > *(keyword("and") > filter)) >
-                  -(keyword("limit") > wide[setLimit]);
+                  -(keyword("limit") > named("a whole number", wide[setLimit]));
 
 const auto startWhy = [](auto &context) {
     draft(context).command = WhyQuery{x3::_attr(context)};
 };
-const auto why = keyword("why") > expect("task") > word[startWhy];
+const auto why = keyword("why") > expect("task") > named("a name", word[startWhy]);
 const auto startStatus = [](auto &context) {
     draft(context).command = StatusQuery{x3::_attr(context)};
 };
-const auto status = keyword("status") > word[startStatus];
+const auto status = keyword("status") > named("a name", word[startStatus]);
 
 struct CommandRule
 {
     template <class Iterator, class Failure, class Context>
-    x3::error_handler_result on_error(Iterator &first, const Iterator &, const Failure &failure,
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that Spirit calls.
+    x3::error_handler_result on_error(Iterator &first, const Iterator &last, const Failure &failure,
                                       const Context &context)
     {
         auto &error = x3::get<ErrorTag>(context).get();
         error.expected = failure.which();
-        error.column = static_cast<std::size_t>(failure.where() - first) + 1;
+        Iterator where = failure.where();
+        while (where != last && std::isspace(static_cast<unsigned char>(*where)) != 0) {
+            ++where;
+        }
+        error.column = static_cast<std::size_t>(where - first) + 1;
         return x3::error_handler_result::fail;
     }
 };
 
 const auto anyChange = x3::rule<struct AnyChange>("a change") =
     submit | cancel | stop | resume | evict | place | throttle | drain | undrain | set;
-const auto command = x3::rule<CommandRule>("a command") = x3::eps > ((anyChange > condition) |
-                                                                     list | why | status) > x3::eoi;
+const auto command = x3::rule<CommandRule>("a command") = x3::eps > named("a command",
+                                                                          (anyChange > condition) |
+                                                                              list | why | status) >
+                                                          named("end of the command", x3::eoi);
 
 } // namespace
 
--- /dev/null
+++ b/tests/net/test_httpserver.cpp
@@ -0,0 +1,118 @@
+#include "httpserver.h"
+
+#include <thread>
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include "httpclient.h"
+
+namespace godwitfall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr const char *address = "127.0.99.1:17411";
+
+/** A listener that answers with the body's length, on a thread of its own. */
+class HttpServerTest : public testing::Test
+{
+protected:
+    HttpServerTest()
+    {
+        this->limits.maxBodyBytes = 1000;
+        this->limits.ioTimeout = Duration(300);
+        this->server = std::make_unique<HttpServer>(
+            this->context, this->limits, [](const HttpRequest &request, Respond respond) {
+                HttpResponse response;
+                response.body = std::to_string(request.body.size());
+                respond(response);
+            });
+        const auto heard = this->server->listen(address);
+        EXPECT_TRUE(heard) << heard.error().text();
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~HttpServerTest() override
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    /** Sends the bytes and returns all that comes back until the server closes. */
+    std::string exchange(const std::string &bytes, bool halfClose = false)
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket(own);
+        socket.connect({asio::ip::make_address("127.0.99.1"), 17411});
+        asio::write(socket, asio::buffer(bytes));
+        if (halfClose) {
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        }
+        std::string answer;
+        boost::system::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer), ended);
+        return answer;
+    }
+
+    asio::io_context context;
+    HttpLimits limits;
+    std::unique_ptr<HttpServer> server;
+    std::thread thread;
+};
+
+struct Hostile
+{
+    const char *name;
+    std::string bytes;
+    bool halfClose;
+    const char *answer;
+};
+
+class HostileInput : public HttpServerTest, public testing::WithParamInterface<Hostile>
+{};
+
+TEST_P(HostileInput, GetsAClearErrorAndHarmsNobodyElse)
+{
+    const std::string answer = this->exchange(GetParam().bytes, GetParam().halfClose);
+    EXPECT_EQ(answer.substr(0, std::string(GetParam().answer).size()), GetParam().answer);
+    const std::string next =
+        this->exchange("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(next.substr(next.size() - 1), "2");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Net, HostileInput,
+    testing::Values(Hostile{"Garbage", "\x01\x02\x03 nonsense\r\n\r\n", false, "HTTP/1.1 400"},
+                    Hostile{"TooLarge", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", false,
+                            "HTTP/1.1 413"},
+                    Hostile{"LongHeader",
+                            "GET / HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", false,
+                            "HTTP/1.1 400"},
+                    Hostile{"Slow", "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\npart", false, ""},
+                    Hostile{"CutShort", "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\npart", true,
+                            "HTTP/1.1 400"},
+                    Hostile{"HalfClosed",
+                            "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc",
+                            true, "HTTP/1.1 200"}),
+    [](const auto &info) { return info.param.name; });
+
+TEST(HttpClient, SaysNotDoneOnlyWhenNothingWasSent)
+{
+    asio::io_context context;
+    HttpClient client(context);
+    HttpCall call;
+    call.step = "order";
+    call.address = "127.0.99.2:17499";
+    Result<HttpResponse> result;
+    client.call(call, [&](const Result<HttpResponse> &answer) { result = answer; });
+    context.run();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().fate, Fate::NotDone);
+    EXPECT_EQ(result.error().step, "order");
+    EXPECT_EQ(result.error().peer, "127.0.99.2:17499");
+}
+
+} // namespace
+} // namespace godwitfall
