--- a/src/libgodwitfall/worker.h
+++ b/src/libgodwitfall/worker.h
@@ -38,7 +38,6 @@
 /** A call that takes a slot on a worker. */
 struct CallOnWorker
 {
-    Instant since;
     bool adopted = false; ///< Taken over from an earlier owner; leaves when a reply omits it.
 };
 
--- a/src/libgodwitfall/workerchooser.cpp
+++ b/src/libgodwitfall/workerchooser.cpp
@@ -11,17 +11,11 @@
 constexpr double latencyDecayMs = 10000.0;
 constexpr double startLatencyMs = 1.0;
 
-/**
- * The decayed average or the age of the oldest call that is still out, whichever is more, raised by
- * the share of slots that is taken. The age tells of a slow worker before its answers do.
- */
+/** The decayed average, raised by the share of slots that is taken. */
 double expectedLatency(const Worker &worker, Instant now)
 {
     const auto age = static_cast<double>((now - worker.latencyAt).count());
-    double latency = worker.latencyMs * std::exp(-age / latencyDecayMs);
-    for (const auto &[id, call] : worker.calls) {
-        latency = std::max(latency, static_cast<double>((now - call.since).count()));
-    }
+    const double latency = worker.latencyMs * std::exp(-age / latencyDecayMs);
     const auto slots = static_cast<double>(std::max<std::int64_t>(worker.capacity.slots, 1));
     const double taken = static_cast<double>(worker.calls.size()) / slots;
     return std::max(latency, startLatencyMs) * (1.0 + taken);
--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -141,7 +141,7 @@
         return std::nullopt;
     }
     Worker &chosen = *this->find(this->chooser->choose(candidates, now)->id);
-    chosen.calls[call].since = now;
+    chosen.calls[call] = CallOnWorker();
     this->checkCapacity(chosen);
     return this->reservationOn(chosen, now);
 }
@@ -242,9 +242,7 @@
         attempt.throttlePercent = task.throttle_percent();
     }
     for (const std::string &call : reply.inventory().calls()) {
-        CallOnWorker &adopted = worker.calls[CallId(call)];
-        adopted.adopted = true;
-        adopted.since = now;
+        worker.calls[CallId(call)].adopted = true;
     }
     this->checkCapacity(worker);
 }
