--- a/src/godwitfall/peerlink.cpp
+++ b/src/godwitfall/peerlink.cpp
@@ -66,9 +66,13 @@
 void PeerLink::send(const std::string &address, const wire::PeerMessage &message)
 {
     std::lock_guard lock(this->sockets->queueMutex);
-    this->sockets->queue.send(zmq::buffer(address),
-                              zmq::send_flags::sndmore | zmq::send_flags::dontwait);
-    this->sockets->queue.send(zmq::buffer(message.SerializeAsString()), zmq::send_flags::dontwait);
+    // The backlog is counted by whole messages: when the first part finds no room, neither is sent.
+    const auto begun = this->sockets->queue.send(
+        zmq::buffer(address), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+    if (begun) {
+        this->sockets->queue.send(zmq::buffer(message.SerializeAsString()),
+                                  zmq::send_flags::dontwait);
+    }
 }
 
 void PeerLink::stop()
--- a/src/libgodwitfall/configstore.cpp
+++ b/src/libgodwitfall/configstore.cpp
@@ -28,7 +28,6 @@
     KeyRule{"service.", ".max_waiting", 0, 100'000},
     KeyRule{"caller.", ".share_percent", 1, 100},
     KeyRule{"limit.retry_percent", "", 0, 100},
-    KeyRule{"limit.batch_percent", "", 0, 100},
     KeyRule{"note.", "", 0, 1'000'000'000},
 };
 
