--- a/src/libgodwitfall/command/commanddesk.cpp
+++ b/src/libgodwitfall/command/commanddesk.cpp
@@ -95,9 +95,9 @@
     waiting.reply.set_id(waiting.id);
     waiting.decided = true;
     waiting.deadline = now + reachTimeout;
-    if (waiting.reply.verdict() == wire::DECIDED_ACCEPTED) {
+    if (waiting.waitsForAll && waiting.reply.verdict() == wire::DECIDED_ACCEPTED) {
         this->queries.fillReach(waiting.reply, Offset(waiting.reply.offset()), now);
-        if (waiting.waitsForAll && waiting.reply.not_reached_size() > 0) {
+        if (waiting.reply.not_reached_size() > 0) {
             return;
         }
     }
--- a/src/libgodwitfall/command/queries.cpp
+++ b/src/libgodwitfall/command/queries.cpp
@@ -192,8 +192,10 @@
             std::string condition = table.alive(id, now) ? "alive" : "silent";
             if (peer.draining) {
                 condition = "stopping";
+            } else if (!peer.heard && peer.zone != table.ownZone()) {
+                condition = "of another zone; see list zones";
             } else if (!peer.heard) {
-                condition = "never heard from here";
+                condition = "not heard";
             }
             addRow(reply, {id.value(), peer.zone.value(), condition,
                            std::to_string(peer.nextOffset.value())});
