--- a/src/godwitfall/commands.h
+++ b/src/godwitfall/commands.h
@@ -17,6 +17,9 @@
 /** Runs an entry instance; the arguments begin with the command's name. */
 int runServe(const std::vector<std::string> &arguments);
 
+/** Runs an entry instance on the users' platform, which tells it its settings. */
+int runInstance(const std::vector<std::string> &arguments);
+
 /** Sends operators' commands and prints the replies. */
 int runCtl(const std::vector<std::string> &arguments);
 
--- a/src/godwitfall/main.cpp
+++ b/src/godwitfall/main.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::array commands = {
     Command{"serve", "runs an entry instance", &godwitfall::runServe},
+    Command{"instance", "runs an entry instance on the users' platform; settings come from there",
+            &godwitfall::runInstance},
     Command{"ctl", "asks what runs where and why, and issues changes", &godwitfall::runCtl},
     Command{"check-settings", "tells every fault of the settings; --reference prints the page",
             &godwitfall::runCheckSettings},
--- /dev/null
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -0,0 +1,617 @@
+#include "coordinator.h"
+
+#include <algorithm>
+#include <array>
+
+namespace godwitfall {
+
+namespace {
+
+constexpr std::array<const char *, 9> outcomeNames = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
+
+/** Pause before a run that nobody asked for is stopped again. */
+constexpr Duration strayStopGap{1000};
+/** Ends that a worker lists at once; a full list may leave out newer ones; from the platform. */
+constexpr std::size_t endedPage = 500;
+
+} // namespace
+
+const char *toText(RunOutcome outcome)
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
+                         CoordinatorObserver &observer)
+    : table(table)
+    , bounds(bounds)
+    , orders(orders)
+    , observer(observer)
+{}
+
+void Coordinator::begin(std::uint64_t newEpoch, Instant now, Instant lapse)
+{
+    this->end();
+    this->epoch = newEpoch;
+    this->formerLeasesLapse = lapse;
+    for (const auto &[id, job] : this->table.all()) {
+        this->adopt(*job);
+        if (job->cancelled && !job->closed()) {
+            this->jobCancelled(*job, now);
+        }
+    }
+    this->planNeeded = true;
+}
+
+void Coordinator::end()
+{
+    this->epoch = 0;
+    this->workers.clear();
+    this->open.clear();
+    this->starts.clear();
+    this->stops.clear();
+    this->strayStops.clear();
+    this->dirty.clear();
+    this->recording.clear();
+    this->inBatch.clear();
+    this->publishing.clear();
+    this->acknowledging.clear();
+    this->acknowledgeDirty = false;
+}
+
+void Coordinator::adopt(Job &job)
+{
+    bool placed = false;
+    for (auto &[key, run] : job.stepRuns()) {
+        for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+            Task &task = run.tasks[index];
+            if (task.worker.empty()) {
+                continue;
+            }
+            placed = true;
+            const TaskRef ref{job.id(), run.occurrence, run.step, index};
+            auto &worker = this->workers[task.worker];
+            if (!worker) {
+                WorkerEntry unknown;
+                unknown.id = WorkerId(task.worker);
+                worker = std::make_unique<WorkerState>(std::move(unknown));
+                worker->listed = false;
+                worker->unheardLapse = this->formerLeasesLapse;
+            }
+            worker->assign(ref, job);
+        }
+    }
+    if (!job.closed() || placed) {
+        this->open.insert(&job);
+    }
+}
+
+void Coordinator::setConfig(const JobConfig &newConfig)
+{
+    this->config = newConfig;
+    this->planNeeded = true;
+}
+
+WorkerState *Coordinator::findWorker(const WorkerId &id)
+{
+    const auto found = this->workers.find(id.value());
+    return found == this->workers.end() ? nullptr : found->second.get();
+}
+
+const WorkerState *Coordinator::worker(const WorkerId &id) const
+{
+    const auto found = this->workers.find(id.value());
+    return found == this->workers.end() ? nullptr : found->second.get();
+}
+
+const QueueConfig *Coordinator::queueOf(const Job &job) const
+{
+    return this->config.queue(job.spec().queue());
+}
+
+void Coordinator::setWorker(const WorkerEntry &entry, Instant now)
+{
+    auto &worker = this->workers[entry.id.value()];
+    if (!worker) {
+        worker = std::make_unique<WorkerState>(entry);
+        worker->unheardLapse = this->formerLeasesLapse;
+        worker->holdDue = now;
+    }
+    const std::int64_t bornBefore = worker->entry.bornMs;
+    worker->entry = entry;
+    worker->listed = true;
+    if (bornBefore != 0 && entry.bornMs > bornBefore) {
+        this->reborn(*worker, entry.bornMs, now);
+    } else if (entry.bornMs < bornBefore) {
+        worker->entry.bornMs = bornBefore;
+    }
+    this->planNeeded = true;
+}
+
+void Coordinator::removeWorker(const WorkerId &id, Instant now)
+{
+    if (WorkerState *worker = this->findWorker(id)) {
+        worker->listed = false;
+        worker->holdDue = std::min(worker->holdDue, now + silentHoldGap);
+    }
+}
+
+void Coordinator::jobSubmitted(Job &job)
+{
+    this->open.insert(&job);
+    this->planNeeded = true;
+}
+
+void Coordinator::jobCancelled(Job &job, Instant now)
+{
+    if (!job.closed()) {
+        this->closeJob(job, Job::State::CANCELLED, now);
+    }
+}
+
+void Coordinator::markDirty(Job &job)
+{
+    this->dirty.insert(&job);
+}
+
+// ---- what workers report
+
+void Coordinator::reported(const WorkerId &id, Instant sentAt, Instant now, OrderOutcome outcome,
+                           const WorkerReport &report)
+{
+    WorkerState *worker = this->findWorker(id);
+    if (!worker) {
+        return;
+    }
+    worker->holdInFlight = false;
+    if (outcome == OrderOutcome::Fenced) {
+        this->observer.superseded(id);
+        return;
+    }
+    if (outcome == OrderOutcome::OtherLife) {
+        this->loseWorker(*worker, now);
+        worker->heard = false;
+        worker->unheardLapse = now;
+        worker->holdDue = now + silentHoldGap;
+        return;
+    }
+    if (outcome != OrderOutcome::Accepted) {
+        ++worker->holdFailures;
+        worker->holdDue = now + silentHoldGap;
+        return;
+    }
+    worker->holdFailures = 0;
+    if (worker->entry.bornMs != 0 && report.bornMs > worker->entry.bornMs) {
+        this->reborn(*worker, report.bornMs, now);
+    }
+    if (report.bornMs != 0) {
+        worker->entry.bornMs = std::max(worker->entry.bornMs, report.bornMs);
+    }
+    const bool first = !worker->heard;
+    worker->heard = true;
+    worker->heardAt = now;
+    worker->sampleClock(report.clockMs, now);
+    if (first) {
+        worker->noteLeaseEnd(report.clockMs + this->bounds.longestLease.count());
+        this->planNeeded = true;
+    }
+    for (const RunningTask &running : report.running) {
+        this->applyRunning(*worker, running, now);
+    }
+    const std::uint64_t seenBefore = worker->seen;
+    for (const EndedTask &ended : report.ended) {
+        if (ended.number > seenBefore) {
+            this->applyEnded(*worker, ended, now);
+            worker->seen = std::max(worker->seen, ended.number);
+        }
+    }
+    this->findMissing(*worker, report, sentAt, now);
+    this->findStalled(*worker, now);
+    this->adjustPace(*worker, now);
+    const bool owesAcknowledgement = worker->seen > worker->acknowledged;
+    if (owesAcknowledgement) {
+        this->acknowledgeDirty = true;
+    }
+    // Until the record is durable a hold would return the same ends at once.
+    worker->holdDue = now + (owesAcknowledgement ? holdWait : first ? Duration(0) : holdGap);
+}
+
+void Coordinator::applyRunning(WorkerState &worker, const RunningTask &running, Instant now)
+{
+    Job *job = this->table.find(running.task.job);
+    Task *task = job ? job->task(running.task) : nullptr;
+    const bool known = task && task->worker == worker.entry.id.value() && task->run == running.run;
+    if (!known) {
+        Instant &stoppedAt = this->strayStops[{running.task, running.run}];
+        if (stoppedAt == Instant() || now - stoppedAt > strayStopGap) {
+            stoppedAt = now;
+            this->sendStop(worker, running.task, running.run, now);
+        }
+        return;
+    }
+    if (running.percent != task->percent || running.checkpoint != task->checkpoint) {
+        task->progressAt = now;
+    }
+    task->percent = running.percent;
+    task->checkpoint = running.checkpoint;
+    task->figure = running.figure;
+    if (task->phase == TaskPhase::Unconfirmed || task->phase == TaskPhase::Starting) {
+        task->phase = TaskPhase::Running;
+        task->since = now;
+        task->progressAt = now;
+        this->starts.erase(running.task);
+        if (job->closed()) {
+            this->stopTask(running.task, *task, now);
+        }
+    }
+}
+
+void Coordinator::applyEnded(WorkerState &worker, const EndedTask &ended, Instant now)
+{
+    Job *job = this->table.find(ended.task.job);
+    Task *task = job ? job->task(ended.task) : nullptr;
+    const bool known = task && task->phase != TaskPhase::Done &&
+                       task->worker == worker.entry.id.value() && task->run == ended.run;
+    if (!known) {
+        return;
+    }
+    if (!ended.checkpoint.empty()) {
+        task->checkpoint = ended.checkpoint;
+    }
+    switch (ended.how) {
+    case RunEnd::Done:
+        worker.failedJobs.clear();
+        worker.restCount = 0;
+        this->finishTask(*job, ended.task, *task, now);
+        break;
+    case RunEnd::Failed:
+        this->noteFailure(worker, job->id(), now);
+        this->failTask(*job, ended.task, *task, now);
+        break;
+    case RunEnd::Stopped:
+        this->returnTask(*job, ended.task, *task, RunOutcome::Stopped, now);
+        break;
+    case RunEnd::Lapsed:
+        this->returnTask(*job, ended.task, *task, RunOutcome::Lapsed, now);
+        break;
+    case RunEnd::Broken:
+        this->returnTask(*job, ended.task, *task, RunOutcome::Broken, now);
+        break;
+    case RunEnd::Alone:
+        this->returnTask(*job, ended.task, *task, RunOutcome::Alone, now);
+        break;
+    }
+}
+
+void Coordinator::findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt,
+                              Instant now)
+{
+    if (report.ended.size() >= endedPage) {
+        return;
+    }
+    std::set<TaskRef> listed;
+    for (const RunningTask &running : report.running) {
+        listed.insert(running.task);
+    }
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        if (listed.contains(ref) || !worker.tasks.contains(ref)) {
+            continue;
+        }
+        Task &task = *job->task(ref);
+        if (task.phase == TaskPhase::Unconfirmed ||
+            (task.phase == TaskPhase::Running && task.since < sentAt)) {
+            this->returnTask(*job, ref, task, RunOutcome::Lost, now);
+            continue;
+        }
+        const auto stop = this->stops.find(ref);
+        if (task.phase == TaskPhase::Stopping && stop != this->stops.end() &&
+            stop->second.acknowledged && stop->second.acknowledgedAt < sentAt) {
+            this->returnTask(*job, ref, task, RunOutcome::Stopped, now);
+        }
+    }
+}
+
+void Coordinator::findStalled(WorkerState &worker, Instant now)
+{
+    if (worker.fillPercent < 100) {
+        return;
+    }
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        Task &task = *job->task(ref);
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        const bool working = task.phase == TaskPhase::Running && !step.gang() &&
+                             (!step.long_running() || task.percent < 100);
+        const Duration limit = stallTime + Duration(step.estimated_ms() / 10);
+        if (working && now - task.progressAt > limit && this->mayInterrupt(*job, ref)) {
+            this->noteFailure(worker, job->id(), now);
+            this->stopTask(ref, task, now);
+        }
+    }
+}
+
+void Coordinator::loseWorker(WorkerState &worker, Instant now)
+{
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        if (worker.tasks.contains(ref)) {
+            this->returnTask(*job, ref, *job->task(ref), RunOutcome::WorkerGone, now);
+        }
+    }
+}
+
+void Coordinator::reborn(WorkerState &worker, std::int64_t bornMs, Instant now)
+{
+    this->observer.workerReborn(worker.entry.id);
+    worker.entry.bornMs = bornMs;
+    worker.seen = 0;
+    worker.acknowledged = 0;
+    worker.fillPercent = 100;
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        if (!worker.tasks.contains(ref)) {
+            continue;
+        }
+        Task &task = *job->task(ref);
+        const auto start = this->starts.find(ref);
+        // A start that is still under way could be carried out by the new life.
+        if (start != this->starts.end() && (start->second.unanswered || start->second.inFlight)) {
+            this->stopTask(ref, task, now);
+        } else if (task.phase != TaskPhase::Recording) {
+            this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
+        }
+    }
+    worker.heard = false;
+    worker.unheardLapse = now;
+    worker.holdDue = now;
+}
+
+void Coordinator::noteFailure(WorkerState &worker, const JobId &job, Instant now)
+{
+    worker.failedJobs.insert(job.value());
+    if (worker.failedJobs.size() < failuresToRest) {
+        return;
+    }
+    const std::int64_t factor = std::int64_t(1) << std::min(worker.restCount, 4U);
+    ++worker.restCount;
+    // One more failure after the rest begins the next.
+    worker.failedJobs = {job.value()};
+    this->rest(worker, std::min(failureRest * factor, longestRest), now);
+}
+
+void Coordinator::rest(WorkerState &worker, Duration length, Instant now)
+{
+    worker.restUntil = std::max(worker.restUntil, now + length);
+    if (length >= failureRest) {
+        this->observer.workerRests(worker.entry.id, length);
+    }
+}
+
+// ---- how tasks and jobs go on
+
+void Coordinator::detach(const TaskRef &ref, Task &task)
+{
+    if (WorkerState *worker = this->findWorker(WorkerId(task.worker))) {
+        worker->release(ref);
+    }
+    task.worker.clear();
+    this->starts.erase(ref);
+    this->stops.erase(ref);
+    this->planNeeded = true;
+}
+
+void Coordinator::finishTask(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    const jobs::StepSpec &step = job.stepSpec(ref.step);
+    if (step.long_running() || job.closed()) {
+        this->returnTask(job, ref, task, RunOutcome::Done, now);
+        return;
+    }
+    StepRun &run = job.stepRun(ref.occurrence, ref.step);
+    // Members of a gang end together, so one end stands for all.
+    const std::uint32_t first = step.gang() ? 0 : ref.index;
+    const std::uint32_t last =
+        step.gang() ? static_cast<std::uint32_t>(run.tasks.size()) - 1 : ref.index;
+    for (std::uint32_t index = first; index <= last; ++index) {
+        Task &member = run.tasks[index];
+        const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
+        if (member.phase != TaskPhase::Done) {
+            this->detach(memberRef, member);
+            member.phase = TaskPhase::Done;
+            ++run.done;
+        }
+    }
+    this->markDirty(job);
+    if (run.complete() && job.allDone()) {
+        this->closeJob(job, Job::State::COMPLETED, now);
+    }
+}
+
+void Coordinator::failTask(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    const jobs::StepSpec &step = job.stepSpec(ref.step);
+    if (step.long_running() || job.closed()) {
+        this->returnTask(job, ref, task, RunOutcome::Failed, now);
+        return;
+    }
+    // The attempts of a gang are counted at its first member.
+    Task &counted = step.gang() ? job.stepRun(ref.occurrence, ref.step).tasks.front() : task;
+    ++counted.failures;
+    const QueueConfig *queue = this->queueOf(job);
+    const unsigned attempts = queue ? queue->maxAttempts : job.spec().max_attempts();
+    const bool spent = counted.failures >= std::max(1U, attempts);
+    this->returnTask(job, ref, task, RunOutcome::Failed, now);
+    if (spent) {
+        this->closeJob(job, Job::State::FAILED, now);
+    }
+}
+
+void Coordinator::returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome,
+                             Instant now)
+{
+    if (outcome != RunOutcome::Stopped) {
+        this->observer.taskReturned(ref, task.run, WorkerId(task.worker), outcome);
+    }
+    this->detach(ref, task);
+    task.phase = TaskPhase::Waiting;
+    task.since = now;
+    task.percent = 0;
+    this->markDirty(job);
+    if (job.stepSpec(ref.step).gang()) {
+        this->breakGang(job, ref, now);
+    }
+}
+
+void Coordinator::breakGang(Job &job, const TaskRef &ref, Instant now)
+{
+    StepRun &run = job.stepRun(ref.occurrence, ref.step);
+    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
+        Task &member = run.tasks[index];
+        if (member.phase == TaskPhase::Recording) {
+            this->detach(memberRef, member);
+            member.phase = TaskPhase::Waiting;
+        } else if (member.phase == TaskPhase::Starting || member.phase == TaskPhase::Running) {
+            this->stopTask(memberRef, member, now);
+        }
+    }
+}
+
+void Coordinator::closeJob(Job &job, Job::State state, Instant now)
+{
+    job.state = state;
+    job.finishedMs = std::max<std::int64_t>(1, this->unixMs);
+    this->markDirty(job);
+    this->observer.jobFinished(job);
+    if (state != Job::State::COMPLETED) {
+        this->stopAll(job, now);
+    }
+}
+
+void Coordinator::stopAll(Job &job, Instant now)
+{
+    for (auto &[key, run] : job.stepRuns()) {
+        for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+            Task &task = run.tasks[index];
+            const TaskRef ref{job.id(), run.occurrence, run.step, index};
+            if (task.phase == TaskPhase::Recording) {
+                this->detach(ref, task);
+                task.phase = TaskPhase::Waiting;
+            } else if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running ||
+                       task.phase == TaskPhase::Unconfirmed) {
+                this->stopTask(ref, task, now);
+            }
+        }
+    }
+}
+
+bool Coordinator::mayInterrupt(const Job &job, const TaskRef &ref) const
+{
+    const std::uint32_t mayMiss = job.stepSpec(ref.step).may_miss();
+    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
+    if (mayMiss == 0 || !run) {
+        return true;
+    }
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < run->tasks.size(); ++index) {
+        const Task &task = run->tasks[index];
+        const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100;
+        away += index != ref.index && !atWork ? 1 : 0;
+    }
+    return away < mayMiss;
+}
+
+std::vector<JobRecord> Coordinator::takeBatch()
+{
+    std::vector<JobRecord> records;
+    for (Job *job : this->dirty) {
+        JobRecord record;
+        record.key = JobTable::progressKey(job->id());
+        record.value = job->toProgress(this->epoch).SerializeAsString();
+        records.push_back(std::move(record));
+        this->publishing.emplace_back(job, job->state);
+    }
+    this->dirty.clear();
+    this->inBatch = std::move(this->recording);
+    this->recording.clear();
+    for (const auto &[id, worker] : this->workers) {
+        if (worker->seen > worker->acknowledged) {
+            this->acknowledging.emplace_back(id, worker->seen);
+        }
+    }
+    this->acknowledgeDirty = false;
+    return records;
+}
+
+void Coordinator::committed(Instant now, bool maySend)
+{
+    for (const auto &[job, state] : this->publishing) {
+        job->published = state;
+        job->publishedStart = job->publishedStart || job->started();
+        if (!job->closed() || this->dirty.contains(job)) {
+            continue;
+        }
+        const bool placed = std::any_of(
+            job->stepRuns().begin(), job->stepRuns().end(), [](const auto &entry) {
+                return std::any_of(entry.second.tasks.begin(), entry.second.tasks.end(),
+                                   [](const Task &task) { return !task.worker.empty(); });
+            });
+        if (!placed) {
+            this->open.erase(job);
+            job->dropTasks();
+        }
+    }
+    this->publishing.clear();
+    for (const auto &[id, number] : this->acknowledging) {
+        if (WorkerState *worker = this->findWorker(WorkerId(id))) {
+            worker->acknowledged = std::max(worker->acknowledged, std::min(number, worker->seen));
+            worker->holdDue = std::min(worker->holdDue, now);
+        }
+    }
+    this->acknowledging.clear();
+    const std::vector<RecordedStart> ready = std::move(this->inBatch);
+    this->inBatch.clear();
+    for (const RecordedStart &start : ready) {
+        Job *job = this->table.find(start.ref.job);
+        Task *task = job ? job->task(start.ref) : nullptr;
+        if (!task || task->phase != TaskPhase::Recording || task->run != start.run) {
+            continue;
+        }
+        if (!maySend) {
+            this->returnTask(*job, start.ref, *task, RunOutcome::Refused, now);
+            continue;
+        }
+        task->phase = TaskPhase::Starting;
+        task->since = now;
+        this->sendStart(*job, start.ref, *task, now);
+    }
+}
+
+std::vector<jobs::ServiceLoad> Coordinator::loads(Instant now) const
+{
+    std::map<std::string, jobs::ServiceLoad> byService;
+    for (const auto &[id, worker] : this->workers) {
+        if (!worker->listed || !worker->heard || worker->entry.draining ||
+            now < worker->restUntil) {
+            continue;
+        }
+        jobs::ServiceLoad &load = byService[worker->entry.service.value()];
+        const std::int64_t capacity = worker->entry.capacity.milliCores;
+        const std::int64_t used = worker->reserved.milliCores + worker->fillMilliCores;
+        load.set_service(worker->entry.service.value());
+        load.set_capacity_milli_cores(load.capacity_milli_cores() +
+                                      static_cast<std::uint64_t>(capacity));
+        load.set_free_milli_cores(
+            load.free_milli_cores() +
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, capacity - used)));
+    }
+    std::vector<jobs::ServiceLoad> result;
+    for (auto &[name, load] : byService) {
+        result.push_back(std::move(load));
+    }
+    return result;
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "error.h"
+#include "jobtable.h"
+#include "orders.h"
+#include "placementpolicy.h"
+#include "queueconfig.h"
+#include "workerstate.h"
+
+namespace godwitfall {
+
+/** Why a run is over, or why its task may start again; closed list for logs. */
+enum class RunOutcome : std::uint8_t {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed,
+    Broken,
+    Alone,
+    Lost,       ///< Its worker does not know it.
+    Refused,    ///< Its worker did not take the start.
+    WorkerGone, ///< Another life answered, or the lease has surely lapsed.
+};
+
+/** Returns the outcome as a word for logs. */
+const char *toText(RunOutcome outcome);
+
+/** Told what the coordinator decides; for logs and metrics. */
+class CoordinatorObserver
+{
+public:
+    virtual ~CoordinatorObserver() = default;
+    virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                              RunOutcome outcome) = 0;
+    virtual void jobFinished(const Job &job) = 0;
+    virtual void workerRests(const WorkerId &worker, Duration length) = 0;
+    virtual void workerReborn(const WorkerId &worker) = 0;
+    virtual void superseded(const WorkerId &worker) = 0;
+};
+
+/**
+ * Places tasks on workers and follows them to their end; one instance at a time does.
+ *
+ * A start is ordered only after its record is durable, and an end is acknowledged to its worker only
+ * after its record is. Free of sockets, threads and clocks: calls bring events with their time.
+ */
+class Coordinator
+{
+public:
+    /** Longest wait for an end in one hold; keeps leases renewed and percentages fresh. */
+    static constexpr Duration holdWait{1000};
+    /** Pause between holds of a worker that has ends to acknowledge or to collect. */
+    static constexpr Duration holdGap{25};
+    /** Time between holds of a silent worker. */
+    static constexpr Duration silentHoldGap{300};
+    /** Time after which an unanswered start or stop is repeated. */
+    static constexpr Duration orderRetry{250};
+    /** Unanswered starts of one run after which it is taken back. */
+    static constexpr unsigned startTries = 4;
+    /** Rest of a worker that would not take a start. */
+    static constexpr Duration refusalRest{500};
+    /** First rest of a worker on which distinct jobs failed; doubles each time. */
+    static constexpr Duration failureRest{2000};
+    static constexpr Duration longestRest{16000};
+    /** Distinct jobs that fail on a worker, without a success between, before it rests. */
+    static constexpr std::size_t failuresToRest = 3;
+    /** Time without progress after which a task counts as stalled, beyond twice its estimate. */
+    static constexpr Duration stallTime{2500};
+
+    Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
+                CoordinatorObserver &observer);
+
+    /** Takes over under the epoch; leases granted before lapse at the given time. */
+    void begin(std::uint64_t epoch, Instant now, Instant formerLeasesLapse);
+
+    /** Gives everything up; orders nothing more. */
+    void end();
+
+    bool active() const { return this->epoch != 0; }
+    std::uint64_t currentEpoch() const { return this->epoch; }
+
+    void setConfig(const JobConfig &config);
+    void setWorker(const WorkerEntry &entry, Instant now);
+    void removeWorker(const WorkerId &id, Instant now);
+    void jobSubmitted(Job &job);
+    void jobCancelled(Job &job, Instant now);
+
+    void reported(const WorkerId &id, Instant sentAt, Instant now, OrderOutcome outcome,
+                  const WorkerReport &report);
+    void startAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run, Instant now,
+                       OrderOutcome outcome);
+    void stopAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run, Instant now,
+                      OrderOutcome outcome);
+
+    /** Sends what is due: holds, repeats, and declares lapsed what surely has. */
+    void tick(Instant now, std::int64_t unixMs, bool mayRenew);
+
+    /** Places waiting tasks whose turn has come. */
+    void plan(Instant now, std::int64_t unixMs);
+
+    bool wantsCommit() const { return !this->dirty.empty() || this->acknowledgeDirty; }
+
+    /** Takes the records to append next; committed() says that they are durable. */
+    std::vector<JobRecord> takeBatch();
+
+    /** Sends the starts and raises the acknowledgements that waited for the batch. */
+    void committed(Instant now, bool maySend);
+
+    /** Returns the load of each service, for admission. */
+    std::vector<jobs::ServiceLoad> loads(Instant now) const;
+
+    std::size_t workerCount() const { return this->workers.size(); }
+    const WorkerState *worker(const WorkerId &id) const;
+
+private:
+    /** An order to a worker that has not been answered to the end. */
+    struct OpenOrder
+    {
+        std::uint32_t run = 0;
+        WorkerId worker;
+        Instant retryAt;
+        unsigned tries = 0;
+        bool unanswered = false; ///< Some try may still be carried out.
+        bool inFlight = false;
+        bool acknowledged = false;
+        Instant acknowledgedAt;
+    };
+
+    struct RecordedStart
+    {
+        TaskRef ref;
+        std::uint32_t run = 0;
+    };
+
+    using Workers = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
+
+    WorkerState *findWorker(const WorkerId &id);
+    std::vector<WorkerState *> candidates(const Job &job);
+    const QueueConfig *queueOf(const Job &job) const;
+    void adopt(Job &job);
+    OrderTarget targetOf(const WorkerState &worker) const;
+
+    void applyRunning(WorkerState &worker, const RunningTask &running, Instant now);
+    void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
+    void findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt, Instant now);
+    void adjustPace(WorkerState &worker, Instant now);
+    void setPace(WorkerState &worker, std::uint32_t percent, Instant now);
+    void loseWorker(WorkerState &worker, Instant now);
+    void reborn(WorkerState &worker, std::int64_t bornMs, Instant now);
+    void noteFailure(WorkerState &worker, const JobId &job, Instant now);
+    void rest(WorkerState &worker, Duration length, Instant now);
+
+    void finishTask(Job &job, const TaskRef &ref, Task &task, Instant now);
+    void failTask(Job &job, const TaskRef &ref, Task &task, Instant now);
+    void returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome, Instant now);
+    void breakGang(Job &job, const TaskRef &ref, Instant now);
+    void closeJob(Job &job, Job::State state, Instant now);
+    void stopAll(Job &job, Instant now);
+    void stopTask(const TaskRef &ref, Task &task, Instant now);
+    void detach(const TaskRef &ref, Task &task);
+    void markDirty(Job &job);
+
+    void planJob(Job &job, Instant now, std::int64_t unixMs);
+    void planStep(Job &job, StepRun &run, Instant now);
+    void planTogether(Job &job, StepRun &run, Instant now);
+    bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
+    void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
+
+    void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
+    void sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run, Instant now);
+    void sendHold(WorkerState &worker, Instant now, bool mayRenew);
+    void retryOrders(Instant now, bool mayRenew);
+    void findStalled(WorkerState &worker, Instant now);
+    void moveFromDraining(WorkerState &worker, Instant now);
+    bool mayInterrupt(const Job &job, const TaskRef &ref) const;
+
+    JobTable &table;
+    const WorkerBounds bounds;
+    OrderSender &orders;
+    CoordinatorObserver &observer;
+    PlacementPolicy policy;
+    JobConfig config;
+
+    std::uint64_t epoch = 0;
+    Instant formerLeasesLapse;
+    std::int64_t unixMs = 0;
+    Workers workers;
+    std::set<Job *> open;
+    std::map<TaskRef, OpenOrder> starts;
+    std::map<TaskRef, OpenOrder> stops;
+    std::map<std::pair<TaskRef, std::uint32_t>, Instant> strayStops;
+    std::set<Job *> dirty;
+    bool planNeeded = false;
+    bool acknowledgeDirty = false;
+    std::vector<RecordedStart> recording;
+    std::vector<RecordedStart> inBatch;
+    std::vector<std::pair<Job *, Job::State>> publishing;
+    std::vector<std::pair<std::string, std::uint64_t>> acknowledging;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -0,0 +1,218 @@
+// How the coordinator decides which task goes where, and when.
+#include "coordinator.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace godwitfall {
+
+namespace {
+
+/** A job with what orders it among others. */
+struct Candidate
+{
+    Job *job = nullptr;
+    unsigned priority = 0;
+    bool late = false;
+    Instant due;
+
+    auto key() const { return std::tuple(this->priority, this->late, this->due); }
+};
+
+bool anyWaiting(const StepRun &run)
+{
+    return std::any_of(run.tasks.begin(), run.tasks.end(),
+                       [](const Task &task) { return task.phase == TaskPhase::Waiting; });
+}
+
+bool allWaiting(const StepRun &run)
+{
+    return std::all_of(run.tasks.begin(), run.tasks.end(),
+                       [](const Task &task) { return task.phase == TaskPhase::Waiting; });
+}
+
+/** Returns whether no task of the step was ever placed. */
+bool untouched(const StepRun &run)
+{
+    return std::all_of(run.tasks.begin(), run.tasks.end(),
+                       [](const Task &task) { return task.run == 0; });
+}
+
+} // namespace
+
+std::vector<WorkerState *> Coordinator::candidates(const Job &job)
+{
+    const QueueConfig *queue = this->queueOf(job);
+    const std::string service = queue ? queue->service.value() : job.spec().service();
+    std::vector<WorkerState *> result;
+    for (const auto &[id, worker] : this->workers) {
+        if (worker->entry.service.value() == service) {
+            result.push_back(worker.get());
+        }
+    }
+    return result;
+}
+
+void Coordinator::plan(Instant now, std::int64_t newUnixMs)
+{
+    this->unixMs = newUnixMs;
+    if (!this->planNeeded) {
+        return;
+    }
+    this->planNeeded = false;
+    std::vector<Candidate> order;
+    for (Job *job : this->open) {
+        if (job->closed() || job->cancelled) {
+            continue;
+        }
+        const QueueConfig *queue = this->queueOf(*job);
+        Candidate candidate;
+        candidate.job = job;
+        candidate.priority = queue ? queue->priority : job->spec().priority();
+        const double stretch = queue ? queue->stretch : job->spec().stretch();
+        const Duration target =
+            queue ? queue->targetLatency : Duration(job->spec().target_latency_ms());
+        const Duration chain = job->longestChain();
+        candidate.due = job->knownSince + target +
+                        Duration(static_cast<std::int64_t>(
+                            stretch * static_cast<double>(chain.count())));
+        candidate.late = now + chain / 2 > candidate.due;
+        order.push_back(candidate);
+    }
+    std::sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
+        return left.key() < right.key();
+    });
+    for (const Candidate &candidate : order) {
+        this->planJob(*candidate.job, now, newUnixMs);
+    }
+}
+
+void Coordinator::planJob(Job &job, Instant now, std::int64_t newUnixMs)
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        if (job.dueMs(occurrence) > newUnixMs) {
+            // It becomes due without any event, so the next plan looks again.
+            this->planNeeded = true;
+            break;
+        }
+        for (int step = 0; step < job.spec().steps_size(); ++step) {
+            const auto number = static_cast<std::uint32_t>(step);
+            const StepRun *known = job.findStepRun(occurrence, number);
+            if ((known && !anyWaiting(*known)) || !job.dependenciesDone(occurrence, number)) {
+                continue;
+            }
+            StepRun &run = job.stepRun(occurrence, number);
+            this->planStep(job, run, now);
+            if (untouched(run)) {
+                job.stepRuns().erase({occurrence, number});
+            }
+        }
+    }
+}
+
+void Coordinator::planStep(Job &job, StepRun &run, Instant now)
+{
+    const jobs::StepSpec &step = job.stepSpec(run.step);
+    if (step.gang() || (step.tightly_coupled() && allWaiting(run))) {
+        this->planTogether(job, run, now);
+        if (step.gang()) {
+            return;
+        }
+    }
+    const std::vector<WorkerState *> workersOfJob = this->candidates(job);
+    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        if (run.tasks[index].phase != TaskPhase::Waiting) {
+            continue;
+        }
+        const PlacementRequest request{job, run.occurrence, run.step, {}};
+        WorkerState *worker = this->policy.choose(workersOfJob, request, now);
+        if (!worker) {
+            return;
+        }
+        run.tasks[index].run += 1;
+        this->place(job, run, index, *worker, now);
+    }
+}
+
+void Coordinator::planTogether(Job &job, StepRun &run, Instant now)
+{
+    if (!allWaiting(run)) {
+        return;
+    }
+    std::uint32_t highest = 0;
+    std::string checkpoint;
+    for (const Task &task : run.tasks) {
+        highest = std::max(highest, task.run);
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    const std::vector<std::uint32_t> before = [&] {
+        std::vector<std::uint32_t> runs;
+        for (Task &task : run.tasks) {
+            runs.push_back(task.run);
+            task.run = highest;
+        }
+        return runs;
+    }();
+    const jobs::StepSpec &step = job.stepSpec(run.step);
+    std::set<std::string> racks;
+    if (step.tightly_coupled()) {
+        for (const WorkerState *worker : this->candidates(job)) {
+            racks.insert(worker->entry.rack);
+        }
+    }
+    bool placed = std::any_of(racks.begin(), racks.end(), [&](const std::string &rack) {
+        return this->placeTogether(job, run, rack, now);
+    });
+    placed = placed || (step.gang() && this->placeTogether(job, run, {}, now));
+    for (std::size_t index = 0; index < run.tasks.size(); ++index) {
+        if (placed && step.gang()) {
+            run.tasks[index].checkpoint = checkpoint;
+        } else if (!placed) {
+            run.tasks[index].run = before[index];
+        }
+    }
+}
+
+bool Coordinator::placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now)
+{
+    const std::vector<WorkerState *> workersOfJob = this->candidates(job);
+    std::vector<WorkerState *> chosen;
+    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        const PlacementRequest request{job, run.occurrence, run.step, rack};
+        WorkerState *worker = this->policy.choose(workersOfJob, request, now);
+        if (!worker) {
+            break;
+        }
+        worker->assign(TaskRef{job.id(), run.occurrence, run.step, index}, job);
+        chosen.push_back(worker);
+    }
+    const bool complete = chosen.size() == run.tasks.size();
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+        if (complete) {
+            run.tasks[index].run += 1;
+            this->place(job, run, index, *chosen[index], now);
+        } else {
+            chosen[index]->release(TaskRef{job.id(), run.occurrence, run.step, index});
+        }
+    }
+    return complete;
+}
+
+void Coordinator::place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker,
+                        Instant now)
+{
+    const TaskRef ref{job.id(), run.occurrence, run.step, index};
+    Task &task = run.tasks[index];
+    task.phase = TaskPhase::Recording;
+    task.worker = worker.entry.id.value();
+    task.since = now;
+    task.percent = 0;
+    worker.assign(ref, job);
+    if (job.state == Job::State::QUEUED) {
+        job.state = Job::State::RUNNING;
+    }
+    this->markDirty(job);
+    this->recording.push_back(RecordedStart{ref, task.run});
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -0,0 +1,159 @@
+#include "groupcommit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitfall {
+
+GroupCommit::GroupCommit(JobLog &log, Random &random)
+    : log(log)
+    , backoff(firstRetry, longestRetry, random)
+{}
+
+void GroupCommit::open(const std::string &producer, std::uint64_t epoch, std::uint64_t nextSequence)
+{
+    this->reset();
+    this->identity = AppendIdentity{producer, epoch, nextSequence};
+}
+
+void GroupCommit::reset()
+{
+    ++this->generation;
+    this->waiting.clear();
+    this->batch.clear();
+    this->busy = false;
+    this->inFlight = false;
+    this->uncertain = false;
+    this->failing = false;
+    this->retryAt = Instant();
+    this->backoff.reset();
+}
+
+void GroupCommit::add(std::vector<JobRecord> records, Instant deadline, Done done)
+{
+    this->waiting.push_back(Entry{std::move(records), deadline, std::move(done)});
+}
+
+bool GroupCommit::outage(Instant at) const
+{
+    return this->failing && at - this->failingSince > outageAfter;
+}
+
+void GroupCommit::pump(Instant at)
+{
+    this->now = std::max(this->now, at);
+    this->expire(at);
+    if (this->inFlight || at < this->retryAt) {
+        return;
+    }
+    if (!this->busy) {
+        std::size_t records = 0;
+        std::size_t bytes = 0;
+        while (!this->waiting.empty() && records < batchRecords && bytes < batchBytes) {
+            for (const JobRecord &record : this->waiting.front().records) {
+                ++records;
+                bytes += record.key.size() + record.value.size();
+            }
+            this->batch.push_back(std::move(this->waiting.front()));
+            this->waiting.pop_front();
+        }
+        if (this->batch.empty()) {
+            return;
+        }
+        this->busy = true;
+        this->uncertain = false;
+    }
+    this->send(at);
+}
+
+void GroupCommit::send(Instant at)
+{
+    std::vector<JobRecord> records;
+    for (const Entry &entry : this->batch) {
+        records.insert(records.end(), entry.records.begin(), entry.records.end());
+    }
+    this->inFlight = true;
+    this->log.append(records, this->identity, std::nullopt,
+                     [this, sent = this->generation, at](const AppendReply &reply) {
+                         this->answered(sent, reply, at);
+                     });
+}
+
+void GroupCommit::answered(std::uint64_t sentGeneration, const AppendReply &reply, Instant sentAt)
+{
+    if (sentGeneration != this->generation) {
+        return;
+    }
+    this->inFlight = false;
+    const bool stored = reply.outcome == AppendOutcome::Stored ||
+                        (reply.outcome == AppendOutcome::OutOfOrder && this->uncertain &&
+                         reply.expectedSequence == this->identity.sequence + 1);
+    if (stored) {
+        ++this->identity.sequence;
+        this->failing = false;
+        this->backoff.reset();
+        if (this->onStored) {
+            this->onStored(sentAt);
+        }
+        this->finishBatch(CommitResult::Durable);
+        return;
+    }
+    if (reply.outcome == AppendOutcome::Fenced) {
+        this->finishBatch(CommitResult::Fenced);
+        return;
+    }
+    if (reply.outcome == AppendOutcome::OutOfOrder) {
+        this->identity.sequence = reply.expectedSequence;
+    }
+    this->uncertain = this->uncertain || reply.outcome == AppendOutcome::Unanswered;
+    if (!this->failing) {
+        this->failing = true;
+        this->failingSince = sentAt;
+    }
+    this->retryAt = this->now + firstRetry + this->backoff.next();
+}
+
+void GroupCommit::finishBatch(CommitResult result)
+{
+    std::vector<Entry> finished = std::move(this->batch);
+    this->batch.clear();
+    this->busy = false;
+    for (Entry &entry : finished) {
+        if (entry.done) {
+            entry.done(result);
+        }
+    }
+}
+
+void GroupCommit::expire(Instant at)
+{
+    // What was never sent is certainly not in the log.
+    std::vector<Done> notDone;
+    const bool settled = this->busy && !this->inFlight && !this->uncertain;
+    const auto late = [&](Entry &entry) {
+        if (entry.done && at >= entry.deadline) {
+            notDone.push_back(std::move(entry.done));
+            return true;
+        }
+        return false;
+    };
+    std::erase_if(this->waiting, late);
+    if (settled) {
+        std::erase_if(this->batch, late);
+        this->busy = !this->batch.empty();
+    }
+    std::vector<Done> unknown;
+    for (Entry &entry : this->batch) {
+        if (entry.done && at >= entry.deadline) {
+            unknown.push_back(std::exchange(entry.done, nullptr));
+        }
+    }
+    for (const Done &done : notDone) {
+        done(CommitResult::NotDone);
+    }
+    for (const Done &done : unknown) {
+        done(CommitResult::Unknown);
+    }
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -0,0 +1,186 @@
+#include "job.h"
+
+#include <algorithm>
+
+namespace godwitfall {
+
+namespace {
+
+constexpr std::uint32_t bitsPerByte = 8;
+
+bool bitIsSet(const std::string &bits, std::uint32_t index)
+{
+    const std::size_t byte = index / bitsPerByte;
+    return byte < bits.size() &&
+           (static_cast<unsigned char>(bits[byte]) >> (index % bitsPerByte) & 1U) != 0;
+}
+
+void setBit(std::string &bits, std::uint32_t index)
+{
+    char &byte = bits[index / bitsPerByte];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) | 1U << (index % bitsPerByte));
+}
+
+jobs::StepProgress progressOf(const StepRun &run)
+{
+    jobs::StepProgress message;
+    message.set_occurrence(run.occurrence);
+    message.set_step(run.step);
+    std::string done((run.tasks.size() + bitsPerByte - 1) / bitsPerByte, '\0');
+    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+        const Task &task = run.tasks[index];
+        message.add_runs(task.run);
+        if (task.phase == TaskPhase::Done) {
+            setBit(done, index);
+        } else if (!task.worker.empty()) {
+            jobs::Placement &placed = *message.add_placed();
+            placed.set_index(index);
+            placed.set_worker(task.worker);
+        }
+        if (task.failures > 0) {
+            jobs::Failures &failed = *message.add_failed();
+            failed.set_index(index);
+            failed.set_count(task.failures);
+        }
+    }
+    message.set_done(std::move(done));
+    return message;
+}
+
+} // namespace
+
+Job::Job(JobId id, jobs::JobSpec spec)
+    : identity(std::move(id))
+    , submitted(std::move(spec))
+{
+    this->measure();
+}
+
+void Job::measure()
+{
+    std::vector<std::int64_t> ends;
+    for (const jobs::StepSpec &step : this->submitted.steps()) {
+        std::int64_t begin = 0;
+        for (const std::uint32_t earlier : step.after()) {
+            begin = std::max(begin, ends.at(earlier));
+        }
+        ends.push_back(begin + step.estimated_ms());
+        this->chain = std::max(this->chain, Duration(ends.back()));
+        this->work += std::uint64_t(step.count()) * step.milli_cores() * step.estimated_ms();
+    }
+}
+
+std::uint32_t Job::occurrences() const
+{
+    return std::max<std::uint32_t>(1, this->submitted.repeat_count());
+}
+
+std::int64_t Job::dueMs(std::uint32_t occurrence) const
+{
+    if (this->submitted.repeat_count() == 0) {
+        return 0;
+    }
+    return this->submitted.first_run_ms() + occurrence * this->submitted.interval_ms();
+}
+
+StepRun &Job::stepRun(std::uint32_t occurrence, std::uint32_t step)
+{
+    const auto [place, fresh] = this->runs.try_emplace({occurrence, step});
+    StepRun &run = place->second;
+    if (fresh) {
+        run.occurrence = occurrence;
+        run.step = step;
+        run.tasks.resize(this->stepSpec(step).count());
+    }
+    return run;
+}
+
+const StepRun *Job::findStepRun(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto found = this->runs.find({occurrence, step});
+    return found == this->runs.end() ? nullptr : &found->second;
+}
+
+Task *Job::task(const TaskRef &ref)
+{
+    const auto found = this->runs.find({ref.occurrence, ref.step});
+    if (found == this->runs.end() || ref.index >= found->second.tasks.size()) {
+        return nullptr;
+    }
+    return &found->second.tasks[ref.index];
+}
+
+bool Job::dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto &after = this->stepSpec(step).after();
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        const StepRun *run = this->findStepRun(occurrence, earlier);
+        return run && run->complete();
+    });
+}
+
+bool Job::allDone() const
+{
+    const std::size_t expected =
+        std::size_t(this->occurrences()) * static_cast<std::size_t>(this->submitted.steps_size());
+    return this->runs.size() == expected &&
+           std::all_of(this->runs.begin(), this->runs.end(),
+                       [](const auto &entry) { return entry.second.complete(); });
+}
+
+jobs::JobProgress Job::toProgress(std::uint64_t epoch) const
+{
+    jobs::JobProgress progress;
+    progress.set_epoch(epoch);
+    progress.set_state(this->state);
+    progress.set_finished_ms(this->finishedMs);
+    // Of a closed job only what may still run is of use.
+    for (const auto &[key, run] : this->runs) {
+        jobs::StepProgress message = progressOf(run);
+        if (!this->closed() || message.placed_size() > 0) {
+            *progress.add_steps() = std::move(message);
+        }
+    }
+    return progress;
+}
+
+void Job::applyProgress(const jobs::JobProgress &progress, Instant now)
+{
+    this->state = progress.state();
+    this->published = progress.state();
+    this->publishedStart = progress.steps_size() > 0 || this->closed();
+    this->finishedMs = progress.finished_ms();
+    this->runs.clear();
+    for (const jobs::StepProgress &message : progress.steps()) {
+        if (static_cast<int>(message.step()) >= this->submitted.steps_size()) {
+            continue;
+        }
+        StepRun &run = this->stepRun(message.occurrence(), message.step());
+        for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+            Task &task = run.tasks[index];
+            if (static_cast<int>(index) < message.runs_size()) {
+                task.run = message.runs(static_cast<int>(index));
+            }
+            if (bitIsSet(message.done(), index)) {
+                task.phase = TaskPhase::Done;
+                ++run.done;
+            }
+        }
+        for (const jobs::Placement &placed : message.placed()) {
+            if (placed.index() < run.tasks.size()) {
+                Task &task = run.tasks[placed.index()];
+                task.phase = TaskPhase::Unconfirmed;
+                task.worker = placed.worker();
+                task.since = now;
+                task.progressAt = now;
+            }
+        }
+        for (const jobs::Failures &failed : message.failed()) {
+            if (failed.index() < run.tasks.size()) {
+                run.tasks[failed.index()].failures = failed.count();
+            }
+        }
+    }
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/job.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clock.h"
+#include "ids.h"
+#include "jobs.pb.h"
+#include "queueconfig.h"
+
+namespace godwitfall {
+
+/** Names one task of a job; index counts the tasks of a step from 0. */
+struct TaskRef
+{
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const TaskRef &) const = default;
+};
+
+/** Where a task stands. */
+enum class TaskPhase : std::uint8_t {
+    Waiting,     ///< Runs nowhere.
+    Recording,   ///< Placed; the record of it is not durable yet.
+    Starting,    ///< Its start is ordered and not confirmed.
+    Running,     ///< Its worker lists it.
+    Stopping,    ///< Its stop is ordered; it may still run.
+    Unconfirmed, ///< A former coordinator placed it; its worker has not been heard since.
+    Done,
+};
+
+/** One task of a step. */
+struct Task
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    std::uint32_t run = 0; ///< Number of the newest start; 0 before the first.
+    std::uint32_t failures = 0;
+    std::string worker; ///< Where it is placed; empty when it runs nowhere.
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
+    Instant since;           ///< When the phase began.
+    Instant progressAt;      ///< When percent or checkpoint last changed.
+};
+
+/** One run through a step: its tasks within one occurrence. */
+struct StepRun
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+
+    bool complete() const { return this->done == this->tasks.size(); }
+};
+
+/** A submitted job with the state of its tasks. */
+class Job
+{
+public:
+    using State = jobs::JobState;
+
+    Job(JobId id, jobs::JobSpec spec);
+
+    const JobId &id() const { return this->identity; }
+    const jobs::JobSpec &spec() const { return this->submitted; }
+    const jobs::StepSpec &stepSpec(std::uint32_t step) const
+    {
+        return this->submitted.steps(static_cast<int>(step));
+    }
+
+    /** Returns the number of occurrences; 1 for a job that is not repeated. */
+    std::uint32_t occurrences() const;
+
+    /** Returns when the occurrence is due, in ms since 1970; 0 for a job that is not repeated. */
+    std::int64_t dueMs(std::uint32_t occurrence) const;
+
+    /** Returns the run of the step, created when it is the first use. */
+    StepRun &stepRun(std::uint32_t occurrence, std::uint32_t step);
+
+    /** Returns the run of the step, or null when no task of it was ever placed. */
+    const StepRun *findStepRun(std::uint32_t occurrence, std::uint32_t step) const;
+
+    /** Returns the task, or null when the job has no such task. */
+    Task *task(const TaskRef &ref);
+
+    std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> &stepRuns() { return this->runs; }
+    const std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> &stepRuns() const
+    {
+        return this->runs;
+    }
+
+    /** Returns whether all steps that the step depends on are done. */
+    bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
+
+    /** Returns whether every task of every occurrence is done. */
+    bool allDone() const;
+
+    /** Returns whether the job will never start another task. */
+    bool closed() const { return this->state >= State::COMPLETED; }
+
+    /** Returns whether any task was ever placed. */
+    bool started() const { return !this->runs.empty() || this->state != State::QUEUED; }
+
+    /** Returns the progress as a record of the epoch. */
+    jobs::JobProgress toProgress(std::uint64_t epoch) const;
+
+    /** Takes over the state of a record; placed tasks become unconfirmed. */
+    void applyProgress(const jobs::JobProgress &progress, Instant now);
+
+    /** Frees the tasks of a closed job. */
+    void dropTasks() { this->runs.clear(); }
+
+    /** Returns the length of the longest chain of steps by their estimates. */
+    Duration longestChain() const { return this->chain; }
+
+    /** Returns the estimated work of all tasks of one occurrence, in milli-core ms. */
+    std::uint64_t estimatedWork() const { return this->work; }
+
+    State state = State::QUEUED;
+    State published = State::QUEUED; ///< What durable records say.
+    bool publishedStart = false;     ///< Durable records say that a task was placed.
+    bool cancelled = false;
+    std::int64_t finishedMs = 0; ///< Since 1970; 0 while open.
+    std::uint64_t progressOffset = 0;
+    Instant knownSince;
+
+private:
+    void measure();
+
+    JobId identity;
+    jobs::JobSpec submitted;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> runs;
+    Duration chain;
+    std::uint64_t work = 0;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/jobdesk.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "groupcommit.h"
+#include "jobtable.h"
+#include "queueconfig.h"
+
+namespace godwitfall {
+
+/** How the desk answers a submission or a cancel. */
+enum class DeskAnswer : std::uint8_t {
+    Accepted,   ///< Durable.
+    Overloaded, ///< Not accepted, never runs: the work ahead leaves no time for it.
+    Unavailable, ///< Not accepted, never runs: the job log can't be written now.
+    Unknown,    ///< May be accepted; the same id may be sent again.
+    NoSuchJob,
+};
+
+struct DeskReply
+{
+    DeskAnswer answer = DeskAnswer::Unknown;
+    Duration retryAfter{0}; ///< When to come back, where the answer is a refusal.
+    const char *reason = "";
+};
+
+/** How an entrance accepts, shows and cancels jobs; every instance has one. */
+class JobDesk
+{
+public:
+    /** Age of the view of the log above which a job that is not in it may still exist; below the
+     * platform's bound on visibility. */
+    static constexpr Duration viewFreshness{2000};
+    /** Time before the client's deadline at which an unresolved submission is answered. */
+    static constexpr Duration answerMargin{300};
+    static constexpr Duration outageRetryAfter{1000};
+
+    JobDesk(JobTable &table, GroupCommit &commits);
+
+    using Done = std::function<void(const DeskReply &)>;
+
+    /** Makes the job durable; the first submission of an id counts. */
+    void submit(const JobId &id, const QueueConfig &queue, jobs::JobSpec spec, Instant now,
+                std::int64_t unixMs, Duration patience, const Done &done);
+
+    /** Makes the cancel durable. */
+    void cancel(const JobId &id, Instant now, Duration patience, const Done &done);
+
+    /** Returns the job, or null. */
+    const Job *show(const JobId &id) { return this->table.find(id); }
+
+    /** Returns whether a job that is not in the view does not exist. */
+    bool viewIsFresh(Instant now) const { return now - this->viewedAt <= viewFreshness; }
+
+    void setViewedAt(Instant at) { this->viewedAt = at; }
+    Instant viewed() const { return this->viewedAt; }
+
+private:
+    JobTable &table;
+    GroupCommit &commits;
+    Instant viewedAt{-1000000};
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -0,0 +1,176 @@
+#include "jobtable.h"
+
+namespace godwitfall {
+
+namespace {
+
+constexpr std::size_t kindLength = 2;
+
+bool wellFormed(const jobs::JobSpec &spec)
+{
+    for (int step = 0; step < spec.steps_size(); ++step) {
+        for (const std::uint32_t earlier : spec.steps(step).after()) {
+            if (static_cast<int>(earlier) >= step) {
+                return false;
+            }
+        }
+    }
+    return spec.steps_size() > 0;
+}
+
+} // namespace
+
+JobTable::Change JobTable::apply(const JobRecord &record, Instant now, Job *&job)
+{
+    job = nullptr;
+    if (record.key == ownerKey) {
+        return this->applyOwner(record, now);
+    }
+    if (record.key.size() <= kindLength || record.key[1] != '/') {
+        return Change::Malformed;
+    }
+    const JobId id(record.key.substr(kindLength));
+    switch (record.key[0]) {
+    case 'a':
+        return this->applySubmission(id, record, now, job);
+    case 'c':
+        return this->applyCancel(id, record, job);
+    case 'p':
+        return this->applyProgress(id, record, now, job);
+    default:
+        return Change::Malformed;
+    }
+}
+
+JobTable::Change JobTable::applySubmission(const JobId &id, const JobRecord &record, Instant now,
+                                           Job *&job)
+{
+    if (record.value.empty()) {
+        this->erase(id);
+        return Change::None;
+    }
+    if ((job = this->find(id))) {
+        return Change::None;
+    }
+    jobs::JobSpec spec;
+    if (!spec.ParseFromString(record.value) || !wellFormed(spec)) {
+        return Change::Malformed;
+    }
+    auto made = std::make_unique<Job>(id, std::move(spec));
+    made->knownSince = now;
+    job = made.get();
+    this->jobsById.emplace(id.value(), std::move(made));
+    if (auto early = this->earlyProgress.extract(id.value())) {
+        Job *same = nullptr;
+        this->applyProgress(id, early.mapped(), now, same);
+    }
+    if (auto early = this->earlyCancels.extract(id.value())) {
+        Job *same = nullptr;
+        this->applyCancel(id, early.mapped(), same);
+    }
+    return Change::Submitted;
+}
+
+JobTable::Change JobTable::applyCancel(const JobId &id, const JobRecord &record, Job *&job)
+{
+    if (record.value.empty()) {
+        return Change::None;
+    }
+    job = this->find(id);
+    if (!job) {
+        this->earlyCancels[id.value()] = record;
+        return Change::None;
+    }
+    if (job->cancelled || job->closed()) {
+        return Change::None;
+    }
+    job->cancelled = true;
+    return Change::Cancelled;
+}
+
+JobTable::Change JobTable::applyProgress(const JobId &id, const JobRecord &record, Instant now,
+                                         Job *&job)
+{
+    if (record.value.empty()) {
+        return Change::None;
+    }
+    job = this->find(id);
+    if (!job) {
+        this->earlyProgress[id.value()] = record;
+        return Change::None;
+    }
+    jobs::JobProgress progress;
+    if (!progress.ParseFromString(record.value)) {
+        return Change::Malformed;
+    }
+    if (progress.epoch() == this->ownership.epoch) {
+        this->ownership.heardAt = now;
+    }
+    if (progress.epoch() == this->ownEpoch && this->ownEpoch != 0) {
+        return Change::None;
+    }
+    if (record.offset < job->progressOffset) {
+        return Change::None;
+    }
+    job->progressOffset = record.offset;
+    job->applyProgress(progress, now);
+    return Change::Progressed;
+}
+
+JobTable::Change JobTable::applyOwner(const JobRecord &record, Instant now)
+{
+    jobs::Ownership message;
+    if (!message.ParseFromString(record.value)) {
+        return Change::Malformed;
+    }
+    // Of two claims of one epoch the first in the log counts.
+    const bool same = message.epoch() == this->ownership.epoch &&
+                      message.instance() == this->ownership.instance &&
+                      message.incarnation() == this->ownership.incarnation;
+    if (message.epoch() <= this->ownership.epoch && !same) {
+        return Change::None;
+    }
+    this->ownership.epoch = message.epoch();
+    this->ownership.instance = message.instance();
+    this->ownership.incarnation = message.incarnation();
+    this->ownership.released = message.released();
+    this->ownership.heardAt = now;
+    this->ownership.load = std::move(message);
+    return Change::Owner;
+}
+
+Job *JobTable::find(const JobId &id)
+{
+    const auto found = this->jobsById.find(id.value());
+    return found == this->jobsById.end() ? nullptr : found->second.get();
+}
+
+std::size_t JobTable::waiting(const std::string &queue) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, job] : this->jobsById) {
+        const bool waits = !job->publishedStart && !job->cancelled && !job->closed();
+        if (waits && job->spec().queue() == queue) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+void JobTable::erase(const JobId &id)
+{
+    this->jobsById.erase(id.value());
+    this->earlyProgress.erase(id.value());
+    this->earlyCancels.erase(id.value());
+}
+
+void JobTable::clear()
+{
+    this->jobsById.clear();
+    this->earlyProgress.clear();
+    this->earlyCancels.clear();
+    this->ownership = OwnerView();
+    this->ownEpoch = 0;
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "job.h"
+
+namespace godwitfall {
+
+/** One record of the job log; an empty value drops the key. */
+struct JobRecord
+{
+    std::string key;
+    std::string value;
+    std::uint64_t offset = 0;
+};
+
+/** Who coordinates, as the job log says. */
+struct OwnerView
+{
+    std::uint64_t epoch = 0;
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    bool released = false;
+    Instant heardAt; ///< When a record of the epoch was last read.
+    jobs::Ownership load;
+};
+
+/**
+ * All jobs as the job log says: the state that every instance keeps.
+ *
+ * Records are applied in any order of keys, and again, without harm: the first submission of an id
+ * counts, of progress the newest epoch and offset.
+ */
+class JobTable
+{
+public:
+    /** What a record changed. */
+    enum class Change {
+        None,
+        Submitted,
+        Cancelled,
+        Progressed,
+        Owner,
+        Malformed,
+    };
+
+    /** Applies a record; job is set to the one it is about, if any. */
+    Change apply(const JobRecord &record, Instant now, Job *&job);
+
+    /**
+     * Ignores progress of this epoch, as its writer holds it already; 0 takes in all.
+     */
+    void setOwnEpoch(std::uint64_t epoch) { this->ownEpoch = epoch; }
+
+    Job *find(const JobId &id);
+    const OwnerView &owner() const { return this->ownership; }
+
+    /** Returns the number of open jobs of the queue of which no task was placed. */
+    std::size_t waiting(const std::string &queue) const;
+
+    std::unordered_map<std::string, std::unique_ptr<Job>> &all() { return this->jobsById; }
+    const std::unordered_map<std::string, std::unique_ptr<Job>> &all() const
+    {
+        return this->jobsById;
+    }
+
+    /** Forgets the job. */
+    void erase(const JobId &id);
+
+    /** Forgets everything, as before the first record. */
+    void clear();
+
+    static std::string submissionKey(const JobId &id) { return "a/" + id.value(); }
+    static std::string cancelKey(const JobId &id) { return "c/" + id.value(); }
+    static std::string progressKey(const JobId &id) { return "p/" + id.value(); }
+    static constexpr const char *ownerKey = "owner";
+
+private:
+    Change applySubmission(const JobId &id, const JobRecord &record, Instant now, Job *&job);
+    Change applyCancel(const JobId &id, const JobRecord &record, Job *&job);
+    Change applyProgress(const JobId &id, const JobRecord &record, Instant now, Job *&job);
+    Change applyOwner(const JobRecord &record, Instant now);
+
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobsById;
+    /** Records read before the submission they belong to. */
+    std::unordered_map<std::string, JobRecord> earlyProgress;
+    std::unordered_map<std::string, JobRecord> earlyCancels;
+    OwnerView ownership;
+    std::uint64_t ownEpoch = 0;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/ownerlease.cpp
@@ -0,0 +1,45 @@
+#include "ownerlease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitfall {
+
+OwnerLease::OwnerLease(std::string instance, std::uint64_t incarnation, Random &random)
+    : instance(std::move(instance))
+    , incarnation(incarnation)
+    , random(random)
+{}
+
+bool OwnerLease::owns(const OwnerView &owner) const
+{
+    return owner.instance == this->instance && owner.incarnation == this->incarnation &&
+           !owner.released;
+}
+
+bool OwnerLease::shouldClaim(const OwnerView &owner, Instant now, Instant readAt)
+{
+    if (this->owns(owner) || now - readAt > readFreshness) {
+        return false;
+    }
+    const bool formerSelf =
+        owner.instance == this->instance && owner.incarnation != this->incarnation;
+    const bool prompt = owner.epoch == 0 || owner.released || formerSelf;
+    if (owner.epoch != this->delayEpoch || prompt != this->delayPrompt) {
+        this->delayEpoch = owner.epoch;
+        this->delayPrompt = prompt;
+        this->delay = this->random.below(prompt ? promptClaimSpread : claimSpread);
+        this->seenSince = now;
+    }
+    if (prompt) {
+        return now >= this->seenSince + this->delay;
+    }
+    return now >= owner.heardAt + ownerSilence + this->delay;
+}
+
+void OwnerLease::confirm(Instant sentAt)
+{
+    this->confirmedAt = std::max(this->confirmedAt, sentAt);
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "clock.h"
+#include "jobtable.h"
+#include "random.h"
+
+namespace godwitfall {
+
+/**
+ * Says when an instance may claim coordination and how long its claim lets it order workers.
+ *
+ * Times are on a clock that also counts the time for which the process was suspended.
+ */
+class OwnerLease
+{
+public:
+    /** Silence of the owner in the log after which another instance claims; from design, see
+     * docs/PLATFORM.md. */
+    static constexpr Duration ownerSilence{2500};
+    /** Time after its last append for which an owner renews leases; from design, as above. */
+    static constexpr Duration renewWithoutStore{5000};
+    /** Age of the newest read above which the log is not known well enough to claim. */
+    static constexpr Duration readFreshness{1500};
+    /** Range of the random delay before a claim, against claims at the same moment. */
+    static constexpr Duration claimSpread{300};
+    /** Delay before a claim of what was released or never owned. */
+    static constexpr Duration promptClaimSpread{60};
+
+    OwnerLease(std::string instance, std::uint64_t incarnation, Random &random);
+
+    /** Returns whether to claim now, given when the log's end was last read. */
+    bool shouldClaim(const OwnerView &owner, Instant now, Instant readAt);
+
+    /** Returns whether the view names this process as the owner. */
+    bool owns(const OwnerView &owner) const;
+
+    /** Notes that an append sent at the time was taken by the store under this claim. */
+    void confirm(Instant sentAt);
+
+    /** Returns whether leases of workers may be renewed. */
+    bool mayRenew(Instant now) const { return now < this->confirmedAt + renewWithoutStore; }
+
+    Instant lastConfirmed() const { return this->confirmedAt; }
+
+private:
+    const std::string instance;
+    const std::uint64_t incarnation;
+    Random &random;
+    Instant confirmedAt;
+    std::uint64_t delayEpoch = ~std::uint64_t(0);
+    bool delayPrompt = false;
+    Duration delay;
+    Instant seenSince;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "workerstate.h"
+
+namespace godwitfall {
+
+/** A task that is to be placed. */
+struct PlacementRequest
+{
+    const Job &job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::string onlyRack; ///< Empty: any.
+};
+
+/** Chooses workers for tasks: worst-fit packing within what each worker can bear. */
+class PlacementPolicy
+{
+public:
+    /** Age of a worker's newest answer above which nothing new is placed on it; three short
+     * holds. */
+    static constexpr Duration silenceLimit{1800};
+    /** Share of a worker's processors up to which filling tasks are added; leaves room for what
+     * serving tasks use beyond their usual. */
+    static constexpr double fillCeiling = 1.0;
+    /** Share of a serving task's processors that counts as used when filling tasks are placed. */
+    static constexpr double servingUse = 0.75;
+
+    /** Returns the best worker of the candidates, or null when none can take the task now. */
+    WorkerState *choose(const std::vector<WorkerState *> &candidates,
+                        const PlacementRequest &request, Instant now) const;
+
+    /** Returns whether the worker may get new tasks of the step. */
+    bool usable(const WorkerState &worker, const PlacementRequest &request, Instant now) const;
+
+private:
+    double cost(const WorkerState &worker, const jobs::StepSpec &step) const;
+};
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "ids.h"
+#include "job.h"
+#include "resources.h"
+
+namespace godwitfall {
+
+/** What a worker has registered about itself. */
+struct WorkerEntry
+{
+    WorkerId id;
+    ServiceId service;
+    std::string address;
+    ZoneId zone;
+    bool draining = false;
+    Duration remaining{0}; ///< Least time until a draining worker leaves.
+    Resources capacity;
+    std::string kind;
+    std::string rack;
+    std::int64_t bornMs = 0; ///< When this life began, since 1970.
+
+    bool hasLabel(const std::string &label) const
+    {
+        return label == this->kind || label == this->rack;
+    }
+};
+
+/** How a run ended. */
+enum class RunEnd : std::uint8_t {
+    Done,
+    Failed,
+    Stopped,
+    Lapsed, ///< Its lease ran out.
+    Broken, ///< Another member of its gang ended.
+    Alone,  ///< The other members of its gang did not come.
+};
+
+/** One run that a worker lists as running. */
+struct RunningTask
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
+};
+
+/** One run that a worker lists as ended. */
+struct EndedTask
+{
+    std::uint64_t number = 0; ///< Rises within a life of the worker.
+    TaskRef task;
+    std::uint32_t run = 0;
+    RunEnd how = RunEnd::Failed;
+    std::string checkpoint;
+};
+
+/** What a worker runs and ran, as it answered. */
+struct WorkerReport
+{
+    std::int64_t clockMs = 0; ///< The worker's own steady clock.
+    std::int64_t bornMs = 0;
+    std::vector<RunningTask> running;
+    std::vector<EndedTask> ended;
+};
+
+/** Bounds on leases and orders that the platform promises. */
+struct WorkerBounds
+{
+    Duration longestLease{6000};
+    Duration stopTime{400};
+    Duration paceDelay{100};
+    Duration harmTime{4000};
+    Duration noticeTime{4500};
+    Duration restoreTime{600};
+    double farFactor = 1.5;
+};
+
+/** A backend worker as the coordinator sees it: its entry, lease, load and recent failures. */
+class WorkerState
+{
+public:
+    /** Share by which a worker's clock may be slow; the platform's bound. */
+    static constexpr double clockDrift = 0.02;
+    /** Added to computed lapses for rounding and timer slack. */
+    static constexpr Duration lapseMargin{150};
+
+    explicit WorkerState(WorkerEntry entry);
+
+    /** Notes a sample of the worker's clock. */
+    void sampleClock(std::int64_t clockMs, Instant receivedAt);
+
+    /** Returns the lease end to ask for, on the worker's clock; 0 before the first sample. */
+    std::int64_t leaseEnd(Instant now, Duration length) const;
+
+    /** Notes that an order bore the lease end. */
+    void noteLeaseEnd(std::int64_t endMs);
+
+    /** Returns when everything on the worker has surely lapsed, were it silent from now on. */
+    Instant lapsesAt(const WorkerBounds &bounds) const;
+
+    /** Reserves room for the task. */
+    void assign(const TaskRef &ref, Job &job);
+
+    /** Frees the room of the task. */
+    void release(const TaskRef &ref);
+
+    /** Returns whether a task of the step fits beside what is placed. */
+    bool fits(const jobs::StepSpec &step) const;
+
+    /** Returns the number of placed tasks of one occurrence of the step. */
+    std::uint32_t countOf(const JobId &job, std::uint32_t occurrence, std::uint32_t step) const;
+
+    WorkerEntry entry;
+    bool listed = true; ///< The registry has its entry.
+    bool heard = false; ///< It answered under the current epoch.
+    Instant heardAt;
+    Instant unheardLapse; ///< When leases lapse that were granted before this epoch.
+
+    bool holdInFlight = false;
+    Instant holdDue;
+    std::uint64_t acknowledged = 0; ///< Ends up to here are durable.
+    std::uint64_t seen = 0;         ///< Ends up to here are applied.
+    unsigned holdFailures = 0;
+
+    std::map<TaskRef, Job *> tasks;
+    Resources reserved; ///< Without the processor time of filling tasks.
+    std::int64_t fillMilliCores = 0;
+
+    Instant restUntil;
+    unsigned restCount = 0;
+    std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
+    std::uint32_t fillPercent = 100;
+    Instant paceChangedAt;
+    Instant noFillsUntil;
+
+private:
+    std::int64_t sampleMs = 0;
+    Instant sampledAt;
+    std::int64_t longestEndMs = 0;
+};
+
+} // namespace godwitfall
