--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -28,6 +28,7 @@
     , bounds(bounds)
     , orders(orders)
     , observer(observer)
+    , policy(this->interference)
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, Instant lapse)
@@ -236,6 +237,10 @@
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
     task->figure = running.figure;
+    if (task->phase == TaskPhase::Unconfirmed && job->stepSpec(running.task.step).fills()) {
+        // A former coordinator may have slowed it.
+        this->setPace(worker, running.task, *task, 100, now);
+    }
     if (task->phase == TaskPhase::Unconfirmed || task->phase == TaskPhase::Starting) {
         task->phase = TaskPhase::Running;
         task->since = now;
@@ -315,14 +320,11 @@
 
 void Coordinator::findStalled(WorkerState &worker, Instant now)
 {
-    if (worker.fillPercent < 100) {
-        return;
-    }
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
         const jobs::StepSpec &step = job->stepSpec(ref.step);
-        const bool working = task.phase == TaskPhase::Running && !step.gang() &&
+        const bool working = task.phase == TaskPhase::Running && !step.gang() && task.pace == 100 &&
                              (!step.long_running() || task.percent < 100);
         const Duration limit = stallTime + Duration(step.estimated_ms() / 10);
         if (working && now - task.progressAt > limit && this->mayInterrupt(*job, ref)) {
@@ -348,7 +350,7 @@
     worker.entry.bornMs = bornMs;
     worker.seen = 0;
     worker.acknowledged = 0;
-    worker.fillPercent = 100;
+    worker.trial.reset();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (!worker.tasks.contains(ref)) {
@@ -458,6 +460,7 @@
     task.phase = TaskPhase::Waiting;
     task.since = now;
     task.percent = 0;
+    task.pace = 100;
     this->markDirty(job);
     if (job.stepSpec(ref.step).gang()) {
         this->breakGang(job, ref, now);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -154,7 +154,10 @@
     void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
     void findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt, Instant now);
     void adjustPace(WorkerState &worker, Instant now);
-    void setPace(WorkerState &worker, std::uint32_t percent, Instant now);
+    void beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now);
+    void endTrial(WorkerState &worker, Instant now);
+    void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
+                 Instant now);
     void loseWorker(WorkerState &worker, Instant now);
     void reborn(WorkerState &worker, std::int64_t bornMs, Instant now);
     void noteFailure(WorkerState &worker, const JobId &job, Instant now);
@@ -188,6 +191,7 @@
     const WorkerBounds bounds;
     OrderSender &orders;
     CoordinatorObserver &observer;
+    InterferenceModel interference;
     PlacementPolicy policy;
     JobConfig config;
 
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -2,6 +2,7 @@
 #include "coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace godwitfall {
 
@@ -9,19 +10,17 @@
 
 /** Rest of a worker whose room was counted wrongly. */
 constexpr Duration roomRest{150};
-/** Tail latency, as a share of its target, above which filling tasks are slowed. */
-constexpr double slowAbove = 0.85;
-/** Tail latency, as a share of its target, below which filling tasks are sped up again. */
+/** Tail latency, as a share of its target, below which halted tasks go on. */
 constexpr double hastenBelow = 0.6;
-/** Time between two changes of the pace of one worker; the platform's figures cover half of it. */
-constexpr Duration paceGap{900};
+/** Time between two samples of a worker's figures, which cover the last half second. */
+constexpr Duration figureGap{500};
+/** Time after which a halted task's effect shows in the figures. */
+constexpr Duration trialTime{650};
+/** Share of the worst suspect's harm from which other images are halted with it. */
+constexpr double suspectShare = 0.5;
+/** Share of the tail latency before, below which the halted tasks count as its cause. */
+constexpr double reliefShare = 0.7;
 constexpr std::uint32_t fullPace = 100;
-/** Pace from which filling tasks are halted outright. */
-constexpr std::uint32_t leastPace = 25;
-/** Step by which the pace rises again, in percent. */
-constexpr std::uint32_t paceStep = 25;
-/** Time for which a worker gets no filling tasks after its serving tasks were slow. */
-constexpr Duration fillPause{4000};
 
 } // namespace
 
@@ -255,57 +254,117 @@
 
 void Coordinator::adjustPace(WorkerState &worker, Instant now)
 {
-    double worst = 0.0;
-    bool fills = false;
+    if (now - worker.figuresAt < figureGap) {
+        return;
+    }
+    worker.figuresAt = now;
+    std::set<std::string> filling;
+    std::vector<TaskRef> slowed;
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         const Task &task = *job->task(ref);
-        fills = fills || step.fills();
-        if (step.target_ms() > 0 && task.phase == TaskPhase::Running && task.percent >= 100) {
-            worst = std::max(worst, static_cast<double>(task.figure) / step.target_ms());
+        if (!step.fills() || task.phase != TaskPhase::Running) {
+            continue;
+        }
+        if (task.pace < fullPace) {
+            slowed.push_back(ref);
+        } else if (now - task.since > figureGap) {
+            filling.insert(step.image());
         }
     }
-    if (worst > slowAbove) {
-        worker.noFillsUntil = now + fillPause;
+    const std::vector<std::string> images(filling.begin(), filling.end());
+    double worst = 0.0;
+    TaskRef slowest;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        const Task &task = *job->task(ref);
+        if (step.target_ms() == 0 || task.phase != TaskPhase::Running || task.percent < 100) {
+            continue;
+        }
+        const double ratio = static_cast<double>(task.figure) / step.target_ms();
+        if (!worker.trial) {
+            this->interference.observe(step.image(), ratio, images);
+        }
+        if (ratio > worst) {
+            worst = ratio;
+            slowest = ref;
+        }
     }
-    if (!fills) {
-        worker.fillPercent = fullPace;
-        return;
+    if (worker.trial) {
+        this->endTrial(worker, now);
+    } else if (worst > InterferenceModel::slowRatio && !filling.empty()) {
+        this->beginTrial(worker, slowest, worst, now);
+    } else if (worst < hastenBelow && !slowed.empty()) {
+        Job &job = *worker.tasks.at(slowed.front());
+        this->setPace(worker, slowed.front(), *job.task(slowed.front()), fullPace, now);
     }
-    if (now - worker.paceChangedAt < paceGap) {
-        return;
+}
+
+void Coordinator::beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now)
+{
+    const std::string &image = worker.tasks.at(serving)->stepSpec(serving.step).image();
+    double most = 0.0;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (step.fills() && job->task(ref)->phase == TaskPhase::Running) {
+            most = std::max(most, this->interference.harm(image, step.image()));
+        }
     }
-    if (worst > 1.0) {
-        this->setPace(worker, 0, now);
-    } else if (worst > slowAbove) {
-        const std::uint32_t half = worker.fillPercent / 2;
-        this->setPace(worker, half < leastPace ? 0 : half, now);
-    } else if (worst < hastenBelow) {
-        this->setPace(worker, std::min(fullPace, worker.fillPercent + paceStep), now);
+    PaceTrial trial{serving, ratio, {}, now};
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        Task &task = *job->task(ref);
+        const bool suspect = step.fills() && task.phase == TaskPhase::Running &&
+                             this->interference.harm(image, step.image()) >= most * suspectShare;
+        if (suspect) {
+            this->setPace(worker, ref, task, 0, now);
+            trial.halted.push_back(ref);
+        }
     }
+    worker.trial = std::move(trial);
 }
 
-void Coordinator::setPace(WorkerState &worker, std::uint32_t percent, Instant now)
+void Coordinator::endTrial(WorkerState &worker, Instant now)
 {
-    if (percent == worker.fillPercent && percent == fullPace) {
+    if (now - worker.trial->since < trialTime) {
         return;
     }
-    worker.fillPercent = percent;
-    worker.paceChangedAt = now;
-    const std::map<TaskRef, Job *> placed = worker.tasks;
-    for (const auto &[ref, job] : placed) {
-        const jobs::StepSpec &step = job->stepSpec(ref.step);
-        Task &task = *job->task(ref);
-        if (!step.fills() || task.phase != TaskPhase::Running) {
+    const PaceTrial trial = *std::exchange(worker.trial, std::nullopt);
+    const auto serving = worker.tasks.find(trial.serving);
+    if (serving == worker.tasks.end()) {
+        return;
+    }
+    const jobs::StepSpec &step = serving->second->stepSpec(trial.serving.step);
+    const Task &task = *serving->second->task(trial.serving);
+    const double ratio = static_cast<double>(task.figure) / std::max(1U, step.target_ms());
+    const bool caused = ratio < trial.ratioBefore * reliefShare;
+    for (const TaskRef &ref : trial.halted) {
+        const auto found = worker.tasks.find(ref);
+        if (found == worker.tasks.end()) {
             continue;
         }
-        task.progressAt = now;
-        this->orders.pace(PaceOrder{this->targetOf(worker), ref, task.run, percent});
-        // Halted work that can go on elsewhere does not wait here.
-        if (percent == 0 && step.checkpointing()) {
-            this->stopTask(ref, task, now);
+        Job &job = *found->second;
+        Task &halted = *job.task(ref);
+        const jobs::StepSpec &haltedStep = job.stepSpec(ref.step);
+        this->interference.confirm(step.image(), haltedStep.image(), caused);
+        if (halted.phase != TaskPhase::Running) {
+            continue;
+        }
+        if (!caused) {
+            this->setPace(worker, ref, halted, fullPace, now);
+        } else if (haltedStep.checkpointing()) {
+            // It goes on elsewhere, beside tasks that it does not slow.
+            this->stopTask(ref, halted, now);
         }
     }
 }
 
+void Coordinator::setPace(const WorkerState &worker, const TaskRef &ref, Task &task,
+                          std::uint32_t percent, Instant now)
+{
+    task.pace = percent;
+    task.progressAt = now;
+    this->orders.pace(PaceOrder{this->targetOf(worker), ref, task.run, percent});
+}
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -44,6 +44,7 @@
     std::string worker; ///< Where it is placed; empty when it runs nowhere.
     std::string checkpoint;
     std::uint32_t percent = 0;
+    std::uint32_t pace = 100; ///< Share of its speed at which a filling task may work, in percent.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
     Instant since;           ///< When the phase began.
     Instant progressAt;      ///< When percent or checkpoint last changed.
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -1,5 +1,7 @@
 #include "placementpolicy.h"
 
+#include <algorithm>
+
 namespace godwitfall {
 
 namespace {
@@ -21,6 +23,24 @@
 
 } // namespace
 
+PlacementPolicy::PlacementPolicy(const InterferenceModel &interference)
+    : interference(interference)
+{}
+
+double PlacementPolicy::interferenceOf(const WorkerState &worker, const jobs::StepSpec &step) const
+{
+    double worst = 0.0;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &other = job->stepSpec(ref.step);
+        if (step.fills() && other.target_ms() > 0) {
+            worst = std::max(worst, this->interference.harm(other.image(), step.image()));
+        } else if (step.target_ms() > 0 && other.fills()) {
+            worst = std::max(worst, this->interference.harm(step.image(), other.image()));
+        }
+    }
+    return worst;
+}
+
 bool PlacementPolicy::usable(const WorkerState &worker, const PlacementRequest &request,
                              Instant now) const
 {
@@ -45,8 +65,8 @@
         return false;
     }
     if (step.fills()) {
-        return now >= worker.noFillsUntil && worker.fillPercent == 100 &&
-               loadWith(worker, step.milli_cores()) <= fillCeiling;
+        return !worker.trial && loadWith(worker, step.milli_cores()) <= fillCeiling &&
+               this->interferenceOf(worker, step) < InterferenceModel::harmful;
     }
     return true;
 }
@@ -54,6 +74,9 @@
 double PlacementPolicy::cost(const WorkerState &worker, const jobs::StepSpec &step) const
 {
     double cost = loadWith(worker, step.milli_cores());
+    if (step.fills() || step.target_ms() > 0) {
+        cost += this->interferenceOf(worker, step);
+    }
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
         cost += farCost;
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "interferencemodel.h"
 #include "workerstate.h"
 
 namespace godwitfall {
@@ -28,7 +29,9 @@
      * serving tasks use beyond their usual. */
     static constexpr double fillCeiling = 1.0;
     /** Share of a serving task's processors that counts as used when filling tasks are placed. */
-    static constexpr double servingUse = 0.75;
+    static constexpr double servingUse = 0.5;
+
+    explicit PlacementPolicy(const InterferenceModel &interference);
 
     /** Returns the best worker of the candidates, or null when none can take the task now. */
     WorkerState *choose(const std::vector<WorkerState *> &candidates,
@@ -39,6 +42,9 @@
 
 private:
     double cost(const WorkerState &worker, const jobs::StepSpec &step) const;
+    double interferenceOf(const WorkerState &worker, const jobs::StepSpec &step) const;
+
+    const InterferenceModel &interference;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -84,6 +85,15 @@
     double farFactor = 1.5;
 };
 
+/** Filling tasks halted to see whether a serving task's tail latency falls. */
+struct PaceTrial
+{
+    TaskRef serving;
+    double ratioBefore = 0.0; ///< Tail latency over its target.
+    std::vector<TaskRef> halted;
+    Instant since;
+};
+
 /** A backend worker as the coordinator sees it: its entry, lease, load and recent failures. */
 class WorkerState
 {
@@ -138,9 +148,8 @@
     Instant restUntil;
     unsigned restCount = 0;
     std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
-    std::uint32_t fillPercent = 100;
-    Instant paceChangedAt;
-    Instant noFillsUntil;
+    Instant figuresAt; ///< When the figures of its tasks were last taken in.
+    std::optional<PaceTrial> trial;
 
 private:
     std::int64_t sampleMs = 0;
