--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -154,6 +154,7 @@
     void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
     void findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt, Instant now);
     void adjustPace(WorkerState &worker, Instant now);
+    void moveSlowed(WorkerState &worker, const std::vector<TaskRef> &slowed, Instant now);
     void beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now);
     void endTrial(WorkerState &worker, Instant now);
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
@@ -175,6 +176,8 @@
 
     void planJob(Job &job, Instant now, std::int64_t unixMs);
     void planStep(Job &job, StepRun &run, Instant now);
+    void preempt(const Job &job, const jobs::StepSpec &step, Instant now);
+    unsigned priorityOf(const Job &job) const;
     void planTogether(Job &job, StepRun &run, Instant now);
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
@@ -205,6 +208,7 @@
     std::map<std::pair<TaskRef, std::uint32_t>, Instant> strayStops;
     std::set<Job *> dirty;
     bool planNeeded = false;
+    Instant preemptedAt;
     bool acknowledgeDirty = false;
     std::vector<RecordedStart> recording;
     std::vector<RecordedStart> inBatch;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -12,6 +12,10 @@
 constexpr Duration roomRest{150};
 /** Tail latency, as a share of its target, below which halted tasks go on. */
 constexpr double hastenBelow = 0.6;
+/** Tail latency, as a share of its target, above which images known as harmful are halted. */
+constexpr double slowBefore = 0.8;
+/** Time for which a halted task waits before it goes on elsewhere; above its restore time. */
+constexpr Duration slowedStay{1500};
 /** Time between two samples of a worker's figures, which cover the last half second. */
 constexpr Duration figureGap{500};
 /** Time after which a halted task's effect shows in the figures. */
@@ -290,20 +294,37 @@
             slowest = ref;
         }
     }
+    worker.servingRatio = worst;
     if (worker.trial) {
         this->endTrial(worker, now);
-    } else if (worst > InterferenceModel::slowRatio && !filling.empty()) {
+    } else if (worst > slowBefore && !filling.empty()) {
         this->beginTrial(worker, slowest, worst, now);
-    } else if (worst < hastenBelow && !slowed.empty()) {
-        Job &job = *worker.tasks.at(slowed.front());
-        this->setPace(worker, slowed.front(), *job.task(slowed.front()), fullPace, now);
+    } else if (worst < hastenBelow) {
+        for (const TaskRef &ref : slowed) {
+            Job &job = *worker.tasks.at(ref);
+            this->setPace(worker, ref, *job.task(ref), fullPace, now);
+        }
+    } else {
+        this->moveSlowed(worker, slowed, now);
+    }
+}
+
+void Coordinator::moveSlowed(WorkerState &worker, const std::vector<TaskRef> &slowed, Instant now)
+{
+    for (const TaskRef &ref : slowed) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        const bool waited = now - task.progressAt > slowedStay;
+        if (waited && job.stepSpec(ref.step).checkpointing()) {
+            this->stopTask(ref, task, now);
+        }
     }
 }
 
 void Coordinator::beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now)
 {
     const std::string &image = worker.tasks.at(serving)->stepSpec(serving.step).image();
-    double most = 0.0;
+    double most = ratio > InterferenceModel::slowRatio ? 0.0 : InterferenceModel::harmful / suspectShare;
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         if (step.fills() && job->task(ref)->phase == TaskPhase::Running) {
@@ -321,7 +342,9 @@
             trial.halted.push_back(ref);
         }
     }
-    worker.trial = std::move(trial);
+    if (!trial.halted.empty()) {
+        worker.trial = std::move(trial);
+    }
 }
 
 void Coordinator::endTrial(WorkerState &worker, Instant now)
@@ -352,9 +375,6 @@
         }
         if (!caused) {
             this->setPace(worker, ref, halted, fullPace, now);
-        } else if (haltedStep.checkpointing()) {
-            // It goes on elsewhere, beside tasks that it does not slow.
-            this->stopTask(ref, halted, now);
         }
     }
 }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -19,6 +19,9 @@
     auto key() const { return std::tuple(this->priority, this->late, this->due); }
 };
 
+/** Time between two preemptions, within which the room of the first becomes free. */
+constexpr Duration preemptGap{50};
+
 bool anyWaiting(const StepRun &run)
 {
     return std::any_of(run.tasks.begin(), run.tasks.end(),
@@ -68,7 +71,7 @@
         const QueueConfig *queue = this->queueOf(*job);
         Candidate candidate;
         candidate.job = job;
-        candidate.priority = queue ? queue->priority : job->spec().priority();
+        candidate.priority = this->priorityOf(*job);
         const double stretch = queue ? queue->stretch : job->spec().stretch();
         const Duration target =
             queue ? queue->targetLatency : Duration(job->spec().target_latency_ms());
@@ -127,6 +130,7 @@
         const PlacementRequest request{job, run.occurrence, run.step, {}};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
+            this->preempt(job, step, now);
             return;
         }
         run.tasks[index].run += 1;
@@ -134,6 +138,56 @@
     }
 }
 
+unsigned Coordinator::priorityOf(const Job &job) const
+{
+    const QueueConfig *queue = this->queueOf(job);
+    return queue ? queue->priority : job.spec().priority();
+}
+
+void Coordinator::preempt(const Job &job, const jobs::StepSpec &step, Instant now)
+{
+    if (step.fills() || now - this->preemptedAt < preemptGap) {
+        return;
+    }
+    WorkerState *best = nullptr;
+    std::vector<TaskRef> bestVictims;
+    for (WorkerState *worker : this->candidates(job)) {
+        if (!worker->listed || worker->entry.draining || !worker->heard ||
+            now < worker->restUntil) {
+            continue;
+        }
+        std::int64_t missing = worker->reserved.milliCores + step.milli_cores() -
+                               worker->entry.capacity.milliCores;
+        std::vector<TaskRef> victims;
+        for (const auto &[ref, other] : worker->tasks) {
+            const jobs::StepSpec &otherStep = other->stepSpec(ref.step);
+            const Task &task = *other->task(ref);
+            if (missing <= 0) {
+                break;
+            }
+            if (task.phase == TaskPhase::Stopping) {
+                missing -= otherStep.fills() ? 0 : otherStep.milli_cores();
+            } else if (task.phase == TaskPhase::Running && otherStep.checkpointing() &&
+                       !otherStep.fills() && !otherStep.gang() &&
+                       this->priorityOf(*other) > this->priorityOf(job)) {
+                victims.push_back(ref);
+                missing -= otherStep.milli_cores();
+            }
+        }
+        if (missing <= 0 && (!best || victims.size() < bestVictims.size())) {
+            best = worker;
+            bestVictims = std::move(victims);
+        }
+    }
+    if (!best) {
+        return;
+    }
+    this->preemptedAt = now;
+    for (const TaskRef &ref : bestVictims) {
+        this->stopTask(ref, *best->tasks.at(ref)->task(ref), now);
+    }
+}
+
 void Coordinator::planTogether(Job &job, StepRun &run, Instant now)
 {
     if (!allWaiting(run)) {
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -18,9 +18,9 @@
 public:
     /** Ratio of tail latency to target above which a sample counts as slow. */
     static constexpr double slowRatio = 1.0;
-    /** Harm from which two images are not placed together; well above what an image that is slow
-     * on its own shows. */
-    static constexpr double harmful = 0.3;
+    /** Harm from which a filling image is slowed before the target is missed; well above what an
+     * image that is slow on its own shows. */
+    static constexpr double harmful = 0.2;
 
     /** Takes in one sample: the serving image's tail latency over its target, and what fills. */
     void observe(const std::string &serving, double ratio, const std::vector<std::string> &filling);
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -11,6 +11,11 @@
 /** Added for each job that recently failed on the worker. */
 constexpr double failureCost = 0.3;
 
+/** Weight of the harm between images against a share of a worker's processors. */
+constexpr double interferenceCost = 3.0;
+/** Added for filling tasks while a serving task there misses its target. */
+constexpr double slowWorkerCost = 2.0;
+
 /** Returns the share of the worker's processors in use, with what a task would add. */
 double loadWith(const WorkerState &worker, double added)
 {
@@ -65,17 +70,25 @@
         return false;
     }
     if (step.fills()) {
-        return !worker.trial && loadWith(worker, step.milli_cores()) <= fillCeiling &&
-               this->interferenceOf(worker, step) < InterferenceModel::harmful;
+        return loadWith(worker, step.milli_cores()) <= fillCeiling;
     }
     return true;
 }
 
 double PlacementPolicy::cost(const WorkerState &worker, const jobs::StepSpec &step) const
 {
-    double cost = loadWith(worker, step.milli_cores());
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+    // Filling tasks go where most is left over; reserved room is packed tightly, so that wide tasks
+    // still find some.
+    double cost = step.fills()
+                      ? loadWith(worker, step.milli_cores())
+                      : 1.0 - static_cast<double>(worker.reserved.milliCores) / capacity;
     if (step.fills() || step.target_ms() > 0) {
-        cost += this->interferenceOf(worker, step);
+        cost += this->interferenceOf(worker, step) * interferenceCost;
+    }
+    if (step.fills() && worker.servingRatio > InterferenceModel::slowRatio) {
+        cost += slowWorkerCost;
     }
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -148,6 +148,7 @@
     Instant restUntil;
     unsigned restCount = 0;
     std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
+    double servingRatio = 0.0; ///< Worst tail latency of its serving tasks over their targets.
     Instant figuresAt; ///< When the figures of its tasks were last taken in.
     std::optional<PaceTrial> trial;
 
