--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -49,8 +49,8 @@
 
 std::string taskText(const TaskRef &ref)
 {
-    return ref.job.value() + "." + std::to_string(ref.occurrence) + "." +
-           std::to_string(ref.step) + "." + std::to_string(ref.index);
+    return ref.job.value() + "." + std::to_string(ref.occurrence) + "." + std::to_string(ref.step) +
+           "." + std::to_string(ref.index);
 }
 
 } // namespace
@@ -84,9 +84,11 @@
                      this->coordinator->stopAnswered(worker, task, run, this->now(), outcome);
                      this->wake();
                  },
-                 [this] { return this->now(); }})
-    , coordinator(std::make_unique<Coordinator>(this->table, this->settings.worker, this->orders,
-                                                *this))
+                 [this] {
+                     return this->now();
+                 }})
+    , coordinator(
+          std::make_unique<Coordinator>(this->table, this->settings.worker, this->orders, *this))
     , entrance(
           this->desk, this->table,
           [this]() -> const JobConfig * { return this->config ? &*this->config : nullptr; },
@@ -107,7 +109,9 @@
     this->configFollower.topic = platform::names::configTopic;
     this->workerFollower.topic = platform::names::workerTopic;
     this->submissions.open(this->settings.instance + "/" + std::to_string(incarnation), 1, 1);
-    this->records.onStored = [this](Instant sentAt) { this->lease.confirm(sentAt); };
+    this->records.onStored = [this](Instant sentAt) {
+        this->lease.confirm(sentAt);
+    };
 }
 
 EntryInstance::~EntryInstance() = default;
@@ -347,8 +351,8 @@
     this->claimInFlight = true;
     this->claimSentAt = at;
     this->claimSequence = 1 + this->random.below(sequenceRange);
-    this->claimPrompt = owner.epoch == 0 || owner.released ||
-                        owner.instance == this->settings.instance;
+    this->claimPrompt =
+        owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
     jobs::Ownership message;
     message.set_epoch(owner.epoch + 1);
     message.set_instance(this->settings.instance);
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -350,7 +350,6 @@
     worker.entry.bornMs = bornMs;
     worker.seen = 0;
     worker.acknowledged = 0;
-    worker.trial.reset();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (!worker.tasks.contains(ref)) {
@@ -556,8 +555,8 @@
         if (!job->closed() || this->dirty.contains(job)) {
             continue;
         }
-        const bool placed = std::any_of(
-            job->stepRuns().begin(), job->stepRuns().end(), [](const auto &entry) {
+        const bool placed =
+            std::any_of(job->stepRuns().begin(), job->stepRuns().end(), [](const auto &entry) {
                 return std::any_of(entry.second.tasks.begin(), entry.second.tasks.end(),
                                    [](const Task &task) { return !task.worker.empty(); });
             });
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -51,14 +51,17 @@
 /**
  * Places tasks on workers and follows them to their end; one instance at a time does.
  *
- * A start is ordered only after its record is durable, and an end is acknowledged to its worker only
- * after its record is. Free of sockets, threads and clocks: calls bring events with their time.
+ * A start is ordered only after its record is durable, and an end is acknowledged to its worker
+ * only after its record is. Free of sockets, threads and clocks: calls bring events with their
+ * time.
  */
 class Coordinator
 {
 public:
     /** Longest wait for an end in one hold; keeps leases renewed and percentages fresh. */
     static constexpr Duration holdWait{1000};
+    /** The same for a worker on which filling tasks work beside others, whose figures matter. */
+    static constexpr Duration sharedHoldWait{500};
     /** Pause between holds of a worker that has ends to acknowledge or to collect. */
     static constexpr Duration holdGap{25};
     /** Time between holds of a silent worker. */
@@ -154,9 +157,8 @@
     void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
     void findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt, Instant now);
     void adjustPace(WorkerState &worker, Instant now);
-    void moveSlowed(WorkerState &worker, const std::vector<TaskRef> &slowed, Instant now);
-    void beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now);
-    void endTrial(WorkerState &worker, Instant now);
+    void sampleServing(WorkerState &worker, Instant now);
+    std::map<std::string, double> bearablePaces(const WorkerState &worker, Instant now) const;
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
                  Instant now);
     void loseWorker(WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -10,20 +10,19 @@
 
 /** Rest of a worker whose room was counted wrongly. */
 constexpr Duration roomRest{150};
-/** Tail latency, as a share of its target, below which halted tasks go on. */
-constexpr double hastenBelow = 0.6;
-/** Tail latency, as a share of its target, above which images known as harmful are halted. */
-constexpr double slowBefore = 0.8;
-/** Time for which a halted task waits before it goes on elsewhere; above its restore time. */
-constexpr Duration slowedStay{1500};
 /** Time between two samples of a worker's figures, which cover the last half second. */
-constexpr Duration figureGap{500};
-/** Time after which a halted task's effect shows in the figures. */
-constexpr Duration trialTime{650};
-/** Share of the worst suspect's harm from which other images are halted with it. */
-constexpr double suspectShare = 0.5;
-/** Share of the tail latency before, below which the halted tasks count as its cause. */
-constexpr double reliefShare = 0.7;
+constexpr Duration figureGap{450};
+/** Paces are set in steps, so that small changes need no order. */
+constexpr std::uint32_t paceStep = 20;
+constexpr double paceSteps = 5.0;
+/** Pace in percent below which a task that can goes on elsewhere after a while. */
+constexpr std::uint32_t slowPace = 40;
+/** Time for which a slowed task waits before it goes on elsewhere; above its restore time. */
+constexpr Duration slowedStay{1500};
+/** Time for which the peak of a load is remembered; about a period of users' loads. */
+constexpr Duration peakMemory{20000};
+/** Part of the pressure below which an image is not slowed for it. */
+constexpr double slightPart = 0.1;
 constexpr std::uint32_t fullPace = 100;
 
 } // namespace
@@ -157,8 +156,8 @@
         }
         return;
     }
-    const bool settled = outcome == OrderOutcome::Accepted ||
-                         outcome == OrderOutcome::Superseded || outcome == OrderOutcome::TooLate;
+    const bool settled = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Superseded ||
+                         outcome == OrderOutcome::TooLate;
     if (settled) {
         open.acknowledged = true;
         open.acknowledgedAt = now;
@@ -174,7 +173,8 @@
         order.leaseEndMs = worker.leaseEnd(now, this->bounds.longestLease);
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = worker.seen == worker.acknowledged;
-        order.wait = settled ? holdWait : Duration(0);
+        const bool shared = worker.fillMilliCores > 0 && worker.reserved.milliCores > 0;
+        order.wait = !settled ? Duration(0) : shared ? sharedHoldWait : holdWait;
     }
     worker.holdInFlight = true;
     this->orders.hold(std::move(order));
@@ -242,139 +242,103 @@
         if (task.phase != TaskPhase::Running || step.gang()) {
             continue;
         }
-        const Duration left =
-            Duration(std::int64_t(step.estimated_ms()) * (100 - std::min(100U, task.percent)) / 100);
+        const Duration left = Duration(std::int64_t(step.estimated_ms()) *
+                                       (100 - std::min(100U, task.percent)) / 100);
         const bool movable =
             step.long_running() || (step.checkpointing() && left > worker.entry.remaining);
         if (!movable || !this->mayInterrupt(*job, ref)) {
             continue;
         }
-        const PlacementRequest request{*job, ref.occurrence, ref.step, {}};
+        const PlacementRequest request{*job, ref.occurrence, ref.step, {}, {}};
         if (this->policy.choose(this->candidates(*job), request, now)) {
             this->stopTask(ref, task, now);
         }
     }
 }
 
-void Coordinator::adjustPace(WorkerState &worker, Instant now)
+void Coordinator::sampleServing(WorkerState &worker, Instant now)
 {
-    if (now - worker.figuresAt < figureGap) {
-        return;
-    }
-    worker.figuresAt = now;
-    std::set<std::string> filling;
-    std::vector<TaskRef> slowed;
+    const std::vector<FillShare> filling = worker.fillShares(false);
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
-        const Task &task = *job->task(ref);
-        if (!step.fills() || task.phase != TaskPhase::Running) {
-            continue;
-        }
-        if (task.pace < fullPace) {
-            slowed.push_back(ref);
-        } else if (now - task.since > figureGap) {
-            filling.insert(step.image());
-        }
-    }
-    const std::vector<std::string> images(filling.begin(), filling.end());
-    double worst = 0.0;
-    TaskRef slowest;
-    for (const auto &[ref, job] : worker.tasks) {
-        const jobs::StepSpec &step = job->stepSpec(ref.step);
-        const Task &task = *job->task(ref);
-        if (step.target_ms() == 0 || task.phase != TaskPhase::Running || task.percent < 100) {
+        Task &task = *job->task(ref);
+        if (step.target_ms() == 0 || task.phase != TaskPhase::Running || task.percent < 100 ||
+            task.figure <= 0) {
             continue;
         }
-        const double ratio = static_cast<double>(task.figure) / step.target_ms();
-        if (!worker.trial) {
-            this->interference.observe(step.image(), ratio, images);
-        }
-        if (ratio > worst) {
-            worst = ratio;
-            slowest = ref;
-        }
-    }
-    worker.servingRatio = worst;
-    if (worker.trial) {
-        this->endTrial(worker, now);
-    } else if (worst > slowBefore && !filling.empty()) {
-        this->beginTrial(worker, slowest, worst, now);
-    } else if (worst < hastenBelow) {
-        for (const TaskRef &ref : slowed) {
-            Job &job = *worker.tasks.at(ref);
-            this->setPace(worker, ref, *job.task(ref), fullPace, now);
+        const double before = task.load;
+        task.load = this->interference.loadOf(step.image(), static_cast<double>(task.figure));
+        task.loadAt = now;
+        const double own = job->ownLoad(ref.occurrence, ref.step, now);
+        this->interference.observe(step.image(), own, before, task.load, filling);
+        StepRun &run = job->stepRun(ref.occurrence, ref.step);
+        if (own >= run.peakLoad || now - run.peakAt > peakMemory) {
+            run.peakLoad = own;
+            run.peakAt = now;
         }
-    } else {
-        this->moveSlowed(worker, slowed, now);
     }
 }
 
-void Coordinator::moveSlowed(WorkerState &worker, const std::vector<TaskRef> &slowed, Instant now)
+std::map<std::string, double> Coordinator::bearablePaces(const WorkerState &worker,
+                                                         Instant now) const
 {
-    for (const TaskRef &ref : slowed) {
-        Job &job = *worker.tasks.at(ref);
-        Task &task = *job.task(ref);
-        const bool waited = now - task.progressAt > slowedStay;
-        if (waited && job.stepSpec(ref.step).checkpointing()) {
-            this->stopTask(ref, task, now);
-        }
-    }
-}
-
-void Coordinator::beginTrial(WorkerState &worker, const TaskRef &serving, double ratio, Instant now)
-{
-    const std::string &image = worker.tasks.at(serving)->stepSpec(serving.step).image();
-    double most = ratio > InterferenceModel::slowRatio ? 0.0 : InterferenceModel::harmful / suspectShare;
+    const std::vector<FillShare> filling = worker.fillShares(true);
+    std::map<std::string, double> paces;
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
-        if (step.fills() && job->task(ref)->phase == TaskPhase::Running) {
-            most = std::max(most, this->interference.harm(image, step.image()));
+        if (step.target_ms() == 0) {
+            continue;
         }
-    }
-    PaceTrial trial{serving, ratio, {}, now};
-    for (const auto &[ref, job] : worker.tasks) {
-        const jobs::StepSpec &step = job->stepSpec(ref.step);
-        Task &task = *job->task(ref);
-        const bool suspect = step.fills() && task.phase == TaskPhase::Running &&
-                             this->interference.harm(image, step.image()) >= most * suspectShare;
-        if (suspect) {
-            this->setPace(worker, ref, task, 0, now);
-            trial.halted.push_back(ref);
+        const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms()) -
+                                InterferenceModel::margin;
+        const Task &task = *job->task(ref);
+        const bool missed = task.load > bearable + InterferenceModel::margin;
+        // Slight pressure matters only once the target is missed.
+        const double least = missed ? 0.0 : InterferenceModel::harmful;
+        const double room = bearable - job->ownLoad(ref.occurrence, ref.step, now);
+        const double pressure = this->interference.pressure(step.image(), filling, least);
+        if (pressure <= room) {
+            continue;
+        }
+        const double pace = std::max(0.0, room / pressure);
+        for (const FillShare &fill : filling) {
+            const double part = this->interference.pressure(step.image(), fill.image) * fill.share;
+            if (part > pressure * slightPart) {
+                double &bound = paces.try_emplace(fill.image, 1.0).first->second;
+                bound = std::min(bound, pace);
+            }
         }
     }
-    if (!trial.halted.empty()) {
-        worker.trial = std::move(trial);
-    }
+    return paces;
 }
 
-void Coordinator::endTrial(WorkerState &worker, Instant now)
+void Coordinator::adjustPace(WorkerState &worker, Instant now)
 {
-    if (now - worker.trial->since < trialTime) {
-        return;
-    }
-    const PaceTrial trial = *std::exchange(worker.trial, std::nullopt);
-    const auto serving = worker.tasks.find(trial.serving);
-    if (serving == worker.tasks.end()) {
+    if (now - worker.figuresAt < figureGap) {
         return;
     }
-    const jobs::StepSpec &step = serving->second->stepSpec(trial.serving.step);
-    const Task &task = *serving->second->task(trial.serving);
-    const double ratio = static_cast<double>(task.figure) / std::max(1U, step.target_ms());
-    const bool caused = ratio < trial.ratioBefore * reliefShare;
-    for (const TaskRef &ref : trial.halted) {
-        const auto found = worker.tasks.find(ref);
-        if (found == worker.tasks.end()) {
-            continue;
-        }
-        Job &job = *found->second;
-        Task &halted = *job.task(ref);
-        const jobs::StepSpec &haltedStep = job.stepSpec(ref.step);
-        this->interference.confirm(step.image(), haltedStep.image(), caused);
-        if (halted.phase != TaskPhase::Running) {
+    worker.figuresAt = now;
+    this->sampleServing(worker, now);
+    worker.overloads.clear();
+    const std::map<std::string, double> paces = this->bearablePaces(worker, now);
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        Task &task = *job->task(ref);
+        if (!step.fills() || task.phase != TaskPhase::Running) {
             continue;
         }
-        if (!caused) {
-            this->setPace(worker, ref, halted, fullPace, now);
+        const auto bound = paces.find(step.image());
+        const double share = bound == paces.end() ? 1.0 : bound->second;
+        const std::uint32_t pace = static_cast<std::uint32_t>(share * paceSteps) * paceStep;
+        if (pace != task.pace) {
+            if (task.pace == fullPace) {
+                task.slowedAt = now;
+            }
+            this->setPace(worker, ref, task, pace, now);
+        } else if (pace < slowPace && step.checkpointing() && now - task.slowedAt > slowedStay) {
+            // It goes on elsewhere, beside tasks that it does not slow.
+            this->stopTask(ref, task, now);
         }
     }
 }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -76,9 +76,9 @@
         const Duration target =
             queue ? queue->targetLatency : Duration(job->spec().target_latency_ms());
         const Duration chain = job->longestChain();
-        candidate.due = job->knownSince + target +
-                        Duration(static_cast<std::int64_t>(
-                            stretch * static_cast<double>(chain.count())));
+        candidate.due =
+            job->knownSince + target +
+            Duration(static_cast<std::int64_t>(stretch * static_cast<double>(chain.count())));
         candidate.late = now + chain / 2 > candidate.due;
         order.push_back(candidate);
     }
@@ -105,9 +105,14 @@
                 continue;
             }
             StepRun &run = job.stepRun(occurrence, number);
+            Instant &ready = job.readySince(occurrence, number, now);
+            run.readySince = ready;
             this->planStep(job, run, now);
             if (untouched(run)) {
                 job.stepRuns().erase({occurrence, number});
+            } else if (!anyWaiting(run)) {
+                // What returns later waits anew.
+                ready = Instant();
             }
         }
     }
@@ -127,7 +132,7 @@
         if (run.tasks[index].phase != TaskPhase::Waiting) {
             continue;
         }
-        const PlacementRequest request{job, run.occurrence, run.step, {}};
+        const PlacementRequest request{job, run.occurrence, run.step, {}, now - run.readySince};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
             this->preempt(job, step, now);
@@ -156,8 +161,8 @@
             now < worker->restUntil) {
             continue;
         }
-        std::int64_t missing = worker->reserved.milliCores + step.milli_cores() -
-                               worker->entry.capacity.milliCores;
+        std::int64_t missing =
+            worker->reserved.milliCores + step.milli_cores() - worker->entry.capacity.milliCores;
         std::vector<TaskRef> victims;
         for (const auto &[ref, other] : worker->tasks) {
             const jobs::StepSpec &otherStep = other->stepSpec(ref.step);
@@ -232,7 +237,7 @@
     const std::vector<WorkerState *> workersOfJob = this->candidates(job);
     std::vector<WorkerState *> chosen;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        const PlacementRequest request{job, run.occurrence, run.step, rack};
+        const PlacementRequest request{job, run.occurrence, run.step, rack, {}};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
             break;
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -79,8 +79,8 @@
     AppendIdentity identity;
     std::deque<Entry> waiting;
     std::vector<Entry> batch;
-    bool busy = false;     ///< A batch is not resolved yet.
-    bool inFlight = false; ///< An append of the batch awaits its answer.
+    bool busy = false;      ///< A batch is not resolved yet.
+    bool inFlight = false;  ///< An append of the batch awaits its answer.
     bool uncertain = false; ///< Some append of the batch may have been stored.
     Instant retryAt;
     Instant failingSince;
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -6,55 +6,87 @@
 
 namespace {
 
-/** Harm assumed of a pair that was never seen, as pseudo-counts. */
-constexpr double priorSlow = 0.05;
-constexpr double priorCount = 1.0;
-/** Evidence kept of a pair; older evidence fades, as loads change. */
-constexpr double memory = 40.0;
-/** Weight of a halted image's effect against a plain sample. */
-constexpr double trialWeight = 4.0;
+/** Multiple of the base latency at the knee: a load of 0.8. */
+constexpr double kneeFactor = 5.0;
+/** Load for each multiple of the base latency above the knee. */
+constexpr double overloadSlope = 1.0 / 200.0;
+constexpr double knee = 1.0 - 1.0 / kneeFactor;
+/** Share of an error that one sample corrects. */
+constexpr double learningRate = 0.35;
+/** Factor added where an error is shared among images: the known cause bears most of it. */
+constexpr double unknownPressure = 0.3;
+/** Factor that no pair exceeds; a whole worker then presses five times what a queue bears. */
+constexpr double largestFactor = 5.0;
+/** Share of a factor kept in a sample of the serving image without the filling one, so that an
+ * avoided pair is tried again in time. */
+constexpr double fade = 0.9995;
+
+double loadAt(double factor)
+{
+    return factor <= kneeFactor ? 1.0 - 1.0 / factor
+                                : 1.0 - 1.0 / kneeFactor + (factor - kneeFactor) * overloadSlope;
+}
 
 } // namespace
 
-double InterferenceModel::harm(const std::string &serving, const std::string &filling) const
+double InterferenceModel::loadOf(const std::string &serving, double tailMs)
 {
-    const auto found = this->pairs.find({serving, filling});
-    if (found == this->pairs.end()) {
-        return priorSlow / priorCount;
-    }
-    const Evidence &evidence = found->second;
-    return (evidence.slow + priorSlow) / (evidence.slow + evidence.calm + priorCount);
+    const double tail = std::max(1.0, tailMs);
+    double &base = this->baseMs.try_emplace(serving, tail).first->second;
+    base = std::min(base, tail);
+    return loadAt(tail / base);
 }
 
-void InterferenceModel::observe(const std::string &serving, double ratio,
-                                const std::vector<std::string> &filling)
+double InterferenceModel::loadAtTarget(const std::string &serving, double targetMs) const
 {
-    const bool slow = ratio > slowRatio;
-    double total = 0.0;
-    std::vector<double> shares;
-    for (const std::string &image : filling) {
-        shares.push_back(this->harm(serving, image));
-        total += shares.back();
-    }
-    for (std::size_t index = 0; index < filling.size(); ++index) {
-        Evidence &evidence = this->pairs[{serving, filling[index]}];
-        if (slow) {
-            evidence.slow += shares[index] / total;
-        } else {
-            evidence.calm += 1.0;
-        }
-        const double count = evidence.slow + evidence.calm;
-        if (count > memory) {
-            evidence.slow *= memory / count;
-            evidence.calm *= memory / count;
-        }
+    const auto found = this->baseMs.find(serving);
+    const double base = found == this->baseMs.end() ? 1.0 : found->second;
+    return loadAt(std::max(1.0, targetMs / base));
+}
+
+double InterferenceModel::pressure(const std::string &serving, const std::string &filling) const
+{
+    const auto found = this->factors.find({serving, filling});
+    return found == this->factors.end() ? 0.0 : found->second;
+}
+
+double InterferenceModel::pressure(const std::string &serving,
+                                   const std::vector<FillShare> &filling, double least) const
+{
+    double sum = 0.0;
+    for (const FillShare &fill : filling) {
+        const double factor = this->pressure(serving, fill.image);
+        sum += factor >= least ? factor * fill.share : 0.0;
     }
+    return sum;
 }
 
-void InterferenceModel::confirm(const std::string &serving, const std::string &filling, bool caused)
+void InterferenceModel::observe(const std::string &serving, double ownLoad, double loadBefore,
+                                double load, const std::vector<FillShare> &filling)
 {
-    Evidence &evidence = this->pairs[{serving, filling}];
-    (caused ? evidence.slow : evidence.calm) += trialWeight;
+    for (auto at = this->factors.lower_bound({serving, {}});
+         at != this->factors.end() && at->first.first == serving; ++at) {
+        at->second *= fade;
+    }
+    // Above the knee a queue drains slowly, so its tail tells of what was there before.
+    if (loadBefore > knee) {
+        return;
+    }
+    double squares = 0.0;
+    for (const FillShare &fill : filling) {
+        const double weight = this->pressure(serving, fill.image) + unknownPressure;
+        squares += fill.share * fill.share * weight;
+    }
+    if (squares <= 0.0) {
+        return;
+    }
+    const double error = load - ownLoad - this->pressure(serving, filling);
+    for (const FillShare &fill : filling) {
+        double &factor = this->factors[{serving, fill.image}];
+        const double weight = factor + unknownPressure;
+        factor = std::clamp(factor + learningRate * error * fill.share * weight / squares, 0.0,
+                            largestFactor);
+    }
 }
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -7,38 +7,51 @@
 
 namespace godwitfall {
 
+/** What tasks of one image that fill use of a worker: a share of its processors, at their pace. */
+struct FillShare
+{
+    std::string image;
+    double share = 0.0;
+};
+
 /**
- * Learns which filling images slow down which serving images, from tail latencies on shared workers.
+ * Learns how much filling images press on serving images, from tail latencies on shared workers.
  *
- * Each slow sample is shared as evidence among the images that fill beside it, by how suspect each
- * is already, so that a known cause explains it away for the others.
+ * A serving task is taken for a single queue: its tail latency is base / (1 - load) up to the
+ * knee from which its queue grows without end, and steeply linear above. Pressure adds
+ * to the load in proportion to the share of the worker that the filling image uses; a normalised
+ * least-mean-squares filter estimates the factor of each pair of images. Tasks of one job
+ * bear the same load of their own, so the least loaded tells it for all.
  */
 class InterferenceModel
 {
 public:
-    /** Ratio of tail latency to target above which a sample counts as slow. */
-    static constexpr double slowRatio = 1.0;
-    /** Harm from which a filling image is slowed before the target is missed; well above what an
-     * image that is slow on its own shows. */
-    static constexpr double harmful = 0.2;
+    /** Factor from which a pair of images counts as harmful; the others press within the margin. */
+    static constexpr double harmful = 0.5;
+    /** Distance that the load is kept from the one at which the target is missed; covers what a
+     * load of its own changes between two samples. */
+    static constexpr double margin = 0.08;
 
-    /** Takes in one sample: the serving image's tail latency over its target, and what fills. */
-    void observe(const std::string &serving, double ratio, const std::vector<std::string> &filling);
+    /** Returns the load behind a tail latency of the image, and learns its base latency. */
+    double loadOf(const std::string &serving, double tailMs);
 
-    /** Takes in that the tail fell, or did not, when the filling image was halted. */
-    void confirm(const std::string &serving, const std::string &filling, bool caused);
+    /** Returns the load at which the image's tail latency reaches the target. */
+    double loadAtTarget(const std::string &serving, double targetMs) const;
 
-    /** Returns the share of samples for which the filling image is held responsible, 0 to 1. */
-    double harm(const std::string &serving, const std::string &filling) const;
+    /** Takes in the observed load, and the one observed before, beside the load of its own. */
+    void observe(const std::string &serving, double ownLoad, double loadBefore, double load,
+                 const std::vector<FillShare> &filling);
 
-private:
-    struct Evidence
-    {
-        double slow = 0.0;
-        double calm = 0.0;
-    };
+    /** Returns the load that a whole worker of the filling image would add to the serving image. */
+    double pressure(const std::string &serving, const std::string &filling) const;
+
+    /** Returns the load that the shares add, of factors of the given size or more. */
+    double pressure(const std::string &serving, const std::vector<FillShare> &filling,
+                    double least = 0.0) const;
 
-    std::map<std::pair<std::string, std::string>, Evidence> pairs;
+private:
+    std::map<std::string, double> baseMs;
+    std::map<std::pair<std::string, std::string>, double> factors;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -101,6 +101,15 @@
     return found == this->runs.end() ? nullptr : &found->second;
 }
 
+Instant &Job::readySince(std::uint32_t occurrence, std::uint32_t step, Instant now)
+{
+    Instant &since = this->ready[{occurrence, step}];
+    if (since == Instant()) {
+        since = now;
+    }
+    return since;
+}
+
 Task *Job::task(const TaskRef &ref)
 {
     const auto found = this->runs.find({ref.occurrence, ref.step});
@@ -128,6 +137,20 @@
                        [](const auto &entry) { return entry.second.complete(); });
 }
 
+double Job::ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now) const
+{
+    /** Age above which a sample of a load tells nothing of now. */
+    constexpr Duration freshness{1500};
+    const StepRun *run = this->findStepRun(occurrence, step);
+    double least = 1.0;
+    for (const Task &task : run ? run->tasks : std::vector<Task>()) {
+        if (task.phase == TaskPhase::Running && now - task.loadAt < freshness) {
+            least = std::min(least, task.load);
+        }
+    }
+    return least;
+}
+
 jobs::JobProgress Job::toProgress(std::uint64_t epoch) const
 {
     jobs::JobProgress progress;
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -45,6 +45,9 @@
     std::string checkpoint;
     std::uint32_t percent = 0;
     std::uint32_t pace = 100; ///< Share of its speed at which a filling task may work, in percent.
+    Instant slowedAt;         ///< When pace last left 100.
+    double load = 0.0;       ///< Of a serving task: behind its tail latency, see InterferenceModel.
+    Instant loadAt;          ///< When load was sampled.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
     Instant since;           ///< When the phase began.
     Instant progressAt;      ///< When percent or checkpoint last changed.
@@ -57,6 +60,9 @@
     std::uint32_t step = 0;
     std::vector<Task> tasks;
     std::uint32_t done = 0;
+    Instant readySince;    ///< When its tasks could first be placed.
+    double peakLoad = 0.0; ///< Highest load of its own of a serving step in the recent past.
+    Instant peakAt;
 
     bool complete() const { return this->done == this->tasks.size(); }
 };
@@ -88,6 +94,9 @@
     /** Returns the run of the step, or null when no task of it was ever placed. */
     const StepRun *findStepRun(std::uint32_t occurrence, std::uint32_t step) const;
 
+    /** Returns since when tasks of the step could be placed; begins at now. */
+    Instant &readySince(std::uint32_t occurrence, std::uint32_t step, Instant now);
+
     /** Returns the task, or null when the job has no such task. */
     Task *task(const TaskRef &ref);
 
@@ -118,6 +127,10 @@
     /** Frees the tasks of a closed job. */
     void dropTasks() { this->runs.clear(); }
 
+    /** Returns the load of its own of a serving step, as its tasks beside the least filling show.
+     */
+    double ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now) const;
+
     /** Returns the length of the longest chain of steps by their estimates. */
     Duration longestChain() const { return this->chain; }
 
@@ -138,6 +151,7 @@
     JobId identity;
     jobs::JobSpec submitted;
     std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> runs;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, Instant> ready;
     Duration chain;
     std::uint64_t work = 0;
 };
--- a/src/libgodwitfall/jobs/jobdesk.cpp
+++ b/src/libgodwitfall/jobs/jobdesk.cpp
@@ -71,13 +71,12 @@
     JobRecord record;
     record.key = JobTable::cancelKey(id);
     record.value = "1";
-    this->commits.add({std::move(record)}, answerBy(now, patience),
-                      [this, id, done](CommitResult result) {
-                          const bool unknown =
-                              result == CommitResult::Durable && !this->table.find(id);
-                          done(unknown ? DeskReply{DeskAnswer::NoSuchJob, Duration(0), "no_such_job"}
-                                       : replyFor(result));
-                      });
+    this->commits.add(
+        {std::move(record)}, answerBy(now, patience), [this, id, done](CommitResult result) {
+            const bool unknown = result == CommitResult::Durable && !this->table.find(id);
+            done(unknown ? DeskReply{DeskAnswer::NoSuchJob, Duration(0), "no_such_job"}
+                         : replyFor(result));
+        });
 }
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/jobdesk.h
+++ b/src/libgodwitfall/jobs/jobdesk.h
@@ -11,10 +11,10 @@
 
 /** How the desk answers a submission or a cancel. */
 enum class DeskAnswer : std::uint8_t {
-    Accepted,   ///< Durable.
-    Overloaded, ///< Not accepted, never runs: the work ahead leaves no time for it.
+    Accepted,    ///< Durable.
+    Overloaded,  ///< Not accepted, never runs: the work ahead leaves no time for it.
     Unavailable, ///< Not accepted, never runs: the job log can't be written now.
-    Unknown,    ///< May be accepted; the same id may be sent again.
+    Unknown,     ///< May be accepted; the same id may be sent again.
     NoSuchJob,
 };
 
--- a/src/libgodwitfall/jobs/orders.h
+++ b/src/libgodwitfall/jobs/orders.h
@@ -56,16 +56,16 @@
 /** How a worker answered an order. */
 enum class OrderOutcome : std::uint8_t {
     Accepted,
-    Fenced,         ///< It has seen a higher fencing token.
-    Superseded,     ///< A run at least as high ended or was stopped there.
-    TooLate,        ///< The lease end had passed.
+    Fenced,     ///< It has seen a higher fencing token.
+    Superseded, ///< A run at least as high ended or was stopped there.
+    TooLate,    ///< The lease end had passed.
     NoRoom,
     TicketInvalid,
     Malformed,
-    Unhealthy,      ///< It did nothing.
-    OtherLife,      ///< Another incarnation answered.
-    NotSent,        ///< No byte reached it.
-    Unanswered,     ///< It may have been carried out, or may be later.
+    Unhealthy,  ///< It did nothing.
+    OtherLife,  ///< Another incarnation answered.
+    NotSent,    ///< No byte reached it.
+    Unanswered, ///< It may have been carried out, or may be later.
 };
 
 /** Carries orders to workers; replies come back to the coordinator later. */
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -11,18 +11,54 @@
 /** Added for each job that recently failed on the worker. */
 constexpr double failureCost = 0.3;
 
-/** Weight of the harm between images against a share of a worker's processors. */
-constexpr double interferenceCost = 3.0;
-/** Added for filling tasks while a serving task there misses its target. */
-constexpr double slowWorkerCost = 2.0;
+/** Time for which a filling task waits for a worker where it slows nothing that serves. */
+constexpr Duration harmlessWait{5000};
+/** Overload that counts as none; within what the figures' rounding hides. */
+constexpr double slightOverload = 0.02;
+/** Weight of a load beyond what serving tasks bear against a share of a worker's processors. */
+constexpr double overloadCost = 6.0;
+/** Load of its own assumed of a serving task that does not run yet. */
+constexpr double usualLoad = 0.5;
+
+/** Gain of a worker whose serving tasks are all of the same image: images that one filling task
+ * slows are then kept apart from those that bear it. */
+constexpr double likenessGain = 1.0;
+
+/** Returns how much more of the worker's serving tasks have the image than have another, -1 to 1.
+ */
+double likeness(const WorkerState &worker, const std::string &image)
+{
+    double same = 0.0;
+    double other = 0.0;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (step.target_ms() > 0) {
+            (step.image() == image ? same : other) += 1.0;
+        }
+    }
+    return same + other > 0.0 ? (same - other) / (same + other) : 0.0;
+}
+
+/** Cost of each other filling image on the worker: few of them show more clearly which one slows
+ * what serves there. */
+constexpr double mixtureCost = 0.1;
+
+double otherFills(const WorkerState &worker, const std::string &image)
+{
+    double others = 0.0;
+    for (const FillShare &fill : worker.fillShares(true)) {
+        others += fill.image != image ? 1.0 : 0.0;
+    }
+    return others;
+}
 
 /** Returns the share of the worker's processors in use, with what a task would add. */
 double loadWith(const WorkerState &worker, double added)
 {
-    const double capacity = static_cast<double>(std::max<std::int64_t>(
-        1, worker.entry.capacity.milliCores));
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     const double reserved = static_cast<double>(worker.reserved.milliCores);
-    const double filling = static_cast<double>(worker.fillMilliCores);
+    const double filling = worker.fillUse();
     return (reserved * PlacementPolicy::servingUse + filling + added) / capacity;
 }
 
@@ -32,21 +68,46 @@
     : interference(interference)
 {}
 
-double PlacementPolicy::interferenceOf(const WorkerState &worker, const jobs::StepSpec &step) const
+double PlacementPolicy::overloadWith(WorkerState &worker, const jobs::StepSpec &step) const
 {
+    if (!step.fills() && step.target_ms() == 0) {
+        return 0.0;
+    }
+    const auto known = worker.overloads.find(step.image());
+    if (known != worker.overloads.end()) {
+        return known->second;
+    }
+    std::vector<FillShare> filling = worker.fillShares(true);
     double worst = 0.0;
-    for (const auto &[ref, job] : worker.tasks) {
-        const jobs::StepSpec &other = job->stepSpec(ref.step);
-        if (step.fills() && other.target_ms() > 0) {
-            worst = std::max(worst, this->interference.harm(other.image(), step.image()));
-        } else if (step.target_ms() > 0 && other.fills()) {
-            worst = std::max(worst, this->interference.harm(step.image(), other.image()));
+    const auto consider = [&](const jobs::StepSpec &serving, double ownLoad) {
+        const double pressure =
+            this->interference.pressure(serving.image(), filling, InterferenceModel::harmful);
+        if (pressure > 0.0) {
+            const double bearable =
+                this->interference.loadAtTarget(serving.image(), serving.target_ms()) -
+                InterferenceModel::margin;
+            worst = std::max(worst, pressure - std::max(0.0, bearable - ownLoad));
         }
+    };
+    if (step.fills()) {
+        const double capacity =
+            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+        filling = {FillShare{step.image(), step.milli_cores() / capacity}};
+        for (const auto &[ref, job] : worker.tasks) {
+            const jobs::StepSpec &serving = job->stepSpec(ref.step);
+            if (serving.target_ms() > 0) {
+                const StepRun *run = job->findStepRun(ref.occurrence, ref.step);
+                consider(serving, run ? run->peakLoad : usualLoad);
+            }
+        }
+    } else {
+        consider(step, usualLoad);
     }
+    worker.overloads[step.image()] = worst;
     return worst;
 }
 
-bool PlacementPolicy::usable(const WorkerState &worker, const PlacementRequest &request,
+bool PlacementPolicy::usable(WorkerState &worker, const PlacementRequest &request,
                              Instant now) const
 {
     const jobs::StepSpec &step = request.job.stepSpec(request.step);
@@ -61,35 +122,36 @@
     if (!request.onlyRack.empty() && entry.rack != request.onlyRack) {
         return false;
     }
-    if (step.max_per_worker() > 0 &&
-        worker.countOf(request.job.id(), request.occurrence, request.step) >=
-            step.max_per_worker()) {
+    if (step.max_per_worker() > 0 && worker.countOf(request.job.id(), request.occurrence,
+                                                    request.step) >= step.max_per_worker()) {
         return false;
     }
     if (!worker.fits(step)) {
         return false;
     }
     if (step.fills()) {
-        return loadWith(worker, step.milli_cores()) <= fillCeiling;
+        return loadWith(worker, step.milli_cores()) <= fillCeiling &&
+               (request.waited > harmlessWait ||
+                this->overloadWith(worker, step) <= slightOverload);
     }
     return true;
 }
 
-double PlacementPolicy::cost(const WorkerState &worker, const jobs::StepSpec &step) const
+double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step) const
 {
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     // Filling tasks go where most is left over; reserved room is packed tightly, so that wide tasks
     // still find some.
-    double cost = step.fills()
-                      ? loadWith(worker, step.milli_cores())
-                      : 1.0 - static_cast<double>(worker.reserved.milliCores) / capacity;
-    if (step.fills() || step.target_ms() > 0) {
-        cost += this->interferenceOf(worker, step) * interferenceCost;
+    double cost = step.fills() ? loadWith(worker, step.milli_cores())
+                               : 1.0 - static_cast<double>(worker.reserved.milliCores) / capacity;
+    if (step.target_ms() > 0) {
+        cost -= likenessGain * likeness(worker, step.image());
     }
-    if (step.fills() && worker.servingRatio > InterferenceModel::slowRatio) {
-        cost += slowWorkerCost;
+    if (step.fills()) {
+        cost += mixtureCost * otherFills(worker, step.image());
     }
+    cost += overloadCost * this->overloadWith(worker, step);
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
         cost += farCost;
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -16,6 +16,7 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::string onlyRack; ///< Empty: any.
+    Duration waited{0};   ///< Since the task could first be placed.
 };
 
 /** Chooses workers for tasks: worst-fit packing within what each worker can bear. */
@@ -38,11 +39,12 @@
                         const PlacementRequest &request, Instant now) const;
 
     /** Returns whether the worker may get new tasks of the step. */
-    bool usable(const WorkerState &worker, const PlacementRequest &request, Instant now) const;
+    bool usable(WorkerState &worker, const PlacementRequest &request, Instant now) const;
 
 private:
-    double cost(const WorkerState &worker, const jobs::StepSpec &step) const;
-    double interferenceOf(const WorkerState &worker, const jobs::StepSpec &step) const;
+    double cost(WorkerState &worker, const jobs::StepSpec &step) const;
+    /** Returns by how much the load of a serving task would exceed what it bears; 0: by none. */
+    double overloadWith(WorkerState &worker, const jobs::StepSpec &step) const;
 
     const InterferenceModel &interference;
 };
--- a/src/libgodwitfall/jobs/queueconfig.h
+++ b/src/libgodwitfall/jobs/queueconfig.h
@@ -45,7 +45,8 @@
     /** Returns the queue of that name, or null. */
     const QueueConfig *queue(const std::string &name) const;
 
-    /** Returns the queue with the host and the longest prefix that the path begins with, or null. */
+    /** Returns the queue with the host and the longest prefix that the path begins with, or null.
+     */
     const QueueConfig *route(const std::string &host, const std::string &path) const;
 
     /** Returns the service of that name, or null. */
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -57,6 +57,7 @@
         return;
     }
     const jobs::StepSpec &step = job.stepSpec(ref.step);
+    this->overloads.clear();
     this->reserved += reservedBy(step);
     if (step.fills()) {
         this->fillMilliCores += step.milli_cores();
@@ -70,6 +71,7 @@
         return;
     }
     const jobs::StepSpec &step = found->second->stepSpec(ref.step);
+    this->overloads.clear();
     this->reserved -= reservedBy(step);
     if (step.fills()) {
         this->fillMilliCores -= step.milli_cores();
@@ -82,6 +84,46 @@
     return (this->reserved + reservedBy(step)).fitsIn(this->entry.capacity);
 }
 
+double WorkerState::fillUse() const
+{
+    constexpr double fullPace = 100.0;
+    double use = 0.0;
+    for (const auto &[ref, job] : this->tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (step.fills()) {
+            use += step.milli_cores() * job->task(ref)->pace / fullPace;
+        }
+    }
+    return use;
+}
+
+std::vector<FillShare> WorkerState::fillShares(bool atFullPace) const
+{
+    constexpr double fullPace = 100.0;
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(1, this->entry.capacity.milliCores));
+    std::vector<FillShare> shares;
+    for (const auto &[ref, job] : this->tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (!step.fills()) {
+            continue;
+        }
+        const Task &task = *job->task(ref);
+        const double pace = atFullPace ? 1.0 : task.pace / fullPace;
+        const bool works = atFullPace || task.phase == TaskPhase::Running;
+        const double share = works ? step.milli_cores() * pace / capacity : 0.0;
+        const auto known = std::find_if(shares.begin(), shares.end(), [&](const FillShare &entry) {
+            return entry.image == step.image();
+        });
+        if (known != shares.end()) {
+            known->share += share;
+        } else {
+            shares.push_back(FillShare{step.image(), share});
+        }
+    }
+    return shares;
+}
+
 std::uint32_t WorkerState::countOf(const JobId &job, std::uint32_t occurrence,
                                    std::uint32_t step) const
 {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -2,13 +2,13 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "clock.h"
 #include "ids.h"
+#include "interferencemodel.h"
 #include "job.h"
 #include "resources.h"
 
@@ -85,15 +85,6 @@
     double farFactor = 1.5;
 };
 
-/** Filling tasks halted to see whether a serving task's tail latency falls. */
-struct PaceTrial
-{
-    TaskRef serving;
-    double ratioBefore = 0.0; ///< Tail latency over its target.
-    std::vector<TaskRef> halted;
-    Instant since;
-};
-
 /** A backend worker as the coordinator sees it: its entry, lease, load and recent failures. */
 class WorkerState
 {
@@ -126,6 +117,12 @@
     /** Returns whether a task of the step fits beside what is placed. */
     bool fits(const jobs::StepSpec &step) const;
 
+    /** Returns the processors that filling tasks use at their paces, in milli-cores. */
+    double fillUse() const;
+
+    /** Returns what running filling tasks use, by image; at full pace, or as they are paced. */
+    std::vector<FillShare> fillShares(bool atFullPace) const;
+
     /** Returns the number of placed tasks of one occurrence of the step. */
     std::uint32_t countOf(const JobId &job, std::uint32_t occurrence, std::uint32_t step) const;
 
@@ -148,9 +145,8 @@
     Instant restUntil;
     unsigned restCount = 0;
     std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
-    double servingRatio = 0.0; ///< Worst tail latency of its serving tasks over their targets.
-    Instant figuresAt; ///< When the figures of its tasks were last taken in.
-    std::optional<PaceTrial> trial;
+    std::map<std::string, double> overloads; ///< By image, as PlacementPolicy computed them.
+    Instant figuresAt;                ///< When the figures of its tasks were last taken in.
 
 private:
     std::int64_t sampleMs = 0;
