--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -293,9 +293,11 @@
                                 InterferenceModel::margin;
         const Task &task = *job->task(ref);
         const bool missed = task.load > bearable + InterferenceModel::margin;
-        // Slight pressure matters only once the target is missed.
-        const double least = missed ? 0.0 : InterferenceModel::harmful;
+        // Slight pressure matters only once the target is missed with nothing harmful beside.
+        const bool harmed =
+            this->interference.pressure(step.image(), filling, InterferenceModel::harmful) > 0.0;
         const double room = bearable - job->ownLoad(ref.occurrence, ref.step, now);
+        const double least = missed && room > 0.0 && !harmed ? 0.0 : InterferenceModel::harmful;
         const double pressure = this->interference.pressure(step.image(), filling, least);
         if (pressure <= room) {
             continue;
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -58,7 +58,7 @@
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     const double reserved = static_cast<double>(worker.reserved.milliCores);
-    const double filling = worker.fillUse();
+    const double filling = static_cast<double>(worker.fillMilliCores);
     return (reserved * PlacementPolicy::servingUse + filling + added) / capacity;
 }
 
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -84,19 +84,6 @@
     return (this->reserved + reservedBy(step)).fitsIn(this->entry.capacity);
 }
 
-double WorkerState::fillUse() const
-{
-    constexpr double fullPace = 100.0;
-    double use = 0.0;
-    for (const auto &[ref, job] : this->tasks) {
-        const jobs::StepSpec &step = job->stepSpec(ref.step);
-        if (step.fills()) {
-            use += step.milli_cores() * job->task(ref)->pace / fullPace;
-        }
-    }
-    return use;
-}
-
 std::vector<FillShare> WorkerState::fillShares(bool atFullPace) const
 {
     constexpr double fullPace = 100.0;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -117,9 +117,6 @@
     /** Returns whether a task of the step fits beside what is placed. */
     bool fits(const jobs::StepSpec &step) const;
 
-    /** Returns the processors that filling tasks use at their paces, in milli-cores. */
-    double fillUse() const;
-
     /** Returns what running filling tasks use, by image; at full pace, or as they are paced. */
     std::vector<FillShare> fillShares(bool atFullPace) const;
 
@@ -144,9 +141,9 @@
 
     Instant restUntil;
     unsigned restCount = 0;
-    std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
+    std::set<std::string> failedJobs;        ///< Jobs that failed here since the last success.
     std::map<std::string, double> overloads; ///< By image, as PlacementPolicy computed them.
-    Instant figuresAt;                ///< When the figures of its tasks were last taken in.
+    Instant figuresAt;                       ///< When the figures of its tasks were last taken in.
 
 private:
     std::int64_t sampleMs = 0;
