--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -84,6 +84,10 @@
                      this->coordinator->stopAnswered(worker, task, run, this->now(), outcome);
                      this->wake();
                  },
+                 [this](const WorkerId &worker, const TaskRef &task, std::uint32_t run,
+                        std::uint32_t percent, OrderOutcome outcome) {
+                     this->coordinator->paceAnswered(worker, task, run, percent, outcome);
+                 },
                  [this] {
                      return this->now();
                  }})
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -460,6 +460,8 @@
     task.since = now;
     task.percent = 0;
     task.pace = 100;
+    task.paceConfirmed = true;
+    task.overSince = Instant();
     this->markDirty(job);
     if (job.stepSpec(ref.step).gang()) {
         this->breakGang(job, ref, now);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -105,6 +105,9 @@
     void stopAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run, Instant now,
                       OrderOutcome outcome);
 
+    void paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
+                      std::uint32_t percent, OrderOutcome outcome);
+
     /** Sends what is due: holds, repeats, and declares lapsed what surely has. */
     void tick(Instant now, std::int64_t unixMs, bool mayRenew);
 
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -21,6 +21,11 @@
 constexpr Duration slowedStay{1500};
 /** Time for which the peak of a load is remembered; about a period of users' loads. */
 constexpr Duration peakMemory{20000};
+/** Share of the time that the platform allows a target to be missed, after which all filling work
+ * of the worker halts; two more samples then show whether it did. */
+constexpr std::int64_t haltPercent = 25;
+/** Time after which a pace is sent again. */
+constexpr Duration paceRepeat{700};
 /** Part of the pressure below which an image is not slowed for it. */
 constexpr double slightPart = 0.1;
 constexpr std::uint32_t fullPace = 100;
@@ -269,6 +274,11 @@
         const double before = task.load;
         task.load = this->interference.loadOf(step.image(), static_cast<double>(task.figure));
         task.loadAt = now;
+        if (task.figure <= step.target_ms()) {
+            task.overSince = Instant();
+        } else if (task.overSince == Instant()) {
+            task.overSince = now;
+        }
         const double own = job->ownLoad(ref.occurrence, ref.step, now);
         this->interference.observe(step.image(), own, before, task.load, filling);
         StepRun &run = job->stepRun(ref.occurrence, ref.step);
@@ -323,6 +333,11 @@
     this->sampleServing(worker, now);
     worker.overloads.clear();
     const std::map<std::string, double> paces = this->bearablePaces(worker, now);
+    const Duration haltAfter = this->bounds.harmTime * haltPercent / 100;
+    const bool halt = std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const auto &entry) {
+        const Task &task = *entry.second->task(entry.first);
+        return task.overSince != Instant() && now - task.overSince >= haltAfter;
+    });
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
@@ -331,13 +346,15 @@
             continue;
         }
         const auto bound = paces.find(step.image());
-        const double share = bound == paces.end() ? 1.0 : bound->second;
+        const double share = halt ? 0.0 : bound == paces.end() ? 1.0 : bound->second;
         const std::uint32_t pace = static_cast<std::uint32_t>(share * paceSteps) * paceStep;
         if (pace != task.pace) {
             if (task.pace == fullPace) {
                 task.slowedAt = now;
             }
             this->setPace(worker, ref, task, pace, now);
+        } else if ((!task.paceConfirmed || halt) && now - task.pacedAt > paceRepeat) {
+            this->setPace(worker, ref, task, pace, now);
         } else if (pace < slowPace && step.checkpointing() && now - task.slowedAt > slowedStay) {
             // It goes on elsewhere, beside tasks that it does not slow.
             this->stopTask(ref, task, now);
@@ -345,10 +362,27 @@
     }
 }
 
+void Coordinator::paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
+                               std::uint32_t percent, OrderOutcome outcome)
+{
+    if (outcome == OrderOutcome::Fenced) {
+        this->observer.superseded(id);
+        return;
+    }
+    Job *job = this->table.find(ref.job);
+    Task *task = job ? job->task(ref) : nullptr;
+    const bool current = task && task->run == run && task->pace == percent;
+    if (current && outcome == OrderOutcome::Accepted) {
+        task->paceConfirmed = true;
+    }
+}
+
 void Coordinator::setPace(const WorkerState &worker, const TaskRef &ref, Task &task,
                           std::uint32_t percent, Instant now)
 {
     task.pace = percent;
+    task.paceConfirmed = false;
+    task.pacedAt = now;
     task.progressAt = now;
     this->orders.pace(PaceOrder{this->targetOf(worker), ref, task.run, percent});
 }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -44,8 +44,11 @@
     std::string worker; ///< Where it is placed; empty when it runs nowhere.
     std::string checkpoint;
     std::uint32_t percent = 0;
-    std::uint32_t pace = 100; ///< Share of its speed at which a filling task may work, in percent.
-    Instant slowedAt;         ///< When pace last left 100.
+    std::uint32_t pace = 100;  ///< Share of its speed at which a filling task may work, in percent.
+    bool paceConfirmed = true; ///< The worker took the pace.
+    Instant pacedAt;           ///< When the pace was last sent.
+    Instant overSince;         ///< Since when a serving task misses its target; unset: it does not.
+    Instant slowedAt;          ///< When pace last left 100.
     double load = 0.0;       ///< Of a serving task: behind its tail latency, see InterferenceModel.
     Instant loadAt;          ///< When load was sampled.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
