--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -9,13 +9,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "coordinator.h"
-#include "groupcommit.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "jobdesk.h"
-#include "jobtable.h"
-#include "ownerlease.h"
+#include "jobnode.h"
 #include "platform/entrance.h"
 #include "platform/ordersender.h"
 #include "platform/settings.h"
@@ -28,7 +24,7 @@
  * One entry instance on the users' platform: entrance for clients and, when it owns the job log,
  * coordinator of the workers. Runs in one thread.
  */
-class EntryInstance : public CoordinatorObserver
+class EntryInstance : public JobNodeHost
 {
 public:
     EntryInstance(boost::asio::io_context &context, platform::Settings settings,
@@ -57,6 +53,9 @@
     void workerRests(const WorkerId &worker, Duration length) override;
     void workerReborn(const WorkerId &worker) override;
     void superseded(const WorkerId &worker) override;
+    void ownershipGained(std::uint64_t epoch) override;
+    void ownershipLost(std::uint64_t epoch, const char *reason) override;
+    void recordUnreadable(const JobRecord &record) override;
 
     Instant now() const;
     std::int64_t unixMs() const;
@@ -70,21 +69,11 @@
     void load(Follower &follower, const std::string &after);
     void readOn(Follower &follower);
     void applyRecord(Follower &follower, const JobRecord &record);
-    void applyJobRecord(const JobRecord &record);
     void applyConfigRecord(const JobRecord &record);
     void applyWorkerRecord(const JobRecord &record);
-    void noteContact(Follower &follower);
+    void noteRead(Follower &follower);
+    void restart(Follower &follower);
 
-    void considerClaim(Instant at);
-    void claim(Instant at);
-    void becomeOwner(Instant at);
-    void stepDown(const char *reason);
-    void reloadJobs();
-    void commit(Instant at);
-    JobRecord ownershipRecord(bool released) const;
-    void trimFinished(Instant at);
-
-    bool ready(Instant at) const;
     void serveReadiness(const HttpRequest &request, const Respond &respond);
     void serveClient(const HttpRequest &request, const Respond &respond);
     void waitForSignals();
@@ -97,14 +86,8 @@
     Random random;
     HttpClient http;
     platform::StoreClient store;
-    JobTable table;
-    GroupCommit submissions;
-    GroupCommit records;
-    JobDesk desk;
-    OwnerLease lease;
     platform::HttpOrderSender orders;
-    std::unique_ptr<Coordinator> coordinator;
-    std::optional<JobConfig> config;
+    JobNode node;
     platform::Entrance entrance;
     std::unique_ptr<HttpServer> entranceServer;
     std::unique_ptr<HttpServer> readinessServer;
@@ -114,19 +97,10 @@
     Follower jobFollower;
     Follower configFollower;
     Follower workerFollower;
-    bool claimInFlight = false;
-    std::uint64_t claimSequence = 0;
-    Instant claimSentAt;
-    bool claimPrompt = false;
-    Instant ownershipWrittenAt;
-    Instant committedAt;
-    bool commitInFlight = false;
-    bool stepDownAsked = false;
     bool wakePosted = false;
     bool stopping = false;
     Instant stoppingSince;
     std::size_t openRequests = 0;
-    Instant trimmedAt;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -120,7 +120,7 @@
     this->busy = false;
     for (Entry &entry : finished) {
         if (entry.done) {
-            entry.done(result);
+            entry.done(result, this->now);
         }
     }
 }
@@ -149,10 +149,10 @@
         }
     }
     for (const Done &done : notDone) {
-        done(CommitResult::NotDone);
+        done(CommitResult::NotDone, at);
     }
     for (const Done &done : unknown) {
-        done(CommitResult::Unknown);
+        done(CommitResult::Unknown, at);
     }
 }
 
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -37,7 +37,7 @@
     /** Time without any success after which callers are refused at once. */
     static constexpr Duration outageAfter{1000};
 
-    using Done = std::function<void(CommitResult)>;
+    using Done = std::function<void(CommitResult, Instant now)>;
 
     GroupCommit(JobLog &log, Random &random);
 
--- a/src/libgodwitfall/jobs/jobdesk.cpp
+++ b/src/libgodwitfall/jobs/jobdesk.cpp
@@ -54,7 +54,7 @@
     record.key = JobTable::submissionKey(id);
     record.value = spec.SerializeAsString();
     this->commits.add({std::move(record)}, answerBy(now, patience),
-                      [done](CommitResult result) { done(replyFor(result)); });
+                      [done](CommitResult result, Instant) { done(replyFor(result)); });
 }
 
 void JobDesk::cancel(const JobId &id, Instant now, Duration patience, const Done &done)
@@ -72,7 +72,8 @@
     record.key = JobTable::cancelKey(id);
     record.value = "1";
     this->commits.add(
-        {std::move(record)}, answerBy(now, patience), [this, id, done](CommitResult result) {
+        {std::move(record)}, answerBy(now, patience),
+        [this, id, done](CommitResult result, Instant) {
             const bool unknown = result == CommitResult::Durable && !this->table.find(id);
             done(unknown ? DeskReply{DeskAnswer::NoSuchJob, Duration(0), "no_such_job"}
                          : replyFor(result));
--- /dev/null
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "coordinator.h"
+#include "groupcommit.h"
+#include "jobdesk.h"
+#include "joblog.h"
+#include "jobtable.h"
+#include "ownerlease.h"
+#include "random.h"
+
+namespace godwitfall {
+
+/** Told what a node believes and decides, and asked for what needs sockets. */
+class JobNodeHost : public CoordinatorObserver
+{
+public:
+    /** The node coordinates now and needs the workers' entries. */
+    virtual void ownershipGained(std::uint64_t epoch) = 0;
+
+    /** The node coordinates no more and needs the job log read from its newest records. */
+    virtual void ownershipLost(std::uint64_t epoch, const char *reason) = 0;
+
+    virtual void recordUnreadable(const JobRecord &record) = 0;
+};
+
+/** What one process needs to know of itself. */
+struct JobNodeSettings
+{
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    WorkerBounds worker;
+    Duration statusRetention{120000}; ///< How long a finished job is shown.
+};
+
+/**
+ * One instance without its sockets: a view of the job log, the desk for clients, and coordination
+ * while the instance owns the log.
+ */
+class JobNode
+{
+public:
+    /** Pause between appends of the coordinator; ends and starts of that time share one append. */
+    static constexpr Duration commitGap{10};
+    /** Time between ownership records; four fit into the silence that loses ownership. */
+    static constexpr Duration ownershipGap{500};
+    /** Time after which a claim that did not show in the log may be repeated. */
+    static constexpr Duration claimTimeout{1500};
+    static constexpr Duration trimGap{5000};
+    /** Most jobs forgotten in one append. */
+    static constexpr std::size_t trimBatch = 64;
+
+    JobNode(const JobNodeSettings &settings, JobLog &log, OrderSender &orders, JobNodeHost &host,
+            Random &random);
+
+    /** Applies a record of the job log, read in its order or as the newest of its key. */
+    void applyRecord(const JobRecord &record, Instant now);
+
+    /** Notes that the log was read up to the offset. */
+    void viewRead(std::uint64_t end, Instant now);
+
+    void setConfig(const JobConfig &config);
+    const JobConfig *config() const { return this->current ? &*this->current : nullptr; }
+
+    /** Does what is due: claims, orders, commits, appends. */
+    void work(Instant now, std::int64_t unixMs);
+
+    /** Begins a planned stop: hands ownership over and coordinates nothing new. */
+    void beginShutdown() { this->stopping = true; }
+
+    /** Returns whether nothing of the node is under way any more. */
+    bool released() const { return !this->coordinator.active() && this->submissions.idle(); }
+
+    /** Returns whether clients are served well here. */
+    bool ready(Instant now) const;
+
+    bool coordinates() const { return this->coordinator.active(); }
+    Coordinator &coordination() { return this->coordinator; }
+    JobDesk &jobDesk() { return this->desk; }
+    JobTable &jobs() { return this->table; }
+
+    /** Sends what clients handed in since the last work. */
+    void pumpSubmissions(Instant now) { this->submissions.pump(now); }
+
+private:
+    void considerClaim(Instant now);
+    void claim(Instant now);
+    void becomeOwner(Instant now);
+    void stepDown(const char *reason);
+    void commit(Instant now, std::int64_t unixMs);
+    void release(Instant now);
+    void trimFinished(Instant now, std::int64_t unixMs);
+    JobRecord ownershipRecord(bool released, Instant now) const;
+
+    const JobNodeSettings settings;
+    JobLog &log;
+    JobNodeHost &host;
+    Random &random;
+    JobTable table;
+    GroupCommit submissions;
+    GroupCommit records;
+    JobDesk desk;
+    OwnerLease lease;
+    Coordinator coordinator;
+    std::optional<JobConfig> current;
+
+    bool loaded = false;
+    std::uint64_t logEnd = 0;
+    bool claimInFlight = false;
+    std::uint64_t claimSequence = 0;
+    Instant claimSentAt;
+    bool claimPrompt = false;
+    Instant ownershipWrittenAt;
+    Instant committedAt;
+    bool commitInFlight = false;
+    const char *stepDownReason = nullptr;
+    bool stopping = false;
+    Instant trimmedAt;
+
+    /** Passes on what the coordinator tells and notes that a worker refused its token. */
+    class FencingObserver : public CoordinatorObserver
+    {
+    public:
+        explicit FencingObserver(JobNode &node)
+            : node(node)
+        {}
+        void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                          RunOutcome outcome) override;
+        void jobFinished(const Job &job) override;
+        void workerRests(const WorkerId &worker, Duration length) override;
+        void workerReborn(const WorkerId &worker) override;
+        void superseded(const WorkerId &worker) override;
+
+    private:
+        JobNode &node;
+    };
+    FencingObserver observer;
+};
+
+} // namespace godwitfall
