--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -79,7 +79,7 @@
         candidate.due =
             job->knownSince + target +
             Duration(static_cast<std::int64_t>(stretch * static_cast<double>(chain.count())));
-        candidate.late = now + chain / 2 > candidate.due;
+        candidate.late = now + job->remainingChain() > candidate.due;
         order.push_back(candidate);
     }
     std::sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -70,6 +70,25 @@
     }
 }
 
+Duration Job::remainingChain() const
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (std::uint32_t step = 0; step < static_cast<std::uint32_t>(this->submitted.steps_size());
+         ++step) {
+        const StepRun *run = this->findStepRun(0, step);
+        std::int64_t end = run && run->complete() ? 0 : this->stepSpec(step).estimated_ms();
+        std::int64_t begin = 0;
+        for (const std::uint32_t earlier : this->stepSpec(step).after()) {
+            begin = std::max(begin, ends.at(earlier));
+        }
+        end += begin;
+        ends.push_back(end);
+        longest = std::max(longest, end);
+    }
+    return Duration(longest);
+}
+
 std::uint32_t Job::occurrences() const
 {
     return std::max<std::uint32_t>(1, this->submitted.repeat_count());
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -138,6 +138,9 @@
     /** Returns the length of the longest chain of steps by their estimates. */
     Duration longestChain() const { return this->chain; }
 
+    /** Returns the length of the longest chain of steps that are not done, of the first occurrence. */
+    Duration remainingChain() const;
+
     /** Returns the estimated work of all tasks of one occurrence, in milli-core ms. */
     std::uint64_t estimatedWork() const { return this->work; }
 
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -12,7 +12,7 @@
 constexpr double failureCost = 0.3;
 
 /** Time for which a filling task waits for a worker where it slows nothing that serves. */
-constexpr Duration harmlessWait{5000};
+constexpr Duration harmlessWait{15000};
 /** Overload that counts as none; within what the figures' rounding hides. */
 constexpr double slightOverload = 0.02;
 /** Weight of a load beyond what serving tasks bear against a share of a worker's processors. */
