--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -411,7 +411,13 @@
 void EntryInstance::jobFinished(const Job &job)
 {
     logLine(LogLevel::Info, "job_finished",
-            {{"job", job.id().value()}, {"state", jobs::JobState_Name(job.state)}});
+            {{"job", job.id().value()},
+             {"queue", job.spec().queue()},
+             {"state", jobs::JobState_Name(job.state)},
+             {"waited_ms", std::to_string((job.firstPlacedAt - job.knownSince).count())},
+             {"took_ms", std::to_string((job.closedAt - job.knownSince).count())},
+             {"estimated_chain_ms", std::to_string(job.longestChain().count())},
+             {"runs_returned", std::to_string(job.returns)}});
 }
 
 void EntryInstance::workerRests(const WorkerId &worker, Duration length)
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -475,6 +475,7 @@
     if (outcome != RunOutcome::Stopped) {
         this->observer.taskReturned(ref, task.run, WorkerId(task.worker), outcome);
     }
+    ++job.returns;
     this->detach(ref, task);
     task.phase = TaskPhase::Waiting;
     task.since = now;
@@ -506,6 +507,7 @@
 void Coordinator::closeJob(Job &job, Job::State state, Instant now)
 {
     job.state = state;
+    job.closedAt = now;
     job.finishedMs = std::max<std::int64_t>(1, this->unixMs);
     this->markDirty(job);
     this->observer.jobFinished(job);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -14,9 +14,10 @@
     Job *job = nullptr;
     unsigned priority = 0;
     bool late = false;
+    std::uint64_t work = 0;
     Instant due;
 
-    auto key() const { return std::tuple(this->priority, this->late, this->due); }
+    auto key() const { return std::tuple(this->priority, this->late, this->work, this->due); }
 };
 
 /** Time between two preemptions, within which the room of the first becomes free. */
@@ -80,6 +81,7 @@
             job->knownSince + target +
             Duration(static_cast<std::int64_t>(stretch * static_cast<double>(chain.count())));
         candidate.late = now + job->remainingChain() > candidate.due;
+        candidate.work = candidate.priority == 0 ? 0 : job->estimatedWork();
         order.push_back(candidate);
     }
     std::sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
@@ -268,6 +270,9 @@
     task.since = now;
     task.percent = 0;
     worker.assign(ref, job);
+    if (job.firstPlacedAt == Instant()) {
+        job.firstPlacedAt = now;
+    }
     if (job.state == Job::State::QUEUED) {
         job.state = Job::State::RUNNING;
     }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -151,6 +151,9 @@
     std::int64_t finishedMs = 0; ///< Since 1970; 0 while open.
     std::uint64_t progressOffset = 0;
     Instant knownSince;
+    Instant firstPlacedAt; ///< When this coordinator first placed a task of it; unset: not yet.
+    Instant closedAt;
+    std::uint32_t returns = 0; ///< Runs that this coordinator saw end other than done.
 
 private:
     void measure();
