--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -18,7 +18,7 @@
 /** Longest wait of one read of the store; bounds the age of the view. */
 constexpr Duration readWait{1000};
 /** Pause between reads of a stand-by; each read is a priced call. */
-constexpr Duration standbyReadGap{60};
+constexpr Duration standbyReadGap{90};
 /** Pause between reads of the coordinator, which places work as it comes. */
 constexpr Duration ownerReadGap{8};
 constexpr Duration workerReadGap{150};
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -267,7 +267,7 @@
         if (!movable || !this->mayInterrupt(*job, ref)) {
             continue;
         }
-        const PlacementRequest request{*job, ref.occurrence, ref.step, {}, {}};
+        const PlacementRequest request{*job, ref.occurrence, ref.step, {}, false};
         if (this->policy.choose(this->candidates(*job), request, now)) {
             this->stopTask(ref, task, now);
         }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -23,6 +23,24 @@
 /** Time between two preemptions, within which the room of the first becomes free. */
 constexpr Duration preemptGap{50};
 
+/** Time for which a filling task waits for a worker where it slows nothing that serves. */
+constexpr Duration harmlessWait{15000};
+/** The same while most of the workers' room is free; work must then not stand still. */
+constexpr Duration idleWait{1500};
+/** Share of all processors below which most of the room counts as free. */
+constexpr double mostlyFreeShare = 0.6;
+
+bool mostlyFree(const std::vector<WorkerState *> &workers)
+{
+    std::int64_t capacity = 0;
+    std::int64_t used = 0;
+    for (const WorkerState *worker : workers) {
+        capacity += worker->entry.capacity.milliCores;
+        used += worker->reserved.milliCores + worker->fillMilliCores;
+    }
+    return static_cast<double>(used) < mostlyFreeShare * static_cast<double>(capacity);
+}
+
 bool anyWaiting(const StepRun &run)
 {
     return std::any_of(run.tasks.begin(), run.tasks.end(),
@@ -130,11 +148,12 @@
         }
     }
     const std::vector<WorkerState *> workersOfJob = this->candidates(job);
+    const bool insist = now - run.readySince > (mostlyFree(workersOfJob) ? idleWait : harmlessWait);
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         if (run.tasks[index].phase != TaskPhase::Waiting) {
             continue;
         }
-        const PlacementRequest request{job, run.occurrence, run.step, {}, now - run.readySince};
+        const PlacementRequest request{job, run.occurrence, run.step, {}, insist};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
             this->preempt(job, step, now);
@@ -239,7 +258,7 @@
     const std::vector<WorkerState *> workersOfJob = this->candidates(job);
     std::vector<WorkerState *> chosen;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        const PlacementRequest request{job, run.occurrence, run.step, rack, {}};
+        const PlacementRequest request{job, run.occurrence, run.step, rack, false};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
             break;
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -15,6 +15,8 @@
 constexpr double learningRate = 0.35;
 /** Factor added where an error is shared among images: the known cause bears most of it. */
 constexpr double unknownPressure = 0.3;
+/** Factor of a pair that was never seen together; that of most harmless pairs. */
+constexpr double assumedPressure = 0.2;
 /** Factor that no pair exceeds; a whole worker then presses five times what a queue bears. */
 constexpr double largestFactor = 5.0;
 /** Share of a factor kept in a sample of the serving image without the filling one, so that an
@@ -47,7 +49,7 @@
 double InterferenceModel::pressure(const std::string &serving, const std::string &filling) const
 {
     const auto found = this->factors.find({serving, filling});
-    return found == this->factors.end() ? 0.0 : found->second;
+    return found == this->factors.end() ? assumedPressure : found->second;
 }
 
 double InterferenceModel::pressure(const std::string &serving,
@@ -82,7 +84,8 @@
     }
     const double error = load - ownLoad - this->pressure(serving, filling);
     for (const FillShare &fill : filling) {
-        double &factor = this->factors[{serving, fill.image}];
+        double &factor =
+            this->factors.try_emplace({serving, fill.image}, assumedPressure).first->second;
         const double weight = factor + unknownPressure;
         factor = std::clamp(factor + learningRate * error * fill.share * weight / squares, 0.0,
                             largestFactor);
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -138,7 +138,8 @@
     /** Returns the length of the longest chain of steps by their estimates. */
     Duration longestChain() const { return this->chain; }
 
-    /** Returns the length of the longest chain of steps that are not done, of the first occurrence. */
+    /** Returns the length of the longest chain of steps that are not done, of the first occurrence.
+     */
     Duration remainingChain() const;
 
     /** Returns the estimated work of all tasks of one occurrence, in milli-core ms. */
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -11,8 +11,6 @@
 /** Added for each job that recently failed on the worker. */
 constexpr double failureCost = 0.3;
 
-/** Time for which a filling task waits for a worker where it slows nothing that serves. */
-constexpr Duration harmlessWait{15000};
 /** Overload that counts as none; within what the figures' rounding hides. */
 constexpr double slightOverload = 0.02;
 /** Weight of a load beyond what serving tasks bear against a share of a worker's processors. */
@@ -68,7 +66,8 @@
     : interference(interference)
 {}
 
-double PlacementPolicy::overloadWith(WorkerState &worker, const jobs::StepSpec &step) const
+double PlacementPolicy::overloadWith(WorkerState &worker, const jobs::StepSpec &step,
+                                     Instant now) const
 {
     if (!step.fills() && step.target_ms() == 0) {
         return 0.0;
@@ -78,31 +77,33 @@
         return known->second;
     }
     std::vector<FillShare> filling = worker.fillShares(true);
-    double worst = 0.0;
-    const auto consider = [&](const jobs::StepSpec &serving, double ownLoad) {
-        const double pressure =
-            this->interference.pressure(serving.image(), filling, InterferenceModel::harmful);
-        if (pressure > 0.0) {
-            const double bearable =
-                this->interference.loadAtTarget(serving.image(), serving.target_ms()) -
-                InterferenceModel::margin;
-            worst = std::max(worst, pressure - std::max(0.0, bearable - ownLoad));
-        }
-    };
     if (step.fills()) {
         const double capacity =
             static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
-        filling = {FillShare{step.image(), step.milli_cores() / capacity}};
-        for (const auto &[ref, job] : worker.tasks) {
-            const jobs::StepSpec &serving = job->stepSpec(ref.step);
-            if (serving.target_ms() > 0) {
-                const StepRun *run = job->findStepRun(ref.occurrence, ref.step);
-                consider(serving, run ? run->peakLoad : usualLoad);
-            }
-        }
-    } else {
+        filling.push_back(FillShare{step.image(), step.milli_cores() / capacity});
+    }
+    double worst = 0.0;
+    const auto consider = [&](const jobs::StepSpec &serving, double ownLoad) {
+        const double bearable =
+            this->interference.loadAtTarget(serving.image(), serving.target_ms()) -
+            InterferenceModel::margin;
+        const double pressure = this->interference.pressure(serving.image(), filling);
+        worst = std::max(worst, pressure - std::max(0.0, bearable - ownLoad));
+    };
+    if (!step.fills()) {
         consider(step, usualLoad);
     }
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &serving = job->stepSpec(ref.step);
+        if (step.fills() && serving.target_ms() > 0) {
+            const StepRun *run = job->findStepRun(ref.occurrence, ref.step);
+            const bool harmful = this->interference.pressure(serving.image(), step.image()) >=
+                                 InterferenceModel::harmful;
+            // A harmful image has to bear with the load's peak, a harmless one with it as it is.
+            consider(serving,
+                     harmful && run ? run->peakLoad : job->ownLoad(ref.occurrence, ref.step, now));
+        }
+    }
     worker.overloads[step.image()] = worst;
     return worst;
 }
@@ -131,13 +132,12 @@
     }
     if (step.fills()) {
         return loadWith(worker, step.milli_cores()) <= fillCeiling &&
-               (request.waited > harmlessWait ||
-                this->overloadWith(worker, step) <= slightOverload);
+               (request.insist || this->overloadWith(worker, step, now) <= slightOverload);
     }
     return true;
 }
 
-double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step) const
+double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const
 {
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
@@ -151,7 +151,7 @@
     if (step.fills()) {
         cost += mixtureCost * otherFills(worker, step.image());
     }
-    cost += overloadCost * this->overloadWith(worker, step);
+    cost += overloadCost * this->overloadWith(worker, step, now);
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
         cost += farCost;
@@ -169,7 +169,7 @@
         if (!this->usable(*worker, request, now)) {
             continue;
         }
-        const double cost = this->cost(*worker, step);
+        const double cost = this->cost(*worker, step, now);
         if (!best || cost < bestCost) {
             best = worker;
             bestCost = cost;
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -16,7 +16,7 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::string onlyRack; ///< Empty: any.
-    Duration waited{0};   ///< Since the task could first be placed.
+    bool insist = false;  ///< Also where it slows what serves; else it waits for a better worker.
 };
 
 /** Chooses workers for tasks: worst-fit packing within what each worker can bear. */
@@ -28,7 +28,7 @@
     static constexpr Duration silenceLimit{1800};
     /** Share of a worker's processors up to which filling tasks are added; leaves room for what
      * serving tasks use beyond their usual. */
-    static constexpr double fillCeiling = 1.0;
+    static constexpr double fillCeiling = 1.1;
     /** Share of a serving task's processors that counts as used when filling tasks are placed. */
     static constexpr double servingUse = 0.5;
 
@@ -42,9 +42,9 @@
     bool usable(WorkerState &worker, const PlacementRequest &request, Instant now) const;
 
 private:
-    double cost(WorkerState &worker, const jobs::StepSpec &step) const;
+    double cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
     /** Returns by how much the load of a serving task would exceed what it bears; 0: by none. */
-    double overloadWith(WorkerState &worker, const jobs::StepSpec &step) const;
+    double overloadWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
 
     const InterferenceModel &interference;
 };
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -320,7 +320,7 @@
         near.reserved.milliCores = 1000; // Packed first.
         given.state(near, far);
         WorkerState *chosen =
-            policy.choose({&near, &far}, PlacementRequest{job, 0, 0, {}, {}}, Instant(10100));
+            policy.choose({&near, &far}, PlacementRequest{job, 0, 0, {}, false}, Instant(10100));
         EXPECT_EQ(chosen ? chosen->entry.id.value() : "", given.chosen) << given.name;
     }
 }
@@ -348,10 +348,9 @@
     worker.heard = true;
     worker.heardAt = Instant(10000);
     worker.assign(TaskRef{serving.id(), 0, 0, 0}, serving);
-    EXPECT_EQ(policy.choose({&worker}, PlacementRequest{batch, 0, 0, {}, {}}, Instant(10100)),
+    EXPECT_EQ(policy.choose({&worker}, PlacementRequest{batch, 0, 0, {}, false}, Instant(10100)),
               nullptr);
-    EXPECT_EQ(policy.choose({&worker}, PlacementRequest{batch, 0, 0, {}, Duration(60000)},
-                            Instant(10100)),
+    EXPECT_EQ(policy.choose({&worker}, PlacementRequest{batch, 0, 0, {}, true}, Instant(10100)),
               &worker);
 }
 
