--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -23,6 +23,8 @@
 constexpr Duration ownerReadGap{8};
 constexpr Duration workerReadGap{150};
 constexpr Duration failedReadGap{200};
+/** Longest wait for the coordinator's answer to a forwarded request. */
+constexpr Duration forwardTimeout{1000};
 constexpr Duration ownerTick{20};
 constexpr Duration standbyTick{60};
 /** Time that the platform needs to send no new connections here: two misses a second apart. */
@@ -42,6 +44,35 @@
            "." + std::to_string(ref.index);
 }
 
+/** Returns the coordinator's answer for the client, given what this instance would have said. */
+HttpResponse relayed(const HttpResponse &theirs, const HttpResponse &own)
+{
+    const bool refusedThere = theirs.status == 429 || theirs.status == 503;
+    if (refusedThere && own.status == 504) {
+        // What may have been accepted here is not made "not accepted" by a refusal there.
+        return own;
+    }
+    HttpResponse response;
+    response.status = theirs.status;
+    response.body = theirs.body;
+    const auto retryAfter = theirs.headers.find("retry-after");
+    if (retryAfter != theirs.headers.end()) {
+        response.headers["Retry-After"] = retryAfter->second;
+    }
+    return response;
+}
+
+/** Returns the answer for the client when the coordinator gave none. */
+HttpResponse unforwarded(const Error &error, HttpResponse own, const std::string &method)
+{
+    if (error.fate != Fate::NotDone && method != "GET") {
+        // The coordinator may have taken it.
+        own.status = 504;
+        own.headers.erase("Retry-After");
+    }
+    return own;
+}
+
 } // namespace
 
 EntryInstance::EntryInstance(boost::asio::io_context &context, platform::Settings settings,
@@ -77,8 +108,8 @@
               [this] {
                   return this->now();
               }})
-    , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.worker,
-                           this->settings.statusRetention},
+    , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.peerAddress,
+                           this->settings.worker, this->settings.statusRetention},
            this->store, this->orders, *this, this->random)
     , entrance(
           this->node.jobDesk(), this->node.jobs(), [this] { return this->node.config(); },
@@ -119,7 +150,11 @@
     HttpLimits limits;
     this->entranceServer = std::make_unique<HttpServer>(
         this->context, limits, [this](const HttpRequest &request, const Respond &respond) {
-            this->serveClient(request, respond);
+            this->serveClient(request, respond, false);
+        });
+    this->peerServer = std::make_unique<HttpServer>(
+        this->context, limits, [this](const HttpRequest &request, const Respond &respond) {
+            this->serveClient(request, respond, true);
         });
     this->readinessServer = std::make_unique<HttpServer>(
         this->context, limits, [this](const HttpRequest &request, const Respond &respond) {
@@ -129,6 +164,9 @@
         !listening) {
         return listening;
     }
+    if (const auto listening = this->peerServer->listen(this->settings.peerAddress); !listening) {
+        return listening;
+    }
     if (const auto listening = this->readinessServer->listen(this->settings.readinessAddress);
         !listening) {
         return listening;
@@ -342,19 +380,50 @@
     respond(std::move(response));
 }
 
-void EntryInstance::serveClient(const HttpRequest &request, const Respond &respond)
+void EntryInstance::serveClient(const HttpRequest &request, const Respond &respond, bool forwarded)
 {
     ++this->openRequests;
-    this->entrance.handle(request, [this, respond](HttpResponse response) {
+    const Respond answer = [this, respond](HttpResponse response) {
         --this->openRequests;
         if (this->stopping) {
             response.headers["Connection"] = "close";
         }
         respond(std::move(response));
+    };
+    this->entrance.handle(request, [this, request, answer, forwarded](HttpResponse response) {
+        const bool elsewhere = !forwarded && this->node.config() &&
+                               (response.status == 503 || response.status == 504) &&
+                               !this->node.coordinatorAddress().empty();
+        if (elsewhere) {
+            this->forward(request, response, answer);
+        } else {
+            answer(std::move(response));
+        }
     });
     this->node.pumpSubmissions(this->now());
 }
 
+void EntryInstance::forward(const HttpRequest &request, const HttpResponse &own,
+                            const Respond &respond)
+{
+    HttpCall call;
+    call.step = "forward to the coordinator";
+    call.address = this->node.coordinatorAddress();
+    call.method = request.method;
+    call.target = request.target;
+    call.body = request.body;
+    call.timeout = forwardTimeout;
+    for (const char *name : {"host", platform::names::deadlineHeader}) {
+        if (const std::string value = request.header(name); !value.empty()) {
+            call.headers[name] = value;
+        }
+    }
+    this->http.call(std::move(call), [own, respond,
+                                      method = request.method](const Result<HttpResponse> &result) {
+        respond(result ? relayed(*result, own) : unforwarded(result.error(), own, method));
+    });
+}
+
 void EntryInstance::waitForSignals()
 {
     this->signals.async_wait([this](const boost::system::error_code &failure, int signal) {
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -75,7 +75,8 @@
     void restart(Follower &follower);
 
     void serveReadiness(const HttpRequest &request, const Respond &respond);
-    void serveClient(const HttpRequest &request, const Respond &respond);
+    void serveClient(const HttpRequest &request, const Respond &respond, bool forwarded);
+    void forward(const HttpRequest &request, const HttpResponse &own, const Respond &respond);
     void waitForSignals();
     void beginShutdown();
     void finishShutdownWhenIdle(Instant at);
@@ -91,6 +92,7 @@
     platform::Entrance entrance;
     std::unique_ptr<HttpServer> entranceServer;
     std::unique_ptr<HttpServer> readinessServer;
+    std::unique_ptr<HttpServer> peerServer;
     boost::asio::steady_timer timer;
     boost::asio::signal_set signals;
 
--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -130,8 +130,11 @@
     // What was never sent is certainly not in the log.
     std::vector<Done> notDone;
     const bool settled = this->busy && !this->inFlight && !this->uncertain;
+    // In an outage nothing is held to its deadline.
+    const bool givenUp = this->outage(at);
     const auto late = [&](Entry &entry) {
-        if (entry.done && at >= entry.deadline) {
+        const bool bounded = entry.deadline < unbounded;
+        if (entry.done && (at >= entry.deadline || (givenUp && bounded))) {
             notDone.push_back(std::move(entry.done));
             return true;
         }
@@ -144,7 +147,8 @@
     }
     std::vector<Done> unknown;
     for (Entry &entry : this->batch) {
-        if (entry.done && at >= entry.deadline) {
+        const bool bounded = entry.deadline < unbounded;
+        if (entry.done && (at >= entry.deadline || (givenUp && bounded))) {
             unknown.push_back(std::exchange(entry.done, nullptr));
         }
     }
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -37,6 +37,9 @@
     /** Time without any success after which callers are refused at once. */
     static constexpr Duration outageAfter{1000};
 
+    /** Deadline of records that are never given up. */
+    static constexpr Instant unbounded{INT64_MAX};
+
     using Done = std::function<void(CommitResult, Instant now)>;
 
     GroupCommit(JobLog &log, Random &random);
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -15,7 +15,6 @@
 constexpr Duration readinessAge{2500};
 /** Share by which a lease may outlast its length, as a divisor; above the bound on drift. */
 constexpr std::int64_t driftDivisor = 40;
-constexpr Instant never(INT64_MAX);
 constexpr Instant longAgo(-1000000);
 
 } // namespace
@@ -101,6 +100,13 @@
     this->records.pump(now);
 }
 
+std::string JobNode::coordinatorAddress() const
+{
+    const OwnerView &owner = this->table.owner();
+    const bool other = !owner.released && owner.instance != this->settings.instance;
+    return other ? owner.load.address() : std::string();
+}
+
 void JobNode::considerClaim(Instant now)
 {
     const OwnerView &owner = this->table.owner();
@@ -129,6 +135,7 @@
     message.set_epoch(owner.epoch + 1);
     message.set_instance(this->settings.instance);
     message.set_incarnation(this->settings.incarnation);
+    message.set_address(this->settings.address);
     JobRecord record;
     record.key = JobTable::ownerKey;
     record.value = message.SerializeAsString();
@@ -191,6 +198,7 @@
     message.set_instance(this->settings.instance);
     message.set_incarnation(this->settings.incarnation);
     message.set_released(released);
+    message.set_address(this->settings.address);
     for (jobs::ServiceLoad &load : this->coordinator.loads(now)) {
         *message.add_loads() = std::move(load);
     }
@@ -221,14 +229,15 @@
         return;
     }
     this->commitInFlight = true;
-    this->records.add(std::move(batch), never, [this](CommitResult result, Instant at) {
-        this->commitInFlight = false;
-        if (result != CommitResult::Durable) {
-            this->stepDownReason = "a later epoch writes";
-            return;
-        }
-        this->coordinator.committed(at, this->lease.mayRenew(at));
-    });
+    this->records.add(std::move(batch), GroupCommit::unbounded,
+                      [this](CommitResult result, Instant at) {
+                          this->commitInFlight = false;
+                          if (result != CommitResult::Durable) {
+                              this->stepDownReason = "a later epoch writes";
+                              return;
+                          }
+                          this->coordinator.committed(at, this->lease.mayRenew(at));
+                      });
 }
 
 void JobNode::release(Instant now)
@@ -267,7 +276,7 @@
         }
     }
     if (!drops.empty()) {
-        this->records.add(std::move(drops), never, nullptr);
+        this->records.add(std::move(drops), GroupCommit::unbounded, nullptr);
     }
 }
 
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -32,6 +32,7 @@
 {
     std::string instance;
     std::uint64_t incarnation = 0;
+    std::string address; ///< Where other instances reach this one; empty: nowhere.
     WorkerBounds worker;
     Duration statusRetention{120000}; ///< How long a finished job is shown.
 };
@@ -77,6 +78,9 @@
     /** Returns whether clients are served well here. */
     bool ready(Instant now) const;
 
+    /** Returns where the coordinator is reached; empty when it is this node or not known. */
+    std::string coordinatorAddress() const;
+
     bool coordinates() const { return this->coordinator.active(); }
     Coordinator &coordination() { return this->coordinator; }
     JobDesk &jobDesk() { return this->desk; }
