Step down before any further event, and remember starts whose answer comes too late

The schedules without the store's fence ended a process: progress of a later epoch replaced tasks that the coordinator still pointed to. It now ends its orders with the record that names another owner and takes in no progress while it owns.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -189,6 +189,8 @@
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
 
     void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
+    void noteUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run, bool sameLife,
+                        Instant now);
     void sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run, Instant now);
     void sendHold(WorkerState &worker, Instant now, bool mayRenew);
     void retryOrders(Instant now, bool mayRenew);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -64,7 +64,12 @@
                                 Instant now, OrderOutcome outcome)
 {
     const auto found = this->starts.find(ref);
-    if (found == this->starts.end() || found->second.run != run || found->second.worker != id) {
+    const bool awaited =
+        found != this->starts.end() && found->second.run == run && found->second.worker == id;
+    if (outcome == OrderOutcome::Unanswered) {
+        this->noteUnanswered(id, ref, run, awaited, now);
+    }
+    if (!awaited) {
         return;
     }
     OpenOrder &open = found->second;
@@ -89,11 +94,6 @@
     case OrderOutcome::Unanswered:
         open.unanswered = true;
         task->maybeLate = true;
-        std::erase_if(worker->unanswered, [&](const UnansweredStart &start) {
-            return now - start.at > WorkerState::lateOrders;
-        });
-        // This life takes a repeated start for the same one; only a later life has to be told.
-        worker->unanswered.push_back(UnansweredStart{ref, run, now, worker->life});
         [[fallthrough]];
     case OrderOutcome::NotSent:
         if (open.tries < startTries) {
@@ -120,6 +120,20 @@
     }
 }
 
+void Coordinator::noteUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
+                                 bool sameLife, Instant now)
+{
+    WorkerState *worker = this->findWorker(id);
+    if (!worker) {
+        return;
+    }
+    std::erase_if(worker->unanswered, [&](const UnansweredStart &start) {
+        return now - start.at > WorkerState::lateOrders;
+    });
+    // The life that was asked takes a repeated start for the same one; a later one has to be told.
+    worker->unanswered.push_back(UnansweredStart{ref, run, now, sameLife ? worker->life : 0});
+}
+
 void Coordinator::stopTask(const TaskRef &ref, Task &task, Instant now)
 {
     this->starts.erase(ref);
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -58,7 +58,7 @@
         this->coordinator.jobCancelled(*job, now);
     }
     if (change == JobTable::Change::Owner && !this->lease.owns(this->table.owner())) {
-        this->stepDownReason = "another instance claimed";
+        this->stopCoordinating("another instance claimed");
     }
 }
 
@@ -173,17 +173,28 @@
     this->host.ownershipGained(epoch);
 }
 
-void JobNode::stepDown(const char *reason)
+void JobNode::stopCoordinating(const char *reason)
 {
-    const std::uint64_t epoch = this->coordinator.currentEpoch();
-    this->stepDownReason = nullptr;
-    if (epoch == 0) {
+    if (!this->coordinator.active()) {
         return;
     }
+    this->lostEpoch = this->coordinator.currentEpoch();
+    this->stepDownReason = reason;
     this->coordinator.end();
+    this->table.setOwnEpoch(0);
     this->records.reset();
     this->commitInFlight = false;
     this->claimInFlight = false;
+}
+
+void JobNode::stepDown(const char *reason)
+{
+    this->stopCoordinating(reason);
+    this->stepDownReason = nullptr;
+    const std::uint64_t epoch = std::exchange(this->lostEpoch, 0);
+    if (epoch == 0) {
+        return;
+    }
     // Own progress may be ahead of the log, so the view begins anew.
     this->table.clear();
     this->loaded = false;
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -93,6 +93,8 @@
     void considerClaim(Instant now);
     void claim(Instant now);
     void becomeOwner(Instant now);
+    /** Orders nothing more from now on; stepDown() follows with the next work. */
+    void stopCoordinating(const char *reason);
     void stepDown(const char *reason);
     void commit(Instant now, std::int64_t unixMs);
     void release(Instant now);
@@ -121,6 +123,7 @@
     Instant committedAt;
     bool commitInFlight = false;
     const char *stepDownReason = nullptr;
+    std::uint64_t lostEpoch = 0; ///< Ownership that has ended and is not reported yet.
     bool stopping = false;
     Instant trimmedAt;
 
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -106,7 +106,7 @@
     if (progress.epoch() == this->ownership.epoch) {
         this->ownership.heardAt = now;
     }
-    if (progress.epoch() == this->ownEpoch && this->ownEpoch != 0) {
+    if (progress.epoch() <= this->ownEpoch) {
         return Change::None;
     }
     if (record.offset < job->progressOffset) {
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -52,7 +52,7 @@
     Change apply(const JobRecord &record, Instant now, Job *&job);
 
     /**
-     * Ignores progress of this epoch, as its writer holds it already; 0 takes in all.
+     * Ignores progress up to this epoch, as its owner holds it already; 0 takes in all.
      */
     void setOwnEpoch(std::uint64_t epoch) { this->ownEpoch = epoch; }
 
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -102,7 +102,7 @@
     }
     live.insert({this->id, order.run});
     ++this->ledger.starts;
-    this->runs[key] = Run{this->nowMs + workMs, fails, false};
+    this->runs[key] = Run{this->nowMs, this->nowMs + workMs, fails, false};
     return OrderOutcome::Accepted;
 }
 
@@ -143,7 +143,10 @@
     report.bornMs = this->bornMs;
     report.ended = this->ended;
     for (const auto &[key, run] : this->runs) {
-        report.running.push_back(RunningTask{key.first, key.second, {}, 50, 0});
+        const std::int64_t length = std::max<std::int64_t>(1, run.endsAtMs - run.startedAtMs);
+        const std::int64_t percent = (this->nowMs - run.startedAtMs) * 100 / length;
+        report.running.push_back(
+            RunningTask{key.first, key.second, {}, static_cast<std::uint32_t>(percent), 0});
     }
     return OrderOutcome::Accepted;
 }
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -50,6 +50,7 @@
 private:
     struct Run
     {
+        std::int64_t startedAtMs = 0;
         std::int64_t endsAtMs = 0;
         bool fails = false;
         bool stopping = false;
