--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -64,8 +64,8 @@
     static constexpr Duration sharedHoldWait{500};
     /** Pause between holds of a worker that has ends to acknowledge or to collect. */
     static constexpr Duration holdGap{25};
-    /** Silence after which a worker's leases are no longer renewed; above a hold and its timeout, so
-     * that one lost answer costs no lease. */
+    /** Silence after which a worker's leases are no longer renewed; above a hold and its timeout,
+     * so that one lost answer costs no lease. */
     static constexpr Duration renewalSilence{2000};
     /** Time between holds of a silent worker. */
     static constexpr Duration silentHoldGap{300};
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -16,7 +16,7 @@
 /** Factor added where an error is shared among images: the known cause bears most of it. */
 constexpr double unknownPressure = 0.3;
 /** Factor of a pair that was never seen together; that of most harmless pairs. */
-constexpr double assumedPressure = 0.2;
+constexpr double assumedPressure = 0.0;
 /** Factor that no pair exceeds; a whole worker then presses five times what a queue bears. */
 constexpr double largestFactor = 5.0;
 /** Share of a factor kept in a sample of the serving image without the filling one, so that an
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -28,7 +28,7 @@
     static constexpr Duration silenceLimit{1800};
     /** Share of a worker's processors up to which filling tasks are added; leaves room for what
      * serving tasks use beyond their usual. */
-    static constexpr double fillCeiling = 1.1;
+    static constexpr double fillCeiling = 1.0;
     /** Share of a serving task's processors that counts as used when filling tasks are placed. */
     static constexpr double servingUse = 0.5;
 
