Give a job cancelled at a take-over its real time of closing

Cause: a new coordinator closed cancelled jobs before it knew the time, so they looked long finished and were forgotten within seconds; a submission whose append was resolved after a cut then made the job anew. Ruled out by the logs: lost cancels, the order of records.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -31,9 +31,10 @@
     , policy(this->interference)
 {}
 
-void Coordinator::begin(std::uint64_t newEpoch, Instant now, Instant lapse)
+void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse)
 {
     this->end();
+    this->unixMs = newUnixMs;
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
     for (const auto &[id, job] : this->table.all()) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -87,7 +87,7 @@
                 CoordinatorObserver &observer);
 
     /** Takes over under the epoch; leases granted before lapse at the given time. */
-    void begin(std::uint64_t epoch, Instant now, Instant formerLeasesLapse);
+    void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse);
 
     /** Gives everything up; orders nothing more. */
     void end();
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -86,7 +86,7 @@
     if (this->stepDownReason) {
         this->stepDown(this->stepDownReason);
     }
-    this->considerClaim(now);
+    this->considerClaim(now, unixMs);
     if (this->coordinator.active()) {
         this->coordinator.tick(now, unixMs, this->lease.mayRenew(now));
         if (this->stopping) {
@@ -107,14 +107,14 @@
     return other ? owner.load.address() : std::string();
 }
 
-void JobNode::considerClaim(Instant now)
+void JobNode::considerClaim(Instant now, std::int64_t unixMs)
 {
     const OwnerView &owner = this->table.owner();
     if (this->coordinator.active() || this->stopping || !this->loaded) {
         return;
     }
     if (this->lease.owns(owner)) {
-        this->becomeOwner(now);
+        this->becomeOwner(now, unixMs);
         return;
     }
     const bool waiting = this->claimInFlight && now < this->claimSentAt + claimTimeout;
@@ -148,7 +148,7 @@
     });
 }
 
-void JobNode::becomeOwner(Instant now)
+void JobNode::becomeOwner(Instant now, std::int64_t unixMs)
 {
     this->claimInFlight = false;
     this->lease.confirm(this->claimSentAt);
@@ -169,7 +169,7 @@
     if (this->current) {
         this->coordinator.setConfig(*this->current);
     }
-    this->coordinator.begin(epoch, now, formerLapse);
+    this->coordinator.begin(epoch, now, unixMs, formerLapse);
     this->host.ownershipGained(epoch);
 }
 
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -90,9 +90,9 @@
     void pumpSubmissions(Instant now) { this->submissions.pump(now); }
 
 private:
-    void considerClaim(Instant now);
+    void considerClaim(Instant now, std::int64_t unixMs);
     void claim(Instant now);
-    void becomeOwner(Instant now);
+    void becomeOwner(Instant now, std::int64_t unixMs);
     /** Orders nothing more from now on; stepDown() follows with the next work. */
     void stopCoordinating(const char *reason);
     void stepDown(const char *reason);
--- a/tests/jobs/jobworld.h
+++ b/tests/jobs/jobworld.h
@@ -108,7 +108,7 @@
     std::vector<std::int64_t> workerCutUntil;
     std::vector<std::unique_ptr<Instance>> instances;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
-    std::int64_t nowMs = 1000;
+    std::int64_t nowMs = 1000000;
     std::uint64_t eventOrder = 0;
     std::uint64_t incarnations = 0;
     std::uint64_t submitted = 0;
--- a/tests/jobs/test_jobworld.cpp
+++ b/tests/jobs/test_jobworld.cpp
@@ -103,6 +103,18 @@
     EXPECT_EQ(world.ledger().starts, starts);
 }
 
+TEST(JobWorldTest, JobCancelledWithoutAnOwnerIsKeptAsLongAsAnyOther)
+{
+    JobWorld world(5, FaultRates());
+    world.run(1000);
+    const JobId id = world.submit({stepOf(1, 20000)});
+    world.run(200);
+    world.killOwner();
+    world.cancel(id);
+    world.run(12000);
+    EXPECT_EQ(world.shown(id), jobs::CANCELLED);
+}
+
 /** Runs a random day; returns what broke. */
 std::vector<std::string> randomDay(std::uint64_t seed, Missing missing, bool &finished)
 {
