--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -36,7 +36,9 @@
 
 bool GroupCommit::outage(Instant at) const
 {
-    return this->failing && at - this->failingSince > outageAfter;
+    // Half open once nobody has asked the store for a while: the next records try it again.
+    return this->failing && at - this->failingSince > outageAfter &&
+           at - this->failedAt < tryAgainAfter;
 }
 
 void GroupCommit::pump(Instant at)
@@ -110,6 +112,7 @@
         this->failing = true;
         this->failingSince = sentAt;
     }
+    this->failedAt = this->now;
     this->retryAt = this->now + firstRetry + this->backoff.next();
 }
 
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -40,6 +40,10 @@
     /** Deadline of records that are never given up. */
     static constexpr Instant unbounded{INT64_MAX};
 
+    /** Time after the last failed append from which an outage counts as untried; above the time in
+     * which an append under way fails. */
+    static constexpr Duration tryAgainAfter{1500};
+
     using Done = std::function<void(CommitResult, Instant now)>;
 
     GroupCommit(JobLog &log, Random &random);
@@ -87,6 +91,7 @@
     bool uncertain = false; ///< Some append of the batch may have been stored.
     Instant retryAt;
     Instant failingSince;
+    Instant failedAt; ///< When an append last failed.
     bool failing = false;
     std::uint64_t generation = 0;
     Instant now;
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -186,6 +186,7 @@
     std::vector<std::uint64_t> sequences;
     std::vector<std::size_t> sizes;
     std::vector<Done> answers;
+    std::size_t refused = 0; ///< Answers that the test has refused.
 };
 
 TEST(GroupCommitTest, AnswersTellWhatBecameOfRecords)
@@ -228,6 +229,30 @@
     }
 }
 
+TEST(GroupCommitTest, OutageEndsWithoutAnyoneWaiting)
+{
+    HandLog log;
+    Random random(1);
+    GroupCommit commits(log, random);
+    commits.open("p", 1, 1);
+    std::optional<CommitResult> result;
+    commits.add({record("a", "1", 0)}, Instant(3000),
+                [&](CommitResult outcome, Instant) { result = outcome; });
+    std::int64_t now = 0;
+    while (!result && now < 2900) {
+        commits.pump(Instant(now += 10));
+        if (log.answers.size() > log.refused) {
+            ++log.refused;
+            log.answer(AppendOutcome::Refused);
+        }
+    }
+    // Given up early, and refused at once for a while; then the store is tried again.
+    EXPECT_EQ(result, CommitResult::NotDone);
+    EXPECT_LT(now, 2000);
+    EXPECT_TRUE(commits.outage(Instant(now + 100)));
+    EXPECT_FALSE(commits.outage(Instant(now + 5000)));
+}
+
 TEST(GroupCommitTest, WhatComesMeanwhileSharesTheNextAppend)
 {
     HandLog log;
