Remove what stood twice or was read by nobody

Cause: a reading of the whole change. Job::ownLoad copied all tasks at each call on the sampling path; the observer that passed five calls on for the sake of one; ownership records built in two places; the rule of what a group commit gives up in two; a task's name in platform/ and beside it; state and loads that nothing reads (the load figures went into each ownership record). No behaviour is meant to change but that field.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -38,12 +38,6 @@
     return Instant(std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000);
 }
 
-std::string taskText(const TaskRef &ref)
-{
-    return ref.job.value() + "." + std::to_string(ref.occurrence) + "." + std::to_string(ref.step) +
-           "." + std::to_string(ref.index);
-}
-
 /** Returns the coordinator's answer for the client, given what this instance would have said. */
 HttpResponse relayed(const HttpResponse &theirs, const HttpResponse &own)
 {
@@ -184,7 +178,6 @@
         return;
     }
     follower.busy = true;
-    follower.sentAt = at;
     if (follower.loaded) {
         this->readOn(follower);
     } else {
@@ -471,7 +464,7 @@
                                  RunOutcome outcome)
 {
     logLine(LogLevel::Info, "run_over",
-            {{"task", taskText(task)},
+            {{"task", platform::taskName(task)},
              {"run", std::to_string(run)},
              {"worker", worker.value()},
              {"outcome", toText(outcome)}});
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -43,7 +43,6 @@
         bool busy = false;
         std::uint64_t cursor = 0;
         Instant dueAt;
-        Instant sentAt;
         std::uint64_t generation = 0;
     };
 
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -60,6 +60,7 @@
     this->publishing.clear();
     this->acknowledging.clear();
     this->acknowledgeDirty = false;
+    this->fencedByWorker = false;
 }
 
 void Coordinator::adopt(Job &job)
@@ -101,12 +102,6 @@
     return found == this->workers.end() ? nullptr : found->second.get();
 }
 
-const WorkerState *Coordinator::worker(const WorkerId &id) const
-{
-    const auto found = this->workers.find(id.value());
-    return found == this->workers.end() ? nullptr : found->second.get();
-}
-
 const QueueConfig *Coordinator::queueOf(const Job &job) const
 {
     return this->config.queue(job.spec().queue());
@@ -152,6 +147,12 @@
     }
 }
 
+void Coordinator::noteFenced(const WorkerId &id)
+{
+    this->fencedByWorker = this->active();
+    this->observer.superseded(id);
+}
+
 void Coordinator::markDirty(Job &job)
 {
     this->dirty.insert(&job);
@@ -168,7 +169,7 @@
     }
     worker->holdInFlight = false;
     if (outcome == OrderOutcome::Fenced) {
-        this->observer.superseded(id);
+        this->noteFenced(id);
         return;
     }
     if (outcome == OrderOutcome::OtherLife) {
@@ -179,7 +180,6 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
-        ++worker->holdFailures;
         worker->holdDue = now + silentHoldGap;
         return;
     }
@@ -188,7 +188,6 @@
         worker->holdDue = now;
         return;
     }
-    worker->holdFailures = 0;
     if (worker->entry.bornMs != 0 && report.bornMs > worker->entry.bornMs) {
         this->reborn(*worker, report.bornMs, now);
     }
@@ -617,30 +616,4 @@
     }
 }
 
-std::vector<jobs::ServiceLoad> Coordinator::loads(Instant now) const
-{
-    std::map<std::string, jobs::ServiceLoad> byService;
-    for (const auto &[id, worker] : this->workers) {
-        if (!worker->listed || !worker->heard || worker->entry.draining ||
-            now < worker->restUntil) {
-            continue;
-        }
-        jobs::ServiceLoad &load = byService[worker->entry.service.value()];
-        const std::int64_t capacity = worker->entry.capacity.milliCores;
-        const std::int64_t used = worker->reserved.milliCores + worker->fillMilliCores;
-        load.set_service(worker->entry.service.value());
-        load.set_capacity_milli_cores(load.capacity_milli_cores() +
-                                      static_cast<std::uint64_t>(capacity));
-        load.set_free_milli_cores(
-            load.free_milli_cores() +
-            static_cast<std::uint64_t>(std::max<std::int64_t>(0, capacity - used)));
-    }
-    std::vector<jobs::ServiceLoad> result;
-    result.reserve(byService.size());
-    for (auto &[name, load] : byService) {
-        result.push_back(std::move(load));
-    }
-    return result;
-}
-
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -1,16 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "error.h"
 #include "jobtable.h"
 #include "orders.h"
 #include "placementpolicy.h"
@@ -95,6 +92,9 @@
     bool active() const { return this->epoch != 0; }
     std::uint64_t currentEpoch() const { return this->epoch; }
 
+    /** Returns whether a worker has refused the epoch as fencing token since it began. */
+    bool fenced() const { return this->fencedByWorker; }
+
     void setConfig(const JobConfig &config);
     void setWorker(const WorkerEntry &entry, Instant now);
     void removeWorker(const WorkerId &id, Instant now);
@@ -125,12 +125,6 @@
     /** Sends the starts and raises the acknowledgements that waited for the batch. */
     void committed(Instant now, bool maySend);
 
-    /** Returns the load of each service, for admission. */
-    std::vector<jobs::ServiceLoad> loads(Instant now) const;
-
-    std::size_t workerCount() const { return this->workers.size(); }
-    const WorkerState *worker(const WorkerId &id) const;
-
 private:
     /** An order to a worker that has not been answered to the end. */
     struct OpenOrder
@@ -182,6 +176,7 @@
     void stopTask(const TaskRef &ref, Task &task, Instant now);
     void detach(const TaskRef &ref, Task &task);
     void markDirty(Job &job);
+    void noteFenced(const WorkerId &id);
 
     void planJob(Job &job, Instant now, std::int64_t unixMs);
     void planStep(Job &job, StepRun &run, Instant now);
@@ -221,6 +216,7 @@
     bool planNeeded = false;
     Instant preemptedAt;
     bool acknowledgeDirty = false;
+    bool fencedByWorker = false;
     std::vector<RecordedStart> recording;
     std::vector<RecordedStart> inBatch;
     std::vector<std::pair<Job *, Job::State>> publishing;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -89,7 +89,7 @@
         this->starts.erase(found);
         return;
     case OrderOutcome::Fenced:
-        this->observer.superseded(id);
+        this->noteFenced(id);
         return;
     case OrderOutcome::Unanswered:
         open.unanswered = true;
@@ -164,7 +164,7 @@
                                Instant now, OrderOutcome outcome)
 {
     if (outcome == OrderOutcome::Fenced) {
-        this->observer.superseded(id);
+        this->noteFenced(id);
         return;
     }
     if (WorkerState *worker = outcome == OrderOutcome::Accepted ? this->findWorker(id) : nullptr) {
@@ -394,7 +394,7 @@
                                std::uint32_t percent, OrderOutcome outcome)
 {
     if (outcome == OrderOutcome::Fenced) {
-        this->observer.superseded(id);
+        this->noteFenced(id);
         return;
     }
     Job *job = this->table.find(ref.job);
--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -135,23 +135,25 @@
     const bool settled = this->busy && !this->inFlight && !this->uncertain;
     // In an outage nothing is held to its deadline.
     const bool givenUp = this->outage(at);
-    const auto late = [&](Entry &entry) {
+    const auto late = [&](const Entry &entry) {
         const bool bounded = entry.deadline < unbounded;
-        if (entry.done && (at >= entry.deadline || (givenUp && bounded))) {
-            notDone.push_back(std::move(entry.done));
-            return true;
+        return entry.done && (at >= entry.deadline || (givenUp && bounded));
+    };
+    const auto drop = [&](Entry &entry) {
+        if (!late(entry)) {
+            return false;
         }
-        return false;
+        notDone.push_back(std::move(entry.done));
+        return true;
     };
-    std::erase_if(this->waiting, late);
+    std::erase_if(this->waiting, drop);
     if (settled) {
-        std::erase_if(this->batch, late);
+        std::erase_if(this->batch, drop);
         this->busy = !this->batch.empty();
     }
     std::vector<Done> unknown;
     for (Entry &entry : this->batch) {
-        const bool bounded = entry.deadline < unbounded;
-        if (entry.done && (at >= entry.deadline || (givenUp && bounded))) {
+        if (late(entry)) {
             unknown.push_back(std::exchange(entry.done, nullptr));
         }
     }
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -162,7 +162,10 @@
     constexpr Duration freshness{1500};
     const StepRun *run = this->findStepRun(occurrence, step);
     double least = 1.0;
-    for (const Task &task : run ? run->tasks : std::vector<Task>()) {
+    if (!run) {
+        return least;
+    }
+    for (const Task &task : run->tasks) {
         if (task.phase == TaskPhase::Running && now - task.loadAt < freshness) {
             least = std::min(least, task.load);
         }
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -29,8 +29,7 @@
     , records(log, random)
     , desk(this->table, this->submissions)
     , lease(settings.instance, settings.incarnation, random)
-    , coordinator(this->table, settings.worker, orders, this->observer)
-    , observer(*this)
+    , coordinator(this->table, settings.worker, orders, host)
 {
     const std::string producer = settings.instance + "/" + std::to_string(settings.incarnation);
     this->submissions.open(producer, 1, 1);
@@ -83,7 +82,9 @@
 
 void JobNode::work(Instant now, std::int64_t unixMs)
 {
-    if (this->stepDownReason) {
+    if (this->coordinator.fenced()) {
+        this->stepDown("a worker has seen a higher fencing token");
+    } else if (this->stepDownReason) {
         this->stepDown(this->stepDownReason);
     }
     this->considerClaim(now, unixMs);
@@ -104,7 +105,7 @@
 {
     const OwnerView &owner = this->table.owner();
     const bool other = !owner.released && owner.instance != this->settings.instance;
-    return other ? owner.load.address() : std::string();
+    return other ? owner.address : std::string();
 }
 
 void JobNode::considerClaim(Instant now, std::int64_t unixMs)
@@ -131,14 +132,7 @@
     this->claimSequence = 1 + this->random.below(sequenceRange);
     this->claimPrompt =
         owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
-    jobs::Ownership message;
-    message.set_epoch(owner.epoch + 1);
-    message.set_instance(this->settings.instance);
-    message.set_incarnation(this->settings.incarnation);
-    message.set_address(this->settings.address);
-    JobRecord record;
-    record.key = JobTable::ownerKey;
-    record.value = message.SerializeAsString();
+    const JobRecord record = this->ownershipRecord(owner.epoch + 1, false);
     const AppendIdentity identity{coordinatorProducer, owner.epoch + 1, this->claimSequence};
     // Whether the claim won shows when the log is read; a lost answer changes nothing.
     this->log.append({record}, identity, this->logEnd, [this](const AppendReply &reply) {
@@ -202,17 +196,14 @@
     this->host.ownershipLost(epoch, reason);
 }
 
-JobRecord JobNode::ownershipRecord(bool released, Instant now) const
+JobRecord JobNode::ownershipRecord(std::uint64_t epoch, bool released) const
 {
     jobs::Ownership message;
-    message.set_epoch(this->coordinator.currentEpoch());
+    message.set_epoch(epoch);
     message.set_instance(this->settings.instance);
     message.set_incarnation(this->settings.incarnation);
     message.set_released(released);
     message.set_address(this->settings.address);
-    for (jobs::ServiceLoad &load : this->coordinator.loads(now)) {
-        *message.add_loads() = std::move(load);
-    }
     JobRecord record;
     record.key = JobTable::ownerKey;
     record.value = message.SerializeAsString();
@@ -231,7 +222,7 @@
     }
     std::vector<JobRecord> batch = this->coordinator.takeBatch();
     if (announce) {
-        batch.push_back(this->ownershipRecord(false, now));
+        batch.push_back(this->ownershipRecord(this->coordinator.currentEpoch(), false));
         this->ownershipWrittenAt = now;
     }
     this->committedAt = now;
@@ -258,7 +249,8 @@
         return;
     }
     this->commitInFlight = true;
-    this->records.add({this->ownershipRecord(true, now)}, now + claimTimeout,
+    this->records.add({this->ownershipRecord(this->coordinator.currentEpoch(), true)},
+                      now + claimTimeout,
                       [this](CommitResult, Instant) { this->coordinator.end(); });
 }
 
@@ -291,31 +283,4 @@
     }
 }
 
-void JobNode::FencingObserver::taskReturned(const TaskRef &task, std::uint32_t run,
-                                            const WorkerId &worker, RunOutcome outcome)
-{
-    this->node.host.taskReturned(task, run, worker, outcome);
-}
-
-void JobNode::FencingObserver::jobFinished(const Job &job)
-{
-    this->node.host.jobFinished(job);
-}
-
-void JobNode::FencingObserver::workerRests(const WorkerId &worker, Duration length)
-{
-    this->node.host.workerRests(worker, length);
-}
-
-void JobNode::FencingObserver::workerReborn(const WorkerId &worker)
-{
-    this->node.host.workerReborn(worker);
-}
-
-void JobNode::FencingObserver::superseded(const WorkerId &worker)
-{
-    this->node.host.superseded(worker);
-    this->node.stepDownReason = "a worker has seen a higher fencing token";
-}
-
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -99,7 +99,7 @@
     void commit(Instant now, std::int64_t unixMs);
     void release(Instant now);
     void trimFinished(Instant now, std::int64_t unixMs);
-    JobRecord ownershipRecord(bool released, Instant now) const;
+    JobRecord ownershipRecord(std::uint64_t epoch, bool released) const;
 
     const JobNodeSettings settings;
     JobLog &log;
@@ -126,25 +126,6 @@
     std::uint64_t lostEpoch = 0; ///< Ownership that has ended and is not reported yet.
     bool stopping = false;
     Instant trimmedAt;
-
-    /** Passes on what the coordinator tells and notes that a worker refused its token. */
-    class FencingObserver : public CoordinatorObserver
-    {
-    public:
-        explicit FencingObserver(JobNode &node)
-            : node(node)
-        {}
-        void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
-                          RunOutcome outcome) override;
-        void jobFinished(const Job &job) override;
-        void workerRests(const WorkerId &worker, Duration length) override;
-        void workerReborn(const WorkerId &worker) override;
-        void superseded(const WorkerId &worker) override;
-
-    private:
-        JobNode &node;
-    };
-    FencingObserver observer;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -135,7 +135,7 @@
     this->ownership.incarnation = message.incarnation();
     this->ownership.released = message.released();
     this->ownership.heardAt = now;
-    this->ownership.load = std::move(message);
+    this->ownership.address = message.address();
     return Change::Owner;
 }
 
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -25,8 +25,8 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     bool released = false;
-    Instant heardAt; ///< When a record of the epoch was last read.
-    jobs::Ownership load;
+    Instant heardAt;     ///< When a record of the epoch was last read.
+    std::string address; ///< Where other instances reach the owner.
 };
 
 /**
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -141,10 +141,8 @@
     std::uint64_t life = 1;         ///< Counts the lives seen, as numbers of ends begin anew.
     std::uint64_t acknowledged = 0; ///< Ends up to here are durable.
     std::uint64_t seen = 0;         ///< Ends up to here are applied.
-    unsigned holdFailures = 0;
 
     std::vector<UnansweredStart> unanswered; ///< Of the last lateOrders.
-    bool stopsUnanswered = false;            ///< A new life has to be told that those never start.
     std::map<TaskRef, Job *> tasks;
     Resources reserved; ///< Without the processor time of filling tasks.
     std::int64_t fillMilliCores = 0;
