Say what the coordinator sees: room, waiting work and missed targets by kind of work

Cause: why work waits could be read only from single jobs' lines; the room that serving tasks hold, and how much work of which kind waits, was nowhere. Change: Coordinator::figures() walks workers and open jobs; the owner writes one line coordinator_load every 5 s.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -31,6 +31,9 @@
 constexpr Duration drainTime{2500};
 /** Time before the platform kills the process at which it ends by itself. */
 constexpr Duration killMargin{700};
+/** Time between two lines on the coordinator's load. */
+constexpr Duration loadReportGap{5000};
+
 Instant boottime()
 {
     timespec time{};
@@ -359,6 +362,7 @@
         this->follow(this->workerFollower, at);
     }
     this->node.work(at, this->unixMs());
+    this->reportLoad(at);
     if (this->stopping) {
         this->finishShutdownWhenIdle(at);
     }
@@ -498,6 +502,36 @@
     logLine(LogLevel::Warning, "order_fenced", {{"worker", worker.value()}});
 }
 
+void EntryInstance::reportLoad(Instant at)
+{
+    if (!this->node.coordinates() || at < this->loadReportedAt + loadReportGap) {
+        return;
+    }
+    this->loadReportedAt = at;
+    const CoordinatorFigures figures = this->node.coordination().figures(at);
+    const auto tasks = [&](WorkKind kind) {
+        const TaskFigures &counts = figures.tasks.at(static_cast<std::size_t>(kind));
+        return std::to_string(counts.waiting) + "/" + std::to_string(counts.starting) + "/" +
+               std::to_string(counts.running) + "/" + std::to_string(counts.stopping);
+    };
+    logLine(LogLevel::Info, "coordinator_load",
+            {{"workers", std::to_string(figures.workers)},
+             {"silent", std::to_string(figures.silent)},
+             {"resting", std::to_string(figures.resting)},
+             {"draining", std::to_string(figures.draining)},
+             {"millicores", std::to_string(figures.milliCores)},
+             {"reserved_millicores", std::to_string(figures.reservedMilliCores)},
+             {"filling_millicores", std::to_string(figures.fillingMilliCores)},
+             {"memory_mb", std::to_string(figures.memoryMb)},
+             {"reserved_memory_mb", std::to_string(figures.reservedMemoryMb)},
+             {"open_jobs", std::to_string(figures.openJobs)},
+             {"missed_targets", std::to_string(figures.missedTargets)},
+             // Waiting, starting, running and stopping of each kind of work.
+             {"plain_tasks", tasks(WorkKind::Plain)},
+             {"serving_tasks", tasks(WorkKind::Serving)},
+             {"filling_tasks", tasks(WorkKind::Filling)}});
+}
+
 void EntryInstance::ownershipGained(std::uint64_t epoch)
 {
     logLine(LogLevel::Info, "ownership_gained", {{"epoch", std::to_string(epoch)}});
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -63,6 +63,7 @@
     void tick();
     void work();
     void wake();
+    void reportLoad(Instant at);
 
     void follow(Follower &follower, Instant at);
     void load(Follower &follower, const std::string &after);
@@ -99,6 +100,7 @@
     Follower configFollower;
     Follower workerFollower;
     bool wakePosted = false;
+    Instant loadReportedAt;
     bool stopping = false;
     Instant stoppingSince;
     std::size_t openRequests = 0;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordinatorfigures.h"
 #include "jobtable.h"
 #include "orders.h"
 #include "placementpolicy.h"
@@ -117,6 +118,9 @@
     /** Places waiting tasks whose turn has come. */
     void plan(Instant now, std::int64_t unixMs);
 
+    /** Returns what the coordinator sees now; walks all open jobs. */
+    CoordinatorFigures figures(Instant now) const;
+
     bool wantsCommit() const { return !this->dirty.empty() || this->acknowledgeDirty; }
 
     /** Takes the records to append next; committed() says that they are durable. */
