Tell busy from calm filling tasks, and slow the one that presses most first

Change: a pair of images has two factors; paces are set by task, the most pressing first, never below a fifth while a figure can still tell its phase; a slowed task is moved only where another worker takes it.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -482,6 +482,7 @@
     task.percent = 0;
     task.pace = 100;
     task.paceConfirmed = true;
+    task.activity = Activity::Unknown;
     task.overSince = Instant();
     this->markDirty(job);
     if (job.stepSpec(ref.step).gang()) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -149,6 +149,18 @@
         std::uint32_t run = 0;
     };
 
+    /** A running filling task, and the pace at which what serves beside it bears it. */
+    struct PacedTask
+    {
+        TaskRef ref;
+        Job *job = nullptr;
+        const std::string *image = nullptr;
+        Activity activity = Activity::Unknown;
+        double share = 0.0; ///< Of the worker's processors, at full pace.
+        double pace = 1.0;
+        double factor = 0.0; ///< Pressure of a whole worker on the serving step looked at.
+    };
+
     using Workers = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
 
     WorkerState *findWorker(const WorkerId &id);
@@ -163,7 +175,13 @@
     void findMissing(WorkerState &worker, const WorkerReport &report, Instant sentAt, Instant now);
     void adjustPace(WorkerState &worker, Instant now);
     void sampleServing(WorkerState &worker, Instant now);
-    std::map<std::string, double> bearablePaces(const WorkerState &worker, Instant now) const;
+    void sampleFilling(WorkerState &worker, Instant now);
+    /** Lowers paces until the pressure on the serving step is within its room. */
+    void slowForTarget(const jobs::StepSpec &serving, double room, double least,
+                       std::vector<PacedTask> &filling) const;
+    std::vector<PacedTask> bearablePaces(const WorkerState &worker, Instant now) const;
+    /** Returns whether another worker would have the task at full pace. */
+    bool goesOnElsewhere(const WorkerState &worker, const PacedTask &paced, Instant now);
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
                  Instant now);
     void loseWorker(WorkerState &worker, Instant now);
@@ -182,6 +200,8 @@
     void markDirty(Job &job);
     void noteFenced(const WorkerId &id);
 
+    /** Returns the share of each image in the filling work of all open jobs. */
+    std::map<std::string, double> fillingDemand() const;
     void planJob(Job &job, Instant now, std::int64_t unixMs);
     void planStep(Job &job, StepRun &run, Instant now);
     void preempt(const Job &job, const jobs::StepSpec &step, Instant now);
--- /dev/null
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -0,0 +1,214 @@
+// How the coordinator learns what filling work does to serving tasks, and slows it before it harms.
+#include "coordinator.h"
+
+#include <algorithm>
+#include <initializer_list>
+
+namespace godwitfall {
+
+namespace {
+
+/** Time between two samples of a worker's figures, which cover the last half second. */
+constexpr Duration figureGap{450};
+/** Paces are set in steps, so that small changes need no order. */
+constexpr std::uint32_t paceStep = 20;
+constexpr double paceSteps = 5.0;
+/** Pace in percent below which a task that can goes on elsewhere after a while. */
+constexpr std::uint32_t slowPace = 40;
+/** Time for which a slowed task waits before it goes on elsewhere; above its restore time. */
+constexpr Duration slowedStay{1500};
+/** Time for which the peak of a load is remembered; about a period of users' loads. */
+constexpr Duration peakMemory{20000};
+/** Share of the time that the platform allows a target to be missed, after which all filling work
+ * of the worker halts; two more samples then show whether it did. */
+constexpr std::int64_t haltPercent = 25;
+/** Time after which a pace is sent again. */
+constexpr Duration paceRepeat{700};
+/** Pace down to which tasks are slowed before any is halted; their figures still show how busy
+ * they are. */
+constexpr double slowestPace = 0.2;
+/** Time that a figure covers; from the platform. */
+constexpr Duration figureSpan{600};
+/** Share of the processors that a filling task asked for, from which it counts as busy. */
+constexpr double busyShare = 0.85;
+constexpr std::uint32_t fullPace = 100;
+
+} // namespace
+
+void Coordinator::sampleServing(WorkerState &worker, Instant now)
+{
+    const std::vector<FillShare> filling = worker.fillShares(false);
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        Task &task = *job->task(ref);
+        if (step.target_ms() == 0 || task.phase != TaskPhase::Running || task.percent < 100 ||
+            task.figure <= 0) {
+            continue;
+        }
+        const double before = task.load;
+        task.load = this->interference.loadOf(step.image(), static_cast<double>(task.figure));
+        task.loadAt = now;
+        if (task.figure <= step.target_ms()) {
+            task.overSince = Instant();
+        } else if (task.overSince == Instant()) {
+            task.overSince = now;
+        }
+        const double own = job->ownLoad(ref.occurrence, ref.step, now);
+        this->interference.observe(step.image(), own, before, task.load, filling);
+        StepRun &run = job->stepRun(ref.occurrence, ref.step);
+        if (own >= run.peakLoad || now - run.peakAt > peakMemory) {
+            run.peakLoad = own;
+            run.peakAt = now;
+        }
+    }
+}
+
+void Coordinator::sampleFilling(WorkerState &worker, Instant now)
+{
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        Task &task = *job->task(ref);
+        const Instant steadySince = std::max(task.since, task.pacedAt);
+        if (!step.fills() || task.phase != TaskPhase::Running || task.pace == 0 ||
+            task.figure <= 0 || now - steadySince < figureSpan) {
+            continue;
+        }
+        const double asked = step.milli_cores() * (task.pace / static_cast<double>(fullPace));
+        task.activity =
+            static_cast<double>(task.figure) < busyShare * asked ? Activity::Calm : Activity::Busy;
+    }
+}
+
+void Coordinator::slowForTarget(const jobs::StepSpec &serving, double room, double least,
+                                std::vector<PacedTask> &filling) const
+{
+    const auto factorOf = [&](const PacedTask &task) {
+        const bool counts = this->interference.pressure(serving.image(), *task.image) >= least;
+        return counts ? this->interference.pressure(serving.image(), *task.image, task.activity)
+                      : 0.0;
+    };
+    double pressure = 0.0;
+    for (PacedTask &task : filling) {
+        task.factor = factorOf(task);
+        pressure += task.factor * task.share * task.pace;
+    }
+    // Where the same pressure costs the least work, it is taken back first.
+    std::sort(filling.begin(), filling.end(), [](const PacedTask &left, const PacedTask &right) {
+        return left.factor > right.factor;
+    });
+    for (const double floor : {slowestPace, 0.0}) {
+        for (PacedTask &task : filling) {
+            const double part = task.factor * task.share;
+            if (pressure <= room || part <= 0.0) {
+                break;
+            }
+            const double pace =
+                std::max(std::min(task.pace, floor), task.pace - (pressure - room) / part);
+            pressure -= (task.pace - pace) * part;
+            task.pace = pace;
+        }
+    }
+}
+
+std::vector<Coordinator::PacedTask> Coordinator::bearablePaces(const WorkerState &worker,
+                                                               Instant now) const
+{
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+    std::vector<PacedTask> filling;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        const Task &task = *job->task(ref);
+        if (step.fills() && task.phase == TaskPhase::Running) {
+            filling.push_back(
+                PacedTask{ref, job, &step.image(), task.activity, step.milli_cores() / capacity});
+        }
+    }
+    const std::vector<FillShare> shares = worker.fillShares(true);
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (step.target_ms() == 0 || filling.empty()) {
+            continue;
+        }
+        const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms()) -
+                                InterferenceModel::margin;
+        const Task &task = *job->task(ref);
+        const bool missed = task.load > bearable + InterferenceModel::margin;
+        // Slight pressure matters only once the target is missed with nothing harmful beside.
+        const bool harmed =
+            this->interference.pressure(step.image(), shares, InterferenceModel::harmful) > 0.0;
+        const double room = bearable - job->ownLoad(ref.occurrence, ref.step, now);
+        const double least = missed && room > 0.0 && !harmed ? 0.0 : InterferenceModel::harmful;
+        this->slowForTarget(step, std::max(0.0, room), least, filling);
+    }
+    return filling;
+}
+
+void Coordinator::adjustPace(WorkerState &worker, Instant now)
+{
+    if (now - worker.figuresAt < figureGap) {
+        return;
+    }
+    worker.figuresAt = now;
+    this->sampleFilling(worker, now);
+    this->sampleServing(worker, now);
+    worker.forgetPlacementCosts();
+    const Duration haltAfter = this->bounds.harmTime * haltPercent / 100;
+    const bool halt = std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const auto &entry) {
+        const Task &task = *entry.second->task(entry.first);
+        return task.overSince != Instant() && now - task.overSince >= haltAfter;
+    });
+    for (const PacedTask &paced : this->bearablePaces(worker, now)) {
+        Task &task = *paced.job->task(paced.ref);
+        const double share = halt ? 0.0 : paced.pace;
+        const std::uint32_t pace = static_cast<std::uint32_t>(share * paceSteps) * paceStep;
+        if (pace != task.pace) {
+            if (task.pace == fullPace) {
+                task.slowedAt = now;
+            }
+            this->setPace(worker, paced.ref, task, pace, now);
+        } else if ((!task.paceConfirmed || halt) && now - task.pacedAt > paceRepeat) {
+            this->setPace(worker, paced.ref, task, pace, now);
+        } else if (pace < slowPace && now - task.slowedAt > slowedStay &&
+                   this->goesOnElsewhere(worker, paced, now)) {
+            this->stopTask(paced.ref, task, now);
+        }
+    }
+}
+
+bool Coordinator::goesOnElsewhere(const WorkerState &worker, const PacedTask &paced, Instant now)
+{
+    if (!paced.job->stepSpec(paced.ref.step).checkpointing()) {
+        return false;
+    }
+    const PlacementRequest request{*paced.job, paced.ref.occurrence, paced.ref.step, {}, false};
+    const WorkerState *better = this->policy.choose(this->candidates(*paced.job), request, now);
+    return better && better != &worker;
+}
+
+void Coordinator::paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
+                               std::uint32_t percent, OrderOutcome outcome)
+{
+    if (outcome == OrderOutcome::Fenced) {
+        this->noteFenced(id);
+        return;
+    }
+    Job *job = this->table.find(ref.job);
+    Task *task = job ? job->task(ref) : nullptr;
+    const bool current = task && task->run == run && task->pace == percent;
+    if (current && outcome == OrderOutcome::Accepted) {
+        task->paceConfirmed = true;
+    }
+}
+
+void Coordinator::setPace(const WorkerState &worker, const TaskRef &ref, Task &task,
+                          std::uint32_t percent, Instant now)
+{
+    task.pace = percent;
+    task.paceConfirmed = false;
+    task.pacedAt = now;
+    task.progressAt = now;
+    this->orders.pace(PaceOrder{this->targetOf(worker), ref, task.run, percent});
+}
+
+} // namespace godwitfall
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -105,11 +105,31 @@
     std::sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
         return left.key() < right.key();
     });
+    this->policy.setDemand(this->fillingDemand());
     for (const Candidate &candidate : order) {
         this->planJob(*candidate.job, now, newUnixMs);
     }
 }
 
+std::map<std::string, double> Coordinator::fillingDemand() const
+{
+    std::map<std::string, double> shares;
+    double sum = 0.0;
+    for (const Job *job : this->open) {
+        for (const jobs::StepSpec &step : job->spec().steps()) {
+            if (step.fills() && !job->closed()) {
+                const double work = static_cast<double>(step.count()) * step.milli_cores();
+                shares[step.image()] += work;
+                sum += work;
+            }
+        }
+    }
+    for (auto &[image, share] : shares) {
+        share /= std::max(1.0, sum);
+    }
+    return shares;
+}
+
 void Coordinator::planJob(Job &job, Instant now, std::int64_t newUnixMs)
 {
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -15,14 +15,32 @@
 constexpr double learningRate = 0.35;
 /** Factor added where an error is shared among images: the known cause bears most of it. */
 constexpr double unknownPressure = 0.3;
-/** Factor of a pair that was never seen together; that of most harmless pairs. */
-constexpr double assumedPressure = 0.0;
 /** Factor that no pair exceeds; a whole worker then presses five times what a queue bears. */
 constexpr double largestFactor = 5.0;
 /** Share of a factor kept in a sample of the serving image without the filling one, so that an
  * avoided pair is tried again in time. */
 constexpr double fade = 0.9995;
 
+/** What parts of its work a task is taken to do in each state. */
+struct CalmAndBusy
+{
+    double calm = 0.5;
+    double busy = 0.5;
+};
+
+CalmAndBusy partsOf(Activity activity)
+{
+    switch (activity) {
+    case Activity::Calm:
+        return {1.0, 0.0};
+    case Activity::Busy:
+        return {0.0, 1.0};
+    case Activity::Unknown:
+        break;
+    }
+    return {};
+}
+
 double loadAt(double factor)
 {
     return factor <= kneeFactor ? 1.0 - 1.0 / factor
@@ -46,10 +64,17 @@
     return loadAt(std::max(1.0, targetMs / base));
 }
 
-double InterferenceModel::pressure(const std::string &serving, const std::string &filling) const
+double InterferenceModel::Factors::of(Activity activity) const
+{
+    const CalmAndBusy part = partsOf(activity);
+    return part.calm * this->calm + part.busy * this->busy;
+}
+
+double InterferenceModel::pressure(const std::string &serving, const std::string &filling,
+                                   Activity activity) const
 {
     const auto found = this->factors.find({serving, filling});
-    return found == this->factors.end() ? assumedPressure : found->second;
+    return found == this->factors.end() ? 0.0 : found->second.of(activity);
 }
 
 double InterferenceModel::pressure(const std::string &serving,
@@ -57,8 +82,9 @@
 {
     double sum = 0.0;
     for (const FillShare &fill : filling) {
-        const double factor = this->pressure(serving, fill.image);
-        sum += factor >= least ? factor * fill.share : 0.0;
+        if (this->pressure(serving, fill.image) >= least) {
+            sum += this->pressure(serving, fill.image, fill.activity) * fill.share;
+        }
     }
     return sum;
 }
@@ -68,7 +94,8 @@
 {
     for (auto at = this->factors.lower_bound({serving, {}});
          at != this->factors.end() && at->first.first == serving; ++at) {
-        at->second *= fade;
+        at->second.calm *= fade;
+        at->second.busy *= fade;
     }
     // Above the knee a queue drains slowly, so its tail tells of what was there before.
     if (loadBefore > knee) {
@@ -76,19 +103,24 @@
     }
     double squares = 0.0;
     for (const FillShare &fill : filling) {
-        const double weight = this->pressure(serving, fill.image) + unknownPressure;
-        squares += fill.share * fill.share * weight;
+        const Factors &known = this->factors[{serving, fill.image}];
+        const CalmAndBusy part = partsOf(fill.activity);
+        squares += part.calm * part.calm * fill.share * fill.share * (known.calm + unknownPressure);
+        squares += part.busy * part.busy * fill.share * fill.share * (known.busy + unknownPressure);
     }
     if (squares <= 0.0) {
         return;
     }
     const double error = load - ownLoad - this->pressure(serving, filling);
     for (const FillShare &fill : filling) {
-        double &factor =
-            this->factors.try_emplace({serving, fill.image}, assumedPressure).first->second;
-        const double weight = factor + unknownPressure;
-        factor = std::clamp(factor + learningRate * error * fill.share * weight / squares, 0.0,
-                            largestFactor);
+        Factors &known = this->factors[{serving, fill.image}];
+        const CalmAndBusy part = partsOf(fill.activity);
+        const auto correct = [&](double &factor, double share) {
+            const double step = learningRate * error * share * (factor + unknownPressure) / squares;
+            factor = std::clamp(factor + step, 0.0, largestFactor);
+        };
+        correct(known.calm, part.calm * fill.share);
+        correct(known.busy, part.busy * fill.share);
     }
 }
 
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -7,11 +8,19 @@
 
 namespace godwitfall {
 
+/** Whether a filling task uses the processors that it asked for, as its figures show. */
+enum class Activity : std::uint8_t {
+    Unknown,
+    Calm, ///< Uses clearly less; presses less too.
+    Busy,
+};
+
 /** What tasks of one image that fill use of a worker: a share of its processors, at their pace. */
 struct FillShare
 {
     std::string image;
     double share = 0.0;
+    Activity activity = Activity::Unknown;
 };
 
 /**
@@ -20,8 +29,9 @@
  * A serving task is taken for a single queue: its tail latency is base / (1 - load) up to the
  * knee from which its queue grows without end, and steeply linear above. Pressure adds
  * to the load in proportion to the share of the worker that the filling image uses; a normalised
- * least-mean-squares filter estimates the factor of each pair of images. Tasks of one job
- * bear the same load of their own, so the least loaded tells it for all.
+ * least-mean-squares filter estimates the factor of each pair of images, apart for busy and calm
+ * filling tasks. Tasks of one job bear the same load of their own, so the least loaded tells it
+ * for all.
  */
 class InterferenceModel
 {
@@ -43,15 +53,25 @@
                  const std::vector<FillShare> &filling);
 
     /** Returns the load that a whole worker of the filling image would add to the serving image. */
-    double pressure(const std::string &serving, const std::string &filling) const;
+    double pressure(const std::string &serving, const std::string &filling,
+                    Activity activity = Activity::Unknown) const;
 
-    /** Returns the load that the shares add, of factors of the given size or more. */
+    /** Returns the load that the shares add, of images that press by the given size or more. */
     double pressure(const std::string &serving, const std::vector<FillShare> &filling,
                     double least = 0.0) const;
 
 private:
+    /** How a filling image presses on a serving one. */
+    struct Factors
+    {
+        double calm = 0.0;
+        double busy = 0.0;
+
+        double of(Activity activity) const;
+    };
+
     std::map<std::string, double> baseMs;
-    std::map<std::pair<std::string, std::string>, double> factors;
+    std::map<std::pair<std::string, std::string>, Factors> factors;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -8,6 +8,7 @@
 
 #include "clock.h"
 #include "ids.h"
+#include "interferencemodel.h"
 #include "jobs.pb.h"
 #include "queueconfig.h"
 
@@ -50,6 +51,7 @@
     Instant pacedAt;           ///< When the pace was last sent.
     Instant overSince;         ///< Since when a serving task misses its target; unset: it does not.
     Instant slowedAt;          ///< When pace last left 100.
+    Activity activity = Activity::Unknown; ///< Of a filling task.
     double load = 0.0;       ///< Of a serving task: behind its tail latency, see InterferenceModel.
     Instant loadAt;          ///< When load was sampled.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -1,6 +1,8 @@
 #include "placementpolicy.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace godwitfall {
 
@@ -15,6 +17,10 @@
 constexpr double slightOverload = 0.02;
 /** Weight of a load beyond what serving tasks bear against a share of a worker's processors. */
 constexpr double overloadCost = 6.0;
+
+/** Part of the way from a serving task's load now to its peak at which harmful images are judged;
+ * the pace follows what the load does later. */
+constexpr double caution = 0.5;
 /** Load of its own assumed of a serving task that does not run yet. */
 constexpr double usualLoad = 0.5;
 
@@ -41,6 +47,9 @@
  * what serves there. */
 constexpr double mixtureCost = 0.1;
 
+/** Cost of a worker that all of the open filling work could use, against one that none could. */
+constexpr double scarcityCost = 1.0;
+
 double otherFills(const WorkerState &worker, const std::string &image)
 {
     double others = 0.0;
@@ -100,14 +109,45 @@
             const bool harmful = this->interference.pressure(serving.image(), step.image()) >=
                                  InterferenceModel::harmful;
             // A harmful image has to bear with the load's peak, a harmless one with it as it is.
-            consider(serving,
-                     harmful && run ? run->peakLoad : job->ownLoad(ref.occurrence, ref.step, now));
+            const double load = job->ownLoad(ref.occurrence, ref.step, now);
+            consider(serving, harmful && run
+                                  ? load + caution * (std::max(load, run->peakLoad) - load)
+                                  : load);
         }
     }
     worker.overloads[step.image()] = worst;
     return worst;
 }
 
+void PlacementPolicy::setDemand(std::map<std::string, double> shares)
+{
+    this->demand = std::move(shares);
+}
+
+double PlacementPolicy::wantedBy(WorkerState &worker) const
+{
+    if (worker.wanted) {
+        return *worker.wanted;
+    }
+    std::set<std::string> serving;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        if (step.target_ms() > 0) {
+            serving.insert(step.image());
+        }
+    }
+    double wanted = 0.0;
+    for (const auto &[image, share] : this->demand) {
+        const bool borne =
+            std::all_of(serving.begin(), serving.end(), [&, &filling = image](const auto &beside) {
+                return this->interference.pressure(beside, filling) < InterferenceModel::harmful;
+            });
+        wanted += borne ? share : 0.0;
+    }
+    worker.wanted = wanted;
+    return wanted;
+}
+
 bool PlacementPolicy::usable(WorkerState &worker, const PlacementRequest &request,
                              Instant now) const
 {
@@ -150,6 +190,7 @@
     }
     if (step.fills()) {
         cost += mixtureCost * otherFills(worker, step.image());
+        cost += scarcityCost * this->wantedBy(worker);
     }
     cost += overloadCost * this->overloadWith(worker, step, now);
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <optional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,6 +34,10 @@
 
     explicit PlacementPolicy(const InterferenceModel &interference);
 
+    /** Sets what share of the open filling work each image is; steers work that is borne
+     * everywhere away from workers that other images need. */
+    void setDemand(std::map<std::string, double> shares);
+
     /** Returns the best worker of the candidates, or null when none can take the task now. */
     WorkerState *choose(const std::vector<WorkerState *> &candidates,
                         const PlacementRequest &request, Instant now) const;
@@ -46,7 +50,11 @@
     /** Returns by how much the load of a serving task would exceed what it bears; 0: by none. */
     double overloadWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
 
+    /** Returns the share of the open filling work that the worker's serving tasks bear. */
+    double wantedBy(WorkerState &worker) const;
+
     const InterferenceModel &interference;
+    std::map<std::string, double> demand;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -57,7 +57,7 @@
         return;
     }
     const jobs::StepSpec &step = job.stepSpec(ref.step);
-    this->overloads.clear();
+    this->forgetPlacementCosts();
     this->reserved += reservedBy(step);
     if (step.fills()) {
         this->fillMilliCores += step.milli_cores();
@@ -71,7 +71,7 @@
         return;
     }
     const jobs::StepSpec &step = found->second->stepSpec(ref.step);
-    this->overloads.clear();
+    this->forgetPlacementCosts();
     this->reserved -= reservedBy(step);
     if (step.fills()) {
         this->fillMilliCores -= step.milli_cores();
@@ -100,17 +100,23 @@
         const bool works = atFullPace || task.phase == TaskPhase::Running;
         const double share = works ? step.milli_cores() * pace / capacity : 0.0;
         const auto known = std::find_if(shares.begin(), shares.end(), [&](const FillShare &entry) {
-            return entry.image == step.image();
+            return entry.image == step.image() && entry.activity == task.activity;
         });
         if (known != shares.end()) {
             known->share += share;
         } else {
-            shares.push_back(FillShare{step.image(), share});
+            shares.push_back(FillShare{step.image(), share, task.activity});
         }
     }
     return shares;
 }
 
+void WorkerState::forgetPlacementCosts()
+{
+    this->overloads.clear();
+    this->wanted.reset();
+}
+
 std::uint32_t WorkerState::countOf(const JobId &job, std::uint32_t occurrence,
                                    std::uint32_t step) const
 {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -127,6 +128,9 @@
     /** Returns what running filling tasks use, by image; at full pace, or as they are paced. */
     std::vector<FillShare> fillShares(bool atFullPace) const;
 
+    /** Drops what PlacementPolicy computed of the worker, after a change of what it is based on. */
+    void forgetPlacementCosts();
+
     /** Returns the number of placed tasks of one occurrence of the step. */
     std::uint32_t countOf(const JobId &job, std::uint32_t occurrence, std::uint32_t step) const;
 
@@ -151,6 +155,7 @@
     unsigned restCount = 0;
     std::set<std::string> failedJobs;        ///< Jobs that failed here since the last success.
     std::map<std::string, double> overloads; ///< By image, as PlacementPolicy computed them.
+    std::optional<double> wanted;            ///< As PlacementPolicy computed it.
     Instant figuresAt;                       ///< When the figures of its tasks were last taken in.
 
 private:
