Estimate pressures by a Kalman filter, and loads of their own by what is surest

Change: a factor carries its variance, gains shrink with evidence, surprises are clipped; the own load weighs each task by how sure its pressure is; every learnt pressure counts; PacePolicy decides paces without network or workers. Tests: busy told from calm, draining queues teach nothing, own load by certainty, order of slowing, scarce workers left to work that needs them.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -29,6 +29,7 @@
     , orders(orders)
     , observer(observer)
     , policy(this->interference)
+    , pacePolicy(this->interference)
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse)
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -11,6 +11,7 @@
 #include "coordinatorfigures.h"
 #include "jobtable.h"
 #include "orders.h"
+#include "pacepolicy.h"
 #include "placementpolicy.h"
 #include "queueconfig.h"
 #include "workerstate.h"
@@ -149,18 +150,6 @@
         std::uint32_t run = 0;
     };
 
-    /** A running filling task, and the pace at which what serves beside it bears it. */
-    struct PacedTask
-    {
-        TaskRef ref;
-        Job *job = nullptr;
-        const std::string *image = nullptr;
-        Activity activity = Activity::Unknown;
-        double share = 0.0; ///< Of the worker's processors, at full pace.
-        double pace = 1.0;
-        double factor = 0.0; ///< Pressure of a whole worker on the serving step looked at.
-    };
-
     using Workers = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
 
     WorkerState *findWorker(const WorkerId &id);
@@ -176,9 +165,6 @@
     void adjustPace(WorkerState &worker, Instant now);
     void sampleServing(WorkerState &worker, Instant now);
     void sampleFilling(WorkerState &worker, Instant now);
-    /** Lowers paces until the pressure on the serving step is within its room. */
-    void slowForTarget(const jobs::StepSpec &serving, double room, double least,
-                       std::vector<PacedTask> &filling) const;
     std::vector<PacedTask> bearablePaces(const WorkerState &worker, Instant now) const;
     /** Returns whether another worker would have the task at full pace. */
     bool goesOnElsewhere(const WorkerState &worker, const PacedTask &paced, Instant now);
@@ -226,6 +212,7 @@
     CoordinatorObserver &observer;
     InterferenceModel interference;
     PlacementPolicy policy;
+    PacePolicy pacePolicy;
     JobConfig config;
 
     std::uint64_t epoch = 0;
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -2,7 +2,6 @@
 #include "coordinator.h"
 
 #include <algorithm>
-#include <initializer_list>
 
 namespace godwitfall {
 
@@ -24,9 +23,6 @@
 constexpr std::int64_t haltPercent = 25;
 /** Time after which a pace is sent again. */
 constexpr Duration paceRepeat{700};
-/** Pace down to which tasks are slowed before any is halted; their figures still show how busy
- * they are. */
-constexpr double slowestPace = 0.2;
 /** Time that a figure covers; from the platform. */
 constexpr Duration figureSpan{600};
 /** Share of the processors that a filling task asked for, from which it counts as busy. */
@@ -53,8 +49,11 @@
         } else if (task.overSince == Instant()) {
             task.overSince = now;
         }
-        const double own = job->ownLoad(ref.occurrence, ref.step, now);
-        this->interference.observe(step.image(), own, before, task.load, filling);
+        if (const auto own = job->ownLoad(ref.occurrence, ref.step, now, ref.index)) {
+            this->interference.observe(step.image(), *own, before, task.load, filling);
+        }
+        task.pressure = this->interference.pressure(step.image(), filling);
+        const double own = job->ownLoad(ref.occurrence, ref.step, now)->mean;
         StepRun &run = job->stepRun(ref.occurrence, ref.step);
         if (own >= run.peakLoad || now - run.peakAt > peakMemory) {
             run.peakLoad = own;
@@ -79,39 +78,7 @@
     }
 }
 
-void Coordinator::slowForTarget(const jobs::StepSpec &serving, double room, double least,
-                                std::vector<PacedTask> &filling) const
-{
-    const auto factorOf = [&](const PacedTask &task) {
-        const bool counts = this->interference.pressure(serving.image(), *task.image) >= least;
-        return counts ? this->interference.pressure(serving.image(), *task.image, task.activity)
-                      : 0.0;
-    };
-    double pressure = 0.0;
-    for (PacedTask &task : filling) {
-        task.factor = factorOf(task);
-        pressure += task.factor * task.share * task.pace;
-    }
-    // Where the same pressure costs the least work, it is taken back first.
-    std::sort(filling.begin(), filling.end(), [](const PacedTask &left, const PacedTask &right) {
-        return left.factor > right.factor;
-    });
-    for (const double floor : {slowestPace, 0.0}) {
-        for (PacedTask &task : filling) {
-            const double part = task.factor * task.share;
-            if (pressure <= room || part <= 0.0) {
-                break;
-            }
-            const double pace =
-                std::max(std::min(task.pace, floor), task.pace - (pressure - room) / part);
-            pressure -= (task.pace - pace) * part;
-            task.pace = pace;
-        }
-    }
-}
-
-std::vector<Coordinator::PacedTask> Coordinator::bearablePaces(const WorkerState &worker,
-                                                               Instant now) const
+std::vector<PacedTask> Coordinator::bearablePaces(const WorkerState &worker, Instant now) const
 {
     const double capacity =
         static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
@@ -121,10 +88,9 @@
         const Task &task = *job->task(ref);
         if (step.fills() && task.phase == TaskPhase::Running) {
             filling.push_back(
-                PacedTask{ref, job, &step.image(), task.activity, step.milli_cores() / capacity});
+                PacedTask{ref, job, step.image(), task.activity, step.milli_cores() / capacity});
         }
     }
-    const std::vector<FillShare> shares = worker.fillShares(true);
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         if (step.target_ms() == 0 || filling.empty()) {
@@ -132,14 +98,9 @@
         }
         const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms()) -
                                 InterferenceModel::margin;
-        const Task &task = *job->task(ref);
-        const bool missed = task.load > bearable + InterferenceModel::margin;
-        // Slight pressure matters only once the target is missed with nothing harmful beside.
-        const bool harmed =
-            this->interference.pressure(step.image(), shares, InterferenceModel::harmful) > 0.0;
-        const double room = bearable - job->ownLoad(ref.occurrence, ref.step, now);
-        const double least = missed && room > 0.0 && !harmed ? 0.0 : InterferenceModel::harmful;
-        this->slowForTarget(step, std::max(0.0, room), least, filling);
+        const auto own = job->ownLoad(ref.occurrence, ref.step, now);
+        const double room = own ? bearable - own->mean : 0.0;
+        this->pacePolicy.slowFor(step.image(), std::max(0.0, room), filling);
     }
     return filling;
 }
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -1,6 +1,7 @@
 #include "interferencemodel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace godwitfall {
 
@@ -11,16 +12,16 @@
 /** Load for each multiple of the base latency above the knee. */
 constexpr double overloadSlope = 1.0 / 200.0;
 constexpr double knee = 1.0 - 1.0 / kneeFactor;
-/** Share of an error that one sample corrects. */
-constexpr double learningRate = 0.35;
-/** Factor added where an error is shared among images: the known cause bears most of it. */
-constexpr double unknownPressure = 0.3;
+/** Factor of a pair that was never seen together; most pairs are harmless. */
+constexpr double firstFactor = 0.1;
+/** Variance of the factors of pairs; the harmful ones lie one to three above the others. */
+constexpr double firstVariance = 1.0;
+/** What the variance of a factor grows by with each sample, so that changes are followed. */
+constexpr double drift = 0.0005;
+/** Standard deviations beyond which an error counts no more: a queue that fills or drains. */
+constexpr double surprise = 2.5;
 /** Factor that no pair exceeds; a whole worker then presses five times what a queue bears. */
 constexpr double largestFactor = 5.0;
-/** Share of a factor kept in a sample of the serving image without the filling one, so that an
- * avoided pair is tried again in time. */
-constexpr double fade = 0.9995;
-
 /** What parts of its work a task is taken to do in each state. */
 struct CalmAndBusy
 {
@@ -49,6 +50,9 @@
 
 } // namespace
 
+const InterferenceModel::Factors InterferenceModel::unseen = {{firstFactor, firstVariance},
+                                                              {firstFactor, firstVariance}};
+
 double InterferenceModel::loadOf(const std::string &serving, double tailMs)
 {
     const double tail = std::max(1.0, tailMs);
@@ -64,60 +68,56 @@
     return loadAt(std::max(1.0, targetMs / base));
 }
 
-double InterferenceModel::Factors::of(Activity activity) const
+const InterferenceModel::Factors &InterferenceModel::factorsOf(const std::string &serving,
+                                                               const std::string &filling) const
 {
-    const CalmAndBusy part = partsOf(activity);
-    return part.calm * this->calm + part.busy * this->busy;
+    const auto found = this->factors.find({serving, filling});
+    return found == this->factors.end() ? unseen : found->second;
 }
 
 double InterferenceModel::pressure(const std::string &serving, const std::string &filling,
                                    Activity activity) const
 {
-    const auto found = this->factors.find({serving, filling});
-    return found == this->factors.end() ? 0.0 : found->second.of(activity);
+    const Factors &known = this->factorsOf(serving, filling);
+    const CalmAndBusy part = partsOf(activity);
+    return part.calm * known.calm.mean + part.busy * known.busy.mean;
 }
 
-double InterferenceModel::pressure(const std::string &serving,
-                                   const std::vector<FillShare> &filling, double least) const
+LoadEstimate InterferenceModel::pressure(const std::string &serving,
+                                         const std::vector<FillShare> &filling) const
 {
-    double sum = 0.0;
+    LoadEstimate sum;
     for (const FillShare &fill : filling) {
-        if (this->pressure(serving, fill.image) >= least) {
-            sum += this->pressure(serving, fill.image, fill.activity) * fill.share;
-        }
+        const Factors &known = this->factorsOf(serving, fill.image);
+        const CalmAndBusy part = partsOf(fill.activity);
+        const double calm = part.calm * fill.share;
+        const double busy = part.busy * fill.share;
+        sum.mean += calm * known.calm.mean + busy * known.busy.mean;
+        sum.variance += calm * calm * known.calm.variance + busy * busy * known.busy.variance;
     }
     return sum;
 }
 
-void InterferenceModel::observe(const std::string &serving, double ownLoad, double loadBefore,
-                                double load, const std::vector<FillShare> &filling)
+void InterferenceModel::observe(const std::string &serving, const LoadEstimate &own,
+                                double loadBefore, double load,
+                                const std::vector<FillShare> &filling)
 {
-    for (auto at = this->factors.lower_bound({serving, {}});
-         at != this->factors.end() && at->first.first == serving; ++at) {
-        at->second.calm *= fade;
-        at->second.busy *= fade;
-    }
     // Above the knee a queue drains slowly, so its tail tells of what was there before.
-    if (loadBefore > knee) {
-        return;
-    }
-    double squares = 0.0;
-    for (const FillShare &fill : filling) {
-        const Factors &known = this->factors[{serving, fill.image}];
-        const CalmAndBusy part = partsOf(fill.activity);
-        squares += part.calm * part.calm * fill.share * fill.share * (known.calm + unknownPressure);
-        squares += part.busy * part.busy * fill.share * fill.share * (known.busy + unknownPressure);
-    }
-    if (squares <= 0.0) {
+    if (loadBefore > knee || filling.empty()) {
         return;
     }
-    const double error = load - ownLoad - this->pressure(serving, filling);
+    const LoadEstimate expected = this->pressure(serving, filling);
+    const double variance = expected.variance + own.variance + sampleVariance;
+    const double bound = surprise * std::sqrt(variance);
+    const double error = std::clamp(load - own.mean - expected.mean, -bound, bound);
     for (const FillShare &fill : filling) {
-        Factors &known = this->factors[{serving, fill.image}];
+        Factors &known = this->factors.try_emplace({serving, fill.image}, unseen).first->second;
         const CalmAndBusy part = partsOf(fill.activity);
-        const auto correct = [&](double &factor, double share) {
-            const double step = learningRate * error * share * (factor + unknownPressure) / squares;
-            factor = std::clamp(factor + step, 0.0, largestFactor);
+        const auto correct = [&](Estimate &factor, double share) {
+            const double gain = factor.variance * share / variance;
+            factor.mean = std::clamp(factor.mean + gain * error, 0.0, largestFactor);
+            factor.variance =
+                std::min(firstVariance, factor.variance * (1.0 - gain * share) + drift);
         };
         correct(known.calm, part.calm * fill.share);
         correct(known.busy, part.busy * fill.share);
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -23,15 +23,21 @@
     Activity activity = Activity::Unknown;
 };
 
+/** An estimated load with the variance of its error. */
+struct LoadEstimate
+{
+    double mean = 0.0;
+    double variance = 0.0;
+};
+
 /**
  * Learns how much filling images press on serving images, from tail latencies on shared workers.
  *
  * A serving task is taken for a single queue: its tail latency is base / (1 - load) up to the
  * knee from which its queue grows without end, and steeply linear above. Pressure adds
- * to the load in proportion to the share of the worker that the filling image uses; a normalised
- * least-mean-squares filter estimates the factor of each pair of images, apart for busy and calm
- * filling tasks. Tasks of one job bear the same load of their own, so the least loaded tells it
- * for all.
+ * to the load in proportion to the share of the worker that the filling image uses. A Kalman filter
+ * with independent states estimates the factor of each pair of images, apart for busy and calm
+ * filling tasks. Tasks of one job bear the same load of their own.
  */
 class InterferenceModel
 {
@@ -40,7 +46,9 @@
     static constexpr double harmful = 0.5;
     /** Distance that the load is kept from the one at which the target is missed; covers what a
      * load of its own changes between two samples. */
-    static constexpr double margin = 0.08;
+    static constexpr double margin = 0.02;
+    /** Variance of the load behind one tail latency, which is told to about a tenth. */
+    static constexpr double sampleVariance = 0.0036;
 
     /** Returns the load behind a tail latency of the image, and learns its base latency. */
     double loadOf(const std::string &serving, double tailMs);
@@ -49,27 +57,35 @@
     double loadAtTarget(const std::string &serving, double targetMs) const;
 
     /** Takes in the observed load, and the one observed before, beside the load of its own. */
-    void observe(const std::string &serving, double ownLoad, double loadBefore, double load,
-                 const std::vector<FillShare> &filling);
+    void observe(const std::string &serving, const LoadEstimate &own, double loadBefore,
+                 double load, const std::vector<FillShare> &filling);
 
     /** Returns the load that a whole worker of the filling image would add to the serving image. */
     double pressure(const std::string &serving, const std::string &filling,
                     Activity activity = Activity::Unknown) const;
 
-    /** Returns the load that the shares add, of images that press by the given size or more. */
-    double pressure(const std::string &serving, const std::vector<FillShare> &filling,
-                    double least = 0.0) const;
+    /** Returns the load that the shares add. */
+    LoadEstimate pressure(const std::string &serving, const std::vector<FillShare> &filling) const;
 
 private:
+    /** A factor with the variance of its error. */
+    struct Estimate
+    {
+        double mean;
+        double variance;
+    };
+
     /** How a filling image presses on a serving one. */
     struct Factors
     {
-        double calm = 0.0;
-        double busy = 0.0;
-
-        double of(Activity activity) const;
+        Estimate calm;
+        Estimate busy;
     };
 
+    static const Factors unseen;
+
+    const Factors &factorsOf(const std::string &serving, const std::string &filling) const;
+
     std::map<std::string, double> baseMs;
     std::map<std::pair<std::string, std::string>, Factors> factors;
 };
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -156,21 +156,27 @@
                        [](const auto &entry) { return entry.second.complete(); });
 }
 
-double Job::ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now) const
+std::optional<LoadEstimate> Job::ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now,
+                                         std::optional<std::uint32_t> except) const
 {
     /** Age above which a sample of a load tells nothing of now. */
     constexpr Duration freshness{1500};
     const StepRun *run = this->findStepRun(occurrence, step);
-    double least = 1.0;
-    if (!run) {
-        return least;
-    }
-    for (const Task &task : run->tasks) {
-        if (task.phase == TaskPhase::Running && now - task.loadAt < freshness) {
-            least = std::min(least, task.load);
+    double weights = 0.0;
+    double sum = 0.0;
+    for (std::uint32_t index = 0; run && index < run->tasks.size(); ++index) {
+        const Task &task = run->tasks[index];
+        if (index == except || task.phase != TaskPhase::Running || now - task.loadAt >= freshness) {
+            continue;
         }
+        const double weight = 1.0 / (InterferenceModel::sampleVariance + task.pressure.variance);
+        weights += weight;
+        sum += weight * (task.load - task.pressure.mean);
+    }
+    if (weights == 0.0) {
+        return std::nullopt;
     }
-    return least;
+    return LoadEstimate{std::max(0.0, sum / weights), 1.0 / weights};
 }
 
 jobs::JobProgress Job::toProgress(std::uint64_t epoch) const
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,7 @@
     Activity activity = Activity::Unknown; ///< Of a filling task.
     double load = 0.0;       ///< Of a serving task: behind its tail latency, see InterferenceModel.
     Instant loadAt;          ///< When load was sampled.
+    LoadEstimate pressure;   ///< What filling work added to load.
     std::int64_t figure = 0; ///< Tail latency in ms of a serving task, else milli-cores in use.
     Instant since;           ///< When the phase began.
     Instant progressAt;      ///< When percent or checkpoint last changed.
@@ -133,9 +135,12 @@
     /** Frees the tasks of a closed job. */
     void dropTasks() { this->runs.clear(); }
 
-    /** Returns the load of its own of a serving step, as its tasks beside the least filling show.
+    /**
+     * Returns the load of its own of a serving step, as its tasks show that bear the least
+     * pressure; nothing without fresh samples. One task may be left out.
      */
-    double ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now) const;
+    std::optional<LoadEstimate> ownLoad(std::uint32_t occurrence, std::uint32_t step, Instant now,
+                                        std::optional<std::uint32_t> except = {}) const;
 
     /** Returns the length of the longest chain of steps by their estimates. */
     Duration longestChain() const { return this->chain; }
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -96,7 +96,7 @@
         const double bearable =
             this->interference.loadAtTarget(serving.image(), serving.target_ms()) -
             InterferenceModel::margin;
-        const double pressure = this->interference.pressure(serving.image(), filling);
+        const double pressure = this->interference.pressure(serving.image(), filling).mean;
         worst = std::max(worst, pressure - std::max(0.0, bearable - ownLoad));
     };
     if (!step.fills()) {
@@ -109,7 +109,8 @@
             const bool harmful = this->interference.pressure(serving.image(), step.image()) >=
                                  InterferenceModel::harmful;
             // A harmful image has to bear with the load's peak, a harmless one with it as it is.
-            const double load = job->ownLoad(ref.occurrence, ref.step, now);
+            const auto known = job->ownLoad(ref.occurrence, ref.step, now);
+            const double load = known ? known->mean : 1.0;
             consider(serving, harmful && run
                                   ? load + caution * (std::max(load, run->peakLoad) - load)
                                   : load);
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -6,6 +6,7 @@
 #include "jobtable.h"
 #include "jobworld.h"
 #include "ownerlease.h"
+#include "pacepolicy.h"
 #include "placementpolicy.h"
 
 namespace godwitfall::jobtests {
@@ -271,6 +272,19 @@
     EXPECT_EQ(log.sequences, (std::vector<std::uint64_t>{1, 2}));
 }
 
+WorkerEntry entryOf(const std::string &id)
+{
+    WorkerEntry entry;
+    entry.id = WorkerId(id);
+    entry.service = ServiceId("orchard");
+    entry.address = "127.0.0.1:1";
+    entry.capacity.milliCores = 64000;
+    entry.capacity.memoryMb = 256000;
+    entry.kind = "a";
+    entry.rack = "r-" + id;
+    return entry;
+}
+
 TEST(InterferenceModelTest, FindsTheImageThatPresses)
 {
     // Two images fill beside the serving one, in changing shares; only one presses on it.
@@ -288,23 +302,146 @@
         const double tail = base / (1.0 - load);
         const double seen = model.loadOf("serving", tail);
         EXPECT_NEAR(seen, load, 0.01);
-        model.observe("serving", own, own, seen, {{"heavy", first}, {"light", second}});
+        model.observe("serving", {own, 0.0}, own, seen, {{"heavy", first}, {"light", second}});
     }
     EXPECT_GT(model.pressure("serving", "heavy"), InterferenceModel::harmful);
     EXPECT_LT(model.pressure("serving", "light"), InterferenceModel::harmful);
 }
 
-WorkerEntry entryOf(const std::string &id)
+TEST(InterferenceModelTest, TellsBusyFromCalmWork)
 {
-    WorkerEntry entry;
-    entry.id = WorkerId(id);
-    entry.service = ServiceId("orchard");
-    entry.address = "127.0.0.1:1";
-    entry.capacity.milliCores = 64000;
-    entry.capacity.memoryMb = 256000;
-    entry.kind = "a";
-    entry.rack = "r-" + id;
-    return entry;
+    InterferenceModel model;
+    const double own = 0.2;
+    const double busy = 2.0;
+    const double calm = 0.4;
+    std::uint64_t noise = 7;
+    for (int sample = 0; sample < 200; ++sample) {
+        noise = noise * 6364136223846793005ULL + 1442695040888963407ULL;
+        const bool isBusy = (noise >> 63U) != 0;
+        const double share = 0.05 + static_cast<double>((noise >> 58U) & 15U) / 150.0;
+        const double error = (static_cast<double>((noise >> 50U) & 255U) / 255.0 - 0.5) * 0.1;
+        const double load = own + share * (isBusy ? busy : calm) + error;
+        const Activity activity = isBusy ? Activity::Busy : Activity::Calm;
+        model.observe("serving", {own, 0.0}, own, load, {{"filling", share, activity}});
+    }
+    EXPECT_NEAR(model.pressure("serving", "filling", Activity::Busy), busy, 0.3);
+    EXPECT_NEAR(model.pressure("serving", "filling", Activity::Calm), calm, 0.3);
+}
+
+TEST(InterferenceModelTest, SamplesFromADrainingQueueTeachNothing)
+{
+    InterferenceModel model;
+    const double before = model.pressure("serving", "filling");
+    model.observe("serving", {0.3, 0.0}, 0.95, 0.9, {{"filling", 0.2}});
+    EXPECT_EQ(model.pressure("serving", "filling"), before);
+    model.observe("serving", {0.3, 0.0}, 0.4, 0.9, {{"filling", 0.2}});
+    EXPECT_GT(model.pressure("serving", "filling"), before);
+}
+
+TEST(JobTest, LoadOfItsOwnFollowsTheTasksThatAreSurest)
+{
+    jobs::JobSpec spec = twoSteps();
+    spec.mutable_steps(0)->set_target_ms(150);
+    Job job(jobId, spec);
+    EXPECT_FALSE(job.ownLoad(0, 0, Instant(10000)));
+    StepRun &run = job.stepRun(0, 0);
+    for (Task &task : run.tasks) {
+        task.phase = TaskPhase::Running;
+        task.loadAt = Instant(9800);
+    }
+    run.tasks[0].load = 0.5; // Nothing fills beside it.
+    run.tasks[1].load = 0.9;
+    run.tasks[1].pressure = {0.2, 1.0};
+    run.tasks[2].load = 0.1; // Too old to count.
+    run.tasks[2].loadAt = Instant(1000);
+    EXPECT_NEAR(job.ownLoad(0, 0, Instant(10000))->mean, 0.5, 0.01);
+    EXPECT_NEAR(job.ownLoad(0, 0, Instant(10000), 0)->mean, 0.7, 0.01);
+}
+
+TEST(PacePolicyTest, SlowsWhatPressesMostFirst)
+{
+    InterferenceModel model;
+    for (int sample = 0; sample < 400; ++sample) {
+        model.observe("shop", {0.2, 0.0}, 0.2, 0.4, {{"heavy", 0.1, Activity::Busy}});
+        model.observe("shop", {0.2, 0.0}, 0.2, 0.24, {{"heavy", 0.1, Activity::Calm}});
+        model.observe("shop", {0.2, 0.0}, 0.2, 0.22, {{"light", 0.2, Activity::Busy}});
+    }
+    struct Case
+    {
+        const char *name;
+        double room;
+        double busy; ///< Expected paces of the busy, the calm and the light task.
+        double calm;
+        double light;
+    };
+    // At full pace they press with 0.2, 0.04 and 0.02.
+    for (const Case &given :
+         {Case{"all fit", 0.3, 1.0, 1.0, 1.0}, Case{"the busy one is slowed", 0.16, 0.5, 1.0, 1.0},
+          Case{"then the calm one", 0.08, 0.2, 0.5, 1.0},
+          Case{"the light one halts last", 0.0, 0.0, 0.0, 0.0}}) {
+        SCOPED_TRACE(given.name);
+        std::vector<PacedTask> filling(3);
+        filling[0].image = "light";
+        filling[0].activity = Activity::Busy;
+        filling[0].share = 0.2;
+        filling[1].image = "heavy";
+        filling[1].activity = Activity::Calm;
+        filling[1].share = 0.1;
+        filling[2].image = "heavy";
+        filling[2].activity = Activity::Busy;
+        filling[2].share = 0.1;
+        PacePolicy(model).slowFor("shop", given.room, filling);
+        const auto paceOf = [&](const std::string &image, Activity activity) {
+            const auto found =
+                std::find_if(filling.begin(), filling.end(), [&](const PacedTask &task) {
+                    return task.image == image && task.activity == activity;
+                });
+            return found->pace;
+        };
+        EXPECT_NEAR(paceOf("heavy", Activity::Busy), given.busy, 0.1);
+        EXPECT_NEAR(paceOf("heavy", Activity::Calm), given.calm, 0.15);
+        EXPECT_NEAR(paceOf("light", Activity::Busy), given.light, 0.1);
+    }
+}
+
+TEST(PlacementPolicyTest, WorkThatFitsEverywhereLeavesScarceWorkersToOthers)
+{
+    // "batch" is borne beside both serving images, "rare" only beside "shop".
+    InterferenceModel interference;
+    interference.loadOf("shop", 25.0);
+    interference.loadOf("depot", 25.0);
+    for (int sample = 0; sample < 40; ++sample) {
+        interference.observe("depot", {0.2, 0.0}, 0.2, 0.6, {{"rare", 0.2}});
+        interference.observe("depot", {0.2, 0.0}, 0.2, 0.2, {{"batch", 0.2}});
+        interference.observe("shop", {0.2, 0.0}, 0.2, 0.2, {{"batch", 0.2}, {"rare", 0.2}});
+    }
+    PlacementPolicy policy(interference);
+    policy.setDemand({{"batch", 0.5}, {"rare", 0.5}});
+    std::vector<std::unique_ptr<Job>> serving;
+    std::vector<std::unique_ptr<WorkerState>> workers;
+    for (const char *image : {"shop", "depot"}) {
+        jobs::JobSpec spec = twoSteps();
+        spec.mutable_steps(0)->set_image(image);
+        spec.mutable_steps(0)->set_target_ms(150);
+        spec.mutable_steps(0)->set_long_running(true);
+        serving.push_back(std::make_unique<Job>(
+            JobId(std::string("00000000000000") + image[0] + image[1]), spec));
+        Task &task = serving.back()->stepRun(0, 0).tasks[0];
+        task.phase = TaskPhase::Running;
+        task.load = 0.2;
+        task.loadAt = Instant(10000);
+        workers.push_back(std::make_unique<WorkerState>(entryOf(image)));
+        workers.back()->heard = true;
+        workers.back()->heardAt = Instant(10000);
+        workers.back()->assign(TaskRef{serving.back()->id(), 0, 0, 0}, *serving.back());
+    }
+    jobs::JobSpec spec = twoSteps();
+    spec.mutable_steps(0)->set_image("batch");
+    spec.mutable_steps(0)->set_fills(true);
+    const Job batch(jobId, spec);
+    EXPECT_EQ(policy.choose({workers[0].get(), workers[1].get()},
+                            PlacementRequest{batch, 0, 0, {}, false}, Instant(10100)),
+              workers[1].get());
 }
 
 TEST(PlacementPolicyTest, ChoosesByWhatTheStepNeeds)
@@ -355,7 +492,7 @@
     InterferenceModel interference;
     interference.loadOf("shop", 25.0);
     for (int sample = 0; sample < 40; ++sample) {
-        interference.observe("shop", 0.3, 0.3, 0.8, {{"batch", 0.25}});
+        interference.observe("shop", {0.3, 0.0}, 0.3, 0.8, {{"batch", 0.25}});
     }
     const PlacementPolicy policy(interference);
     jobs::JobSpec servingSpec = twoSteps();
