Slow filling work by what it costs in missed targets against what it does

Cause: half of the missed targets came while a serving step's own load was at its peak and little pressure was left: harmful tasks crept on at a fifth of their pace there, while a fixed margin slowed harmless ones at other times. Change: PacePolicy prices each task by how much the chance of a miss grows with its pressure, at the room that is left and how sure it is; the dearest are slowed until none costs more than its work; placing uses the same price.

--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -2,6 +2,7 @@
 #include "coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace godwitfall {
 
@@ -9,9 +10,6 @@
 
 /** Time between two samples of a worker's figures, which cover the last half second. */
 constexpr Duration figureGap{450};
-/** Paces are set in steps, so that small changes need no order. */
-constexpr std::uint32_t paceStep = 20;
-constexpr double paceSteps = 5.0;
 /** Pace in percent below which a task that can goes on elsewhere after a while. */
 constexpr std::uint32_t slowPace = 40;
 /** Time for which a slowed task waits before it goes on elsewhere; above its restore time. */
@@ -25,6 +23,8 @@
 constexpr Duration paceRepeat{700};
 /** Time that a figure covers; from the platform. */
 constexpr Duration figureSpan{600};
+/** Time after which a halted task may be busy or calm, whatever it was. */
+constexpr Duration activitySpan{2000};
 /** Share of the processors that a filling task asked for, from which it counts as busy. */
 constexpr double busyShare = 0.85;
 constexpr std::uint32_t fullPace = 100;
@@ -68,6 +68,9 @@
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         Task &task = *job->task(ref);
         const Instant steadySince = std::max(task.since, task.pacedAt);
+        if (step.fills() && task.pace == 0 && now - task.pacedAt > activitySpan) {
+            task.activity = Activity::Unknown;
+        }
         if (!step.fills() || task.phase != TaskPhase::Running || task.pace == 0 ||
             task.figure <= 0 || now - steadySince < figureSpan) {
             continue;
@@ -91,16 +94,8 @@
                 PacedTask{ref, job, step.image(), task.activity, step.milli_cores() / capacity});
         }
     }
-    for (const auto &[ref, job] : worker.tasks) {
-        const jobs::StepSpec &step = job->stepSpec(ref.step);
-        if (step.target_ms() == 0 || filling.empty()) {
-            continue;
-        }
-        const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms()) -
-                                InterferenceModel::margin;
-        const auto own = job->ownLoad(ref.occurrence, ref.step, now);
-        const double room = own ? bearable - own->mean : 0.0;
-        this->pacePolicy.slowFor(step.image(), std::max(0.0, room), filling);
+    if (!filling.empty()) {
+        this->pacePolicy.slow(this->policy.servingOn(worker, now, 0.0), filling);
     }
     return filling;
 }
@@ -122,7 +117,7 @@
     for (const PacedTask &paced : this->bearablePaces(worker, now)) {
         Task &task = *paced.job->task(paced.ref);
         const double share = halt ? 0.0 : paced.pace;
-        const std::uint32_t pace = static_cast<std::uint32_t>(share * paceSteps) * paceStep;
+        const std::uint32_t pace = static_cast<std::uint32_t>(std::lround(share * fullPace));
         if (pace != task.pace) {
             if (task.pace == fullPace) {
                 task.slowedAt = now;
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -44,9 +44,6 @@
 public:
     /** Factor from which a pair of images counts as harmful; the others press within the margin. */
     static constexpr double harmful = 0.5;
-    /** Distance that the load is kept from the one at which the target is missed; covers what a
-     * load of its own changes between two samples. */
-    static constexpr double margin = 0.02;
     /** Variance of the load behind one tail latency, which is told to about a tenth. */
     static constexpr double sampleVariance = 0.0036;
 
--- a/src/libgodwitfall/jobs/pacepolicy.cpp
+++ b/src/libgodwitfall/jobs/pacepolicy.cpp
@@ -1,15 +1,23 @@
 #include "pacepolicy.h"
 
 #include <algorithm>
-#include <initializer_list>
+#include <cmath>
 
 namespace godwitfall {
 
 namespace {
 
-/** Pace down to which tasks are slowed before any is halted; their figures still show how busy
- * they are. */
-constexpr double slowestPace = 0.2;
+/** Variance of what a load does until a pace takes effect, about a second. */
+constexpr double reactionVariance = 0.0016;
+constexpr double inverseRootTwoPi = 0.3989;
+
+/** Returns by how much the chance of missing a target grows with the load, at what room is left. */
+double missSlope(double room, double variance)
+{
+    const double deviation = std::sqrt(variance + reactionVariance);
+    const double distance = std::max(0.0, room) / deviation;
+    return inverseRootTwoPi * std::exp(-0.5 * distance * distance) / deviation;
+}
 
 } // namespace
 
@@ -17,29 +25,44 @@
     : interference(interference)
 {}
 
-void PacePolicy::slowFor(const std::string &serving, double room,
-                         std::vector<PacedTask> &filling) const
+double PacePolicy::cost(const std::string &image, Activity activity,
+                        const std::vector<ServingTask> &serving,
+                        const std::vector<FillShare> &filling) const
+{
+    double misses = 0.0;
+    for (const ServingTask &task : serving) {
+        const double factor = this->interference.pressure(task.image, image, activity);
+        const LoadEstimate pressure = this->interference.pressure(task.image, filling);
+        misses += factor * missSlope(task.room - pressure.mean, task.variance + pressure.variance);
+    }
+    return misses * workPerMiss;
+}
+
+void PacePolicy::slow(const std::vector<ServingTask> &serving,
+                      std::vector<PacedTask> &filling) const
 {
-    double pressure = 0.0;
-    for (PacedTask &task : filling) {
-        task.factor = this->interference.pressure(serving, task.image, task.activity);
-        pressure += task.factor * task.share * task.pace;
+    constexpr double halted = 0.01;
+    std::vector<FillShare> shares;
+    for (const PacedTask &task : filling) {
+        shares.push_back(FillShare{task.image, task.share * task.pace, task.activity});
     }
-    // Where the same pressure costs the least work, it is taken back first.
-    std::sort(filling.begin(), filling.end(), [](const PacedTask &left, const PacedTask &right) {
-        return left.factor > right.factor;
-    });
-    for (const double floor : {slowestPace, 0.0}) {
+    while (true) {
+        PacedTask *dearest = nullptr;
+        double highest = 1.0;
         for (PacedTask &task : filling) {
-            const double part = task.factor * task.share;
-            if (pressure <= room || part <= 0.0) {
-                break;
+            const double cost =
+                task.pace < halted ? 0.0 : this->cost(task.image, task.activity, serving, shares);
+            if (cost > highest) {
+                highest = cost;
+                dearest = &task;
             }
-            const double pace =
-                std::max(std::min(task.pace, floor), task.pace - (pressure - room) / part);
-            pressure -= (task.pace - pace) * part;
-            task.pace = pace;
         }
+        if (!dearest) {
+            return;
+        }
+        dearest->pace = std::max(0.0, dearest->pace - paceStep);
+        const auto index = static_cast<std::size_t>(dearest - filling.data());
+        shares[index].share = dearest->share * dearest->pace;
     }
 }
 
--- a/src/libgodwitfall/jobs/pacepolicy.h
+++ b/src/libgodwitfall/jobs/pacepolicy.h
@@ -8,32 +8,50 @@
 
 namespace godwitfall {
 
-/** A running filling task, and the pace at which what serves beside it bears it. */
+/** A running filling task, and the pace at which it works. */
 struct PacedTask
 {
     TaskRef ref;
     Job *job = nullptr;
     std::string image;
     Activity activity = Activity::Unknown;
-    double share = 0.0;  ///< Of the worker's processors, at full pace.
-    double pace = 1.0;   ///< Part of its speed, 0 to 1.
-    double factor = 0.0; ///< Pressure of a whole worker on the serving image looked at last.
+    double share = 0.0; ///< Of the worker's processors, at full pace.
+    double pace = 1.0;  ///< Part of its speed, 0 to 1.
+};
+
+/** A serving task as those that fill beside it have to mind it. */
+struct ServingTask
+{
+    std::string image;
+    double room = 0.0;     ///< Load that it bears beyond its own before it misses its target.
+    double variance = 0.0; ///< Of the error of the room.
 };
 
 /**
- * Slows filling tasks until what serves beside them bears it: feedback control by the pressure that
- * the interference model expects.
+ * Slows filling tasks where their work is worth less than the targets that it may make serving
+ * tasks miss: marginal cost pricing, with the pressures that the interference model expects.
  */
 class PacePolicy
 {
 public:
+    /** Filling work, as a share of a worker's processors, that is given up to keep one serving task
+     * within its target; a miss counts four times, so a third of a worker is what one serves. */
+    static constexpr double workPerMiss = 0.3;
+    /** Pace is changed in steps of this part. */
+    static constexpr double paceStep = 0.2;
+
     explicit PacePolicy(const InterferenceModel &interference);
 
+    /** Lowers the paces of filling tasks that cost more than they are worth, the dearest first. */
+    void slow(const std::vector<ServingTask> &serving, std::vector<PacedTask> &filling) const;
+
     /**
-     * Lowers paces until the pressure on the serving image is within the room, in units of load.
-     * The tasks that press most go first; none halts before all others that press go slowly.
+     * Returns what the targets missed for a task cost against its work, above 1 when it costs more;
+     * the task is counted among those that fill.
      */
-    void slowFor(const std::string &serving, double room, std::vector<PacedTask> &filling) const;
+    double cost(const std::string &image, Activity activity,
+                const std::vector<ServingTask> &serving,
+                const std::vector<FillShare> &filling) const;
 
 private:
     const InterferenceModel &interference;
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -13,11 +13,10 @@
 /** Added for each job that recently failed on the worker. */
 constexpr double failureCost = 0.3;
 
-/** Overload that counts as none; within what the figures' rounding hides. */
-constexpr double slightOverload = 0.02;
-/** Weight of a load beyond what serving tasks bear against a share of a worker's processors. */
-constexpr double overloadCost = 6.0;
-
+/** Weight of harm against a share of a worker's processors. */
+constexpr double harmCost = 1.0;
+/** Harm beyond which one worker is as bad as another. */
+constexpr double largestHarm = 5.0;
 /** Part of the way from a serving task's load now to its peak at which harmful images are judged;
  * the pace follows what the load does later. */
 constexpr double caution = 0.5;
@@ -73,51 +72,55 @@
 
 PlacementPolicy::PlacementPolicy(const InterferenceModel &interference)
     : interference(interference)
+    , paces(interference)
 {}
 
-double PlacementPolicy::overloadWith(WorkerState &worker, const jobs::StepSpec &step,
-                                     Instant now) const
+std::vector<ServingTask> PlacementPolicy::servingOn(const WorkerState &worker, Instant now,
+                                                    double towardsPeak) const
+{
+    std::vector<ServingTask> serving;
+    for (const auto &[ref, job] : worker.tasks) {
+        const jobs::StepSpec &step = job->stepSpec(ref.step);
+        const StepRun *run = job->findStepRun(ref.occurrence, ref.step);
+        if (step.target_ms() == 0 || !run) {
+            continue;
+        }
+        const auto known = job->ownLoad(ref.occurrence, ref.step, now);
+        const LoadEstimate own = known.value_or(LoadEstimate{1.0, 0.0});
+        const double load = own.mean + towardsPeak * std::max(0.0, run->peakLoad - own.mean);
+        const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms());
+        serving.push_back(ServingTask{step.image(), bearable - load, own.variance});
+    }
+    return serving;
+}
+
+double PlacementPolicy::harmWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const
 {
     if (!step.fills() && step.target_ms() == 0) {
         return 0.0;
     }
-    const auto known = worker.overloads.find(step.image());
-    if (known != worker.overloads.end()) {
+    const auto known = worker.harms.find(step.image());
+    if (known != worker.harms.end()) {
         return known->second;
     }
     std::vector<FillShare> filling = worker.fillShares(true);
+    double harm = 0.0;
     if (step.fills()) {
         const double capacity =
             static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
         filling.push_back(FillShare{step.image(), step.milli_cores() / capacity});
-    }
-    double worst = 0.0;
-    const auto consider = [&](const jobs::StepSpec &serving, double ownLoad) {
-        const double bearable =
-            this->interference.loadAtTarget(serving.image(), serving.target_ms()) -
-            InterferenceModel::margin;
-        const double pressure = this->interference.pressure(serving.image(), filling).mean;
-        worst = std::max(worst, pressure - std::max(0.0, bearable - ownLoad));
-    };
-    if (!step.fills()) {
-        consider(step, usualLoad);
-    }
-    for (const auto &[ref, job] : worker.tasks) {
-        const jobs::StepSpec &serving = job->stepSpec(ref.step);
-        if (step.fills() && serving.target_ms() > 0) {
-            const StepRun *run = job->findStepRun(ref.occurrence, ref.step);
-            const bool harmful = this->interference.pressure(serving.image(), step.image()) >=
-                                 InterferenceModel::harmful;
-            // A harmful image has to bear with the load's peak, a harmless one with it as it is.
-            const auto known = job->ownLoad(ref.occurrence, ref.step, now);
-            const double load = known ? known->mean : 1.0;
-            consider(serving, harmful && run
-                                  ? load + caution * (std::max(load, run->peakLoad) - load)
-                                  : load);
+        harm = this->paces.cost(step.image(), Activity::Unknown,
+                                this->servingOn(worker, now, caution), filling);
+    } else {
+        const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms());
+        for (const FillShare &fill : filling) {
+            harm = std::max(
+                harm, this->paces.cost(fill.image, fill.activity,
+                                       {ServingTask{step.image(), bearable - usualLoad}}, filling));
         }
     }
-    worker.overloads[step.image()] = worst;
-    return worst;
+    worker.harms[step.image()] = harm;
+    return harm;
 }
 
 void PlacementPolicy::setDemand(std::map<std::string, double> shares)
@@ -173,7 +176,7 @@
     }
     if (step.fills()) {
         return loadWith(worker, step.milli_cores()) <= fillCeiling &&
-               (request.insist || this->overloadWith(worker, step, now) <= slightOverload);
+               (request.insist || this->harmWith(worker, step, now) <= 1.0);
     }
     return true;
 }
@@ -193,7 +196,7 @@
         cost += mixtureCost * otherFills(worker, step.image());
         cost += scarcityCost * this->wantedBy(worker);
     }
-    cost += overloadCost * this->overloadWith(worker, step, now);
+    cost += harmCost * std::min(largestHarm, this->harmWith(worker, step, now));
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
         cost += farCost;
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "interferencemodel.h"
+#include "pacepolicy.h"
 #include "workerstate.h"
 
 namespace godwitfall {
@@ -42,18 +43,23 @@
     WorkerState *choose(const std::vector<WorkerState *> &candidates,
                         const PlacementRequest &request, Instant now) const;
 
+    /** Returns the worker's serving tasks; their loads taken for now, or, by a part from 0 to 1,
+     * for nearer to their recent peak. */
+    std::vector<ServingTask> servingOn(const WorkerState &worker, Instant now,
+                                       double towardsPeak) const;
+
     /** Returns whether the worker may get new tasks of the step. */
     bool usable(WorkerState &worker, const PlacementRequest &request, Instant now) const;
 
 private:
     double cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
-    /** Returns by how much the load of a serving task would exceed what it bears; 0: by none. */
-    double overloadWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
-
+    /** Returns what missed targets cost against the task's work, see PacePolicy. */
+    double harmWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
     /** Returns the share of the open filling work that the worker's serving tasks bear. */
     double wantedBy(WorkerState &worker) const;
 
     const InterferenceModel &interference;
+    const PacePolicy paces;
     std::map<std::string, double> demand;
 };
 
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -113,7 +113,7 @@
 
 void WorkerState::forgetPlacementCosts()
 {
-    this->overloads.clear();
+    this->harms.clear();
     this->wanted.reset();
 }
 
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -153,10 +153,10 @@
 
     Instant restUntil;
     unsigned restCount = 0;
-    std::set<std::string> failedJobs;        ///< Jobs that failed here since the last success.
-    std::map<std::string, double> overloads; ///< By image, as PlacementPolicy computed them.
-    std::optional<double> wanted;            ///< As PlacementPolicy computed it.
-    Instant figuresAt;                       ///< When the figures of its tasks were last taken in.
+    std::set<std::string> failedJobs;    ///< Jobs that failed here since the last success.
+    std::map<std::string, double> harms; ///< By image, as PlacementPolicy computed them.
+    std::optional<double> wanted;        ///< As PlacementPolicy computed it.
+    Instant figuresAt;                   ///< When the figures of its tasks were last taken in.
 
 private:
     std::int64_t sampleMs = 0;
