--- a/src/libgodwitfall/jobs/pacepolicy.h
+++ b/src/libgodwitfall/jobs/pacepolicy.h
@@ -36,7 +36,7 @@
 public:
     /** Filling work, as a share of a worker's processors, that is given up to keep one serving task
      * within its target; a miss counts four times, so a third of a worker is what one serves. */
-    static constexpr double workPerMiss = 0.3;
+    static constexpr double workPerMiss = 0.2;
     /** Pace is changed in steps of this part. */
     static constexpr double paceStep = 0.2;
 
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -19,7 +19,7 @@
 constexpr double largestHarm = 5.0;
 /** Part of the way from a serving task's load now to its peak at which harmful images are judged;
  * the pace follows what the load does later. */
-constexpr double caution = 0.5;
+constexpr double caution = 0.25;
 /** Load of its own assumed of a serving task that does not run yet. */
 constexpr double usualLoad = 0.5;
 
