Pass what was learnt of images on to the next coordinator

Change: the coordinator writes its estimates with their variances to the job log every 3 s (about 2 KB); whoever takes over begins with them. Figures out of range are left out, an unreadable record is told. Test: the estimates come back as written, through the job table.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -40,6 +40,7 @@
     this->unixMs = newUnixMs;
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
+    this->interference.restore(this->table.pressures());
     for (const auto &[id, job] : this->table.all()) {
         this->adopt(*job);
         if (job->cancelled && !job->closed()) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -119,6 +119,9 @@
     /** Places waiting tasks whose turn has come. */
     void plan(Instant now, std::int64_t unixMs);
 
+    /** Returns what it has learnt of images, for its successors. */
+    jobs::LearntPressures pressures() const { return this->interference.toMessage(); }
+
     /** Returns what the coordinator sees now; walks all open jobs. */
     CoordinatorFigures figures(Instant now) const;
 
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -124,4 +124,44 @@
     }
 }
 
+jobs::LearntPressures InterferenceModel::toMessage() const
+{
+    jobs::LearntPressures message;
+    for (const auto &[pair, known] : this->factors) {
+        jobs::PressureFactors &entry = *message.add_factors();
+        entry.set_serving(pair.first);
+        entry.set_filling(pair.second);
+        entry.set_calm(static_cast<float>(known.calm.mean));
+        entry.set_calm_variance(static_cast<float>(known.calm.variance));
+        entry.set_busy(static_cast<float>(known.busy.mean));
+        entry.set_busy_variance(static_cast<float>(known.busy.variance));
+    }
+    for (const auto &[image, base] : this->baseMs) {
+        jobs::BaseLatency &entry = *message.add_bases();
+        entry.set_image(image);
+        entry.set_milliseconds(static_cast<float>(base));
+    }
+    return message;
+}
+
+void InterferenceModel::restore(const jobs::LearntPressures &learnt)
+{
+    const auto inRange = [](float mean, float variance) {
+        return mean >= 0.0F && mean <= largestFactor && variance > 0.0F &&
+               variance <= firstVariance;
+    };
+    for (const jobs::PressureFactors &entry : learnt.factors()) {
+        if (inRange(entry.calm(), entry.calm_variance()) &&
+            inRange(entry.busy(), entry.busy_variance())) {
+            this->factors[{entry.serving(), entry.filling()}] = {
+                {entry.calm(), entry.calm_variance()}, {entry.busy(), entry.busy_variance()}};
+        }
+    }
+    for (const jobs::BaseLatency &entry : learnt.bases()) {
+        if (entry.milliseconds() >= 1.0F) {
+            this->baseMs[entry.image()] = entry.milliseconds();
+        }
+    }
+}
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "jobs.pb.h"
+
 namespace godwitfall {
 
 /** Whether a filling task uses the processors that it asked for, as its figures show. */
@@ -64,6 +66,12 @@
     /** Returns the load that the shares add. */
     LoadEstimate pressure(const std::string &serving, const std::vector<FillShare> &filling) const;
 
+    /** Returns what has been learnt of pairs that samples told something of. */
+    jobs::LearntPressures toMessage() const;
+
+    /** Begins with what another model has learnt; figures out of range are left out. */
+    void restore(const jobs::LearntPressures &learnt);
+
 private:
     /** A factor with the variance of its error. */
     struct Estimate
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -224,6 +224,7 @@
     if (announce) {
         batch.push_back(this->ownershipRecord(this->coordinator.currentEpoch(), false));
         this->ownershipWrittenAt = now;
+        this->addPressures(batch, now);
     }
     this->committedAt = now;
     if (batch.empty()) {
@@ -242,6 +243,22 @@
                       });
 }
 
+void JobNode::addPressures(std::vector<JobRecord> &batch, Instant now)
+{
+    if (now < this->pressuresAt + pressuresGap) {
+        return;
+    }
+    const jobs::LearntPressures learnt = this->coordinator.pressures();
+    if (learnt.factors().empty()) {
+        return;
+    }
+    this->pressuresAt = now;
+    JobRecord record;
+    record.key = JobTable::pressuresKey;
+    record.value = learnt.SerializeAsString();
+    batch.push_back(std::move(record));
+}
+
 void JobNode::release(Instant now)
 {
     // Ownership goes once nothing is under way, so that a successor may begin at once.
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -50,6 +50,8 @@
     static constexpr Duration ownershipGap{500};
     /** Time after which a claim that did not show in the log may be repeated. */
     static constexpr Duration claimTimeout{1500};
+    /** Time between records of what was learnt of images; a successor relearns so much. */
+    static constexpr Duration pressuresGap{3000};
     static constexpr Duration trimGap{5000};
     /** Most jobs forgotten in one append. */
     static constexpr std::size_t trimBatch = 64;
@@ -99,6 +101,7 @@
     void commit(Instant now, std::int64_t unixMs);
     void release(Instant now);
     void trimFinished(Instant now, std::int64_t unixMs);
+    void addPressures(std::vector<JobRecord> &batch, Instant now);
     JobRecord ownershipRecord(std::uint64_t epoch, bool released) const;
 
     const JobNodeSettings settings;
@@ -125,6 +128,7 @@
     const char *stepDownReason = nullptr;
     std::uint64_t lostEpoch = 0; ///< Ownership that has ended and is not reported yet.
     bool stopping = false;
+    Instant pressuresAt;
     Instant trimmedAt;
 };
 
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -1,5 +1,7 @@
 #include "jobtable.h"
 
+#include <utility>
+
 namespace godwitfall {
 
 namespace {
@@ -26,6 +28,14 @@
     if (record.key == ownerKey) {
         return this->applyOwner(record, now);
     }
+    if (record.key == pressuresKey) {
+        jobs::LearntPressures message;
+        if (!message.ParseFromString(record.value)) {
+            return Change::Malformed;
+        }
+        this->learnt = std::move(message);
+        return Change::None;
+    }
     if (record.key.size() <= kindLength || record.key[1] != '/') {
         return Change::Malformed;
     }
@@ -170,6 +180,7 @@
     this->earlyProgress.clear();
     this->earlyCancels.clear();
     this->ownership = OwnerView();
+    this->learnt.Clear();
     this->ownEpoch = 0;
 }
 
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -59,6 +59,9 @@
     Job *find(const JobId &id);
     const OwnerView &owner() const { return this->ownership; }
 
+    /** Returns what the newest coordinator that wrote it had learnt of images. */
+    const jobs::LearntPressures &pressures() const { return this->learnt; }
+
     /** Returns the number of open jobs of the queue of which no task was placed. */
     std::size_t waiting(const std::string &queue) const;
 
@@ -78,6 +81,7 @@
     static std::string cancelKey(const JobId &id) { return "c/" + id.value(); }
     static std::string progressKey(const JobId &id) { return "p/" + id.value(); }
     static constexpr const char *ownerKey = "owner";
+    static constexpr const char *pressuresKey = "pressures";
 
 private:
     Change applySubmission(const JobId &id, const JobRecord &record, Instant now, Job *&job);
@@ -90,6 +94,7 @@
     std::unordered_map<std::string, JobRecord> earlyProgress;
     std::unordered_map<std::string, JobRecord> earlyCancels;
     OwnerView ownership;
+    jobs::LearntPressures learnt;
     std::uint64_t ownEpoch = 0;
 };
 
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -328,6 +328,31 @@
     EXPECT_NEAR(model.pressure("serving", "filling", Activity::Calm), calm, 0.3);
 }
 
+TEST(InterferenceModelTest, ComesBackAsItWasWritten)
+{
+    InterferenceModel model;
+    model.loadOf("serving", 25.0);
+    for (int sample = 0; sample < 50; ++sample) {
+        model.observe("serving", {0.2, 0.0}, 0.2, 0.5, {{"filling", 0.2, Activity::Busy}});
+    }
+    jobs::LearntPressures message = model.toMessage();
+    jobs::PressureFactors &wrong = *message.add_factors();
+    wrong.set_serving("serving");
+    wrong.set_filling("wrong");
+    wrong.set_busy(1e9F);
+    JobTable table;
+    Job *job = nullptr;
+    table.apply(record(JobTable::pressuresKey, message.SerializeAsString(), 5), Instant(1), job);
+    EXPECT_EQ(table.apply(record(JobTable::pressuresKey, "\x08", 6), Instant(2), job),
+              JobTable::Change::Malformed);
+    InterferenceModel next;
+    next.restore(table.pressures());
+    EXPECT_NEAR(next.pressure("serving", "filling", Activity::Busy),
+                model.pressure("serving", "filling", Activity::Busy), 1e-4);
+    EXPECT_NEAR(next.loadAtTarget("serving", 150.0), model.loadAtTarget("serving", 150.0), 1e-4);
+    EXPECT_EQ(next.pressure("serving", "wrong"), model.pressure("serving", "unseen"));
+}
+
 TEST(InterferenceModelTest, SamplesFromADrainingQueueTeachNothing)
 {
     InterferenceModel model;
