Let strong instances claim coordination first

Change: the delay before a claim has a part that grows as the processors of the instance shrink, 12 ms at a whole core, 300 ms at most; its own former life claims at once as before. Test: earliest and latest claim by processors.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -106,7 +106,8 @@
                   return this->now();
               }})
     , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.peerAddress,
-                           this->settings.worker, this->settings.statusRetention},
+                           this->settings.processors, this->settings.worker,
+                           this->settings.statusRetention},
            this->store, this->orders, *this, this->random)
     , entrance(
           this->node.jobDesk(), this->node.jobs(), [this] { return this->node.config(); },
@@ -480,7 +481,9 @@
             {{"job", job.id().value()},
              {"queue", job.spec().queue()},
              {"state", jobs::JobState_Name(job.state)},
-             {"waited_ms", std::to_string((job.firstPlacedAt - job.knownSince).count())},
+             {"waited_ms", job.firstPlacedAt == Instant()
+                               ? "none"
+                               : std::to_string((job.firstPlacedAt - job.knownSince).count())},
              {"took_ms", std::to_string((job.closedAt - job.knownSince).count())},
              {"estimated_chain_ms", std::to_string(job.longestChain().count())},
              {"runs_returned", std::to_string(job.returns)}});
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -28,7 +28,7 @@
     , submissions(log, random)
     , records(log, random)
     , desk(this->table, this->submissions)
-    , lease(settings.instance, settings.incarnation, random)
+    , lease(settings.instance, settings.incarnation, settings.processors, random)
     , coordinator(this->table, settings.worker, orders, host)
 {
     const std::string producer = settings.instance + "/" + std::to_string(settings.incarnation);
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -32,7 +32,8 @@
 {
     std::string instance;
     std::uint64_t incarnation = 0;
-    std::string address; ///< Where other instances reach this one; empty: nowhere.
+    std::string address;     ///< Where other instances reach this one; empty: nowhere.
+    double processors = 1.0; ///< That the process may use, as a share of one core.
     WorkerBounds worker;
     Duration statusRetention{120000}; ///< How long a finished job is shown.
 };
--- a/src/libgodwitfall/jobs/ownerlease.cpp
+++ b/src/libgodwitfall/jobs/ownerlease.cpp
@@ -5,9 +5,23 @@
 
 namespace godwitfall {
 
-OwnerLease::OwnerLease(std::string instance, std::uint64_t incarnation, Random &random)
+namespace {
+
+Duration handicapOf(double processors)
+{
+    constexpr double weakest = 0.01;
+    const double wanted =
+        static_cast<double>(OwnerLease::claimHandicap.count()) / std::max(weakest, processors);
+    return std::min(OwnerLease::longestHandicap, Duration(static_cast<std::int64_t>(wanted)));
+}
+
+} // namespace
+
+OwnerLease::OwnerLease(std::string instance, std::uint64_t incarnation, double processors,
+                       Random &random)
     : instance(std::move(instance))
     , incarnation(incarnation)
+    , handicap(handicapOf(processors))
     , random(random)
 {}
 
@@ -28,7 +42,8 @@
     if (owner.epoch != this->delayEpoch || prompt != this->delayPrompt) {
         this->delayEpoch = owner.epoch;
         this->delayPrompt = prompt;
-        this->delay = this->random.below(prompt ? promptClaimSpread : claimSpread);
+        this->delay = this->random.below(prompt ? promptClaimSpread : claimSpread) +
+                      (formerSelf ? Duration(0) : this->handicap);
         this->seenSince = now;
     }
     if (prompt) {
--- a/src/libgodwitfall/jobs/ownerlease.h
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -29,7 +29,13 @@
     /** Delay before a claim of what was released or never owned. */
     static constexpr Duration promptClaimSpread{60};
 
-    OwnerLease(std::string instance, std::uint64_t incarnation, Random &random);
+    /** Delay of an instance of one core before a claim; weaker ones wait longer in proportion, so
+     * that coordination goes to who can bear it. Above the spread of reads at a tenth of a core. */
+    static constexpr Duration claimHandicap{12};
+    static constexpr Duration longestHandicap{300};
+
+    /** The processors are those that the process may use, as a share of one core. */
+    OwnerLease(std::string instance, std::uint64_t incarnation, double processors, Random &random);
 
     /** Returns whether to claim now, given when the log's end was last read. */
     bool shouldClaim(const OwnerView &owner, Instant now, Instant readAt);
@@ -48,6 +54,7 @@
 private:
     const std::string instance;
     const std::uint64_t incarnation;
+    const Duration handicap;
     Random &random;
     Instant confirmedAt;
     std::uint64_t delayEpoch = ~std::uint64_t(0);
--- a/tests/jobs/jobworld.cpp
+++ b/tests/jobs/jobworld.cpp
@@ -212,7 +212,8 @@
     instance.host = QuietHost();
     instance.chanceSource = std::make_unique<Random>(this->random());
     instance.node = std::make_unique<JobNode>(
-        JobNodeSettings{instance.name, ++this->incarnations, {}, WorkerBounds(), Duration(120000)},
+        JobNodeSettings{
+            instance.name, ++this->incarnations, {}, 1.0, WorkerBounds(), Duration(120000)},
         instance, instance, instance.host, *instance.chanceSource);
     instance.node->setConfig(this->config);
     instance.readAt = this->nowMs;
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -155,7 +155,7 @@
           Case{"own former life", formerSelf, 10100, 10100, true},
           Case{"nobody", OwnerView(), 200, 200, true}}) {
         Random random(1);
-        OwnerLease lease("a", 1, random);
+        OwnerLease lease("a", 1, 0.5, random);
         lease.shouldClaim(given.owner, Instant(given.now - 100), Instant(given.readAt - 100));
         EXPECT_EQ(lease.shouldClaim(given.owner, Instant(given.now), Instant(given.readAt)),
                   given.claims)
@@ -163,6 +163,33 @@
     }
 }
 
+TEST(OwnerLeaseTest, StrongInstancesClaimBeforeWeakOnes)
+{
+    struct Case
+    {
+        const char *name;
+        double processors;
+        Duration earliest;
+        Duration latest;
+    };
+    OwnerView nobody;
+    for (const Case &given : {Case{"a core", 1.0, OwnerLease::claimHandicap,
+                                   OwnerLease::claimHandicap + OwnerLease::promptClaimSpread},
+                              Case{"a tenth", 0.1, OwnerLease::claimHandicap * 10,
+                                   OwnerLease::claimHandicap * 10 + OwnerLease::promptClaimSpread},
+                              Case{"next to none", 0.0001, OwnerLease::longestHandicap,
+                                   OwnerLease::longestHandicap + OwnerLease::promptClaimSpread}}) {
+        Random random(1);
+        OwnerLease lease("a", 1, given.processors, random);
+        const Instant begin(1000);
+        EXPECT_FALSE(lease.shouldClaim(nobody, begin, begin)) << given.name;
+        const Instant before = begin + given.earliest - Duration(1);
+        EXPECT_FALSE(lease.shouldClaim(nobody, before, before)) << given.name;
+        const Instant after = begin + given.latest;
+        EXPECT_TRUE(lease.shouldClaim(nobody, after, after)) << given.name;
+    }
+}
+
 /** A log whose answers the test gives by hand. */
 class HandLog : public JobLog
 {
