Serve metrics on an address and bound the volume of log lines

Cause: on-call engineers had only lines, without bound; a flood of refusals costs an instance of a tenth of a core what it needs to answer, and nothing told rooms, queues and latencies. Tests: floods, the rate over a minute, pages against help and docs. Not done: a ring that drops lines when the reader stops; it says so in docs/OPERATIONS.md.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -73,10 +73,11 @@
 } // namespace
 
 EntryInstance::EntryInstance(boost::asio::io_context &context, platform::Settings settings,
-                             std::uint64_t incarnation)
+                             std::uint64_t incarnation, std::uint16_t metricsPort)
     : context(context)
     , settings(std::move(settings))
     , incarnation(incarnation)
+    , metricsPort(metricsPort)
     , random(incarnation)
     , http(context)
     , store(this->http, this->settings.storeAddress)
@@ -169,6 +170,15 @@
         !listening) {
         return listening;
     }
+    if (this->metricsPort != 0) {
+        this->metricsServer = std::make_unique<HttpServer>(
+            this->context, limits,
+            [this](const HttpRequest &, const Respond &respond) { this->serveMetrics(respond); });
+        const std::string address = this->settings.ip + ":" + std::to_string(this->metricsPort);
+        if (const auto listening = this->metricsServer->listen(address); !listening) {
+            return listening;
+        }
+    }
     this->waitForSignals();
     this->tick();
     return {};
@@ -381,8 +391,12 @@
 void EntryInstance::serveClient(const HttpRequest &request, const Respond &respond, bool forwarded)
 {
     ++this->openRequests;
-    const Respond answer = [this, respond](HttpResponse response) {
+    const Respond answer = [this, respond, since = this->now()](HttpResponse response) {
         --this->openRequests;
+        this->metrics.count("godwitfall_answers_total",
+                            "status=\"" + std::to_string(response.status) + "\"");
+        this->metrics.observe("godwitfall_answer_ms",
+                              static_cast<double>((this->now() - since).count()));
         if (this->stopping) {
             response.headers["Connection"] = "close";
         }
@@ -404,6 +418,7 @@
 void EntryInstance::forward(const HttpRequest &request, const HttpResponse &own,
                             const Respond &respond)
 {
+    this->metrics.count("godwitfall_forwards_total");
     HttpCall call;
     call.step = "forward to the coordinator";
     call.address = this->node.coordinatorAddress();
@@ -468,6 +483,8 @@
 void EntryInstance::taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                                  RunOutcome outcome)
 {
+    this->metrics.count("godwitfall_runs_returned_total",
+                        std::string("outcome=\"") + toText(outcome) + "\"");
     logLine(LogLevel::Info, "run_over",
             {{"task", platform::taskName(task)},
              {"run", std::to_string(run)},
@@ -477,6 +494,14 @@
 
 void EntryInstance::jobFinished(const Job &job)
 {
+    this->metrics.count("godwitfall_jobs_finished_total",
+                        "state=\"" + jobs::JobState_Name(job.state) + "\"");
+    this->metrics.observe("godwitfall_job_ms",
+                          static_cast<double>((job.closedAt - job.knownSince).count()));
+    if (job.firstPlacedAt != Instant()) {
+        this->metrics.observe("godwitfall_job_wait_ms",
+                              static_cast<double>((job.firstPlacedAt - job.knownSince).count()));
+    }
     logLine(LogLevel::Info, "job_finished",
             {{"job", job.id().value()},
              {"queue", job.spec().queue()},
@@ -535,8 +560,23 @@
              {"filling_tasks", tasks(WorkKind::Filling)}});
 }
 
+void EntryInstance::serveMetrics(const Respond &respond) const
+{
+    HttpResponse response;
+    response.contentType = "text/plain";
+    const Coordinator &coordination = this->node.coordination();
+    if (coordination.active()) {
+        const CoordinatorFigures figures = coordination.figures(this->now());
+        response.body = this->metrics.page(&figures, heldBackLogLines());
+    } else {
+        response.body = this->metrics.page(nullptr, heldBackLogLines());
+    }
+    respond(std::move(response));
+}
+
 void EntryInstance::ownershipGained(std::uint64_t epoch)
 {
+    this->metrics.count("godwitfall_ownership_changes_total", "change=\"gained\"");
     logLine(LogLevel::Info, "ownership_gained", {{"epoch", std::to_string(epoch)}});
     this->restart(this->workerFollower);
     this->jobFollower.dueAt = this->now();
@@ -544,6 +584,7 @@
 
 void EntryInstance::ownershipLost(std::uint64_t epoch, const char *reason)
 {
+    this->metrics.count("godwitfall_ownership_changes_total", "change=\"lost\"");
     logLine(LogLevel::Warning, "ownership_lost",
             {{"epoch", std::to_string(epoch)}, {"why", reason}});
     this->restart(this->jobFollower);
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -11,6 +11,7 @@
 
 #include "httpclient.h"
 #include "httpserver.h"
+#include "instancemetrics.h"
 #include "jobnode.h"
 #include "platform/entrance.h"
 #include "platform/ordersender.h"
@@ -28,10 +29,10 @@
 {
 public:
     EntryInstance(boost::asio::io_context &context, platform::Settings settings,
-                  std::uint64_t incarnation);
+                  std::uint64_t incarnation, std::uint16_t metricsPort);
     ~EntryInstance() override;
 
-    /** Listens and begins to follow the store. */
+    /** Listens and begins to follow the store; metrics only where a port is given. */
     Result<void> start();
 
 private:
@@ -64,6 +65,7 @@
     void work();
     void wake();
     void reportLoad(Instant at);
+    void serveMetrics(const Respond &respond) const;
 
     void follow(Follower &follower, Instant at);
     void load(Follower &follower, const std::string &after);
@@ -84,6 +86,8 @@
     boost::asio::io_context &context;
     const platform::Settings settings;
     const std::uint64_t incarnation;
+    const std::uint16_t metricsPort; ///< 0: none.
+    InstanceMetrics metrics;
     Random random;
     HttpClient http;
     platform::StoreClient store;
@@ -93,6 +97,7 @@
     std::unique_ptr<HttpServer> entranceServer;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> peerServer;
+    std::unique_ptr<HttpServer> metricsServer;
     boost::asio::steady_timer timer;
     boost::asio::signal_set signals;
 
--- a/src/godwitfall/instance.cpp
+++ b/src/godwitfall/instance.cpp
@@ -2,14 +2,35 @@
 #include <iostream>
 #include <random>
 
+#include <tclap/CmdLine.h>
+
 #include "commands.h"
 #include "entryinstance.h"
 #include "logging.h"
 
 namespace godwitfall {
 
-int runInstance(const std::vector<std::string> &)
+namespace {
+
+/** Reads the flags of the command; ends the process after --help and on a fault, as TCLAP does. */
+std::uint16_t metricsPortOf(std::vector<std::string> arguments)
+{
+    TCLAP::CmdLine flags("Runs an entry instance on the users' platform, whose settings file the "
+                         "variable GODWITFALL_CONFIG names.",
+                         ' ', GODWITFALL_VERSION);
+    TCLAP::ValueArg<std::uint16_t> port(
+        "", "metrics-port", "port of the metrics page on the machine's address; 0: none", false, 0,
+        "port", flags);
+    arguments.front() = "godwitfall instance";
+    flags.parse(arguments);
+    return port.getValue();
+}
+
+} // namespace
+
+int runInstance(const std::vector<std::string> &arguments)
 {
+    const std::uint16_t metricsPort = metricsPortOf(arguments);
     const Result<platform::Settings> settings = platform::loadSettings();
     if (!settings) {
         std::cerr << "godwitfall instance: " << settings.error().text() << "\n";
@@ -24,7 +45,7 @@
             << 16U |
         (entropy() & 0xFFFFU);
     boost::asio::io_context context(1);
-    EntryInstance instance(context, *settings, incarnation);
+    EntryInstance instance(context, *settings, incarnation, metricsPort);
     if (const auto started = instance.start(); !started) {
         std::cerr << "godwitfall instance: " << started.error().text() << "\n";
         return ExitUsage;
--- /dev/null
+++ b/src/godwitfall/instancemetrics.cpp
@@ -0,0 +1,94 @@
+#include "instancemetrics.h"
+
+#include <array>
+
+namespace godwitfall {
+
+namespace {
+
+constexpr std::array help = {
+    MetricHelp{"godwitfall_answers_total", "Answers to clients, by status."},
+    MetricHelp{"godwitfall_answer_ms", "From a client's whole request to its answer, ms."},
+    MetricHelp{"godwitfall_forwards_total", "Requests passed to the coordinator."},
+    MetricHelp{"godwitfall_jobs_finished_total", "Finished jobs, by state; coordinator."},
+    MetricHelp{"godwitfall_job_wait_ms", "From a job's submission to its first start, ms."},
+    MetricHelp{"godwitfall_job_ms", "From a job's submission to its end, ms."},
+    MetricHelp{"godwitfall_runs_returned_total", "Runs that ended other than done, by outcome."},
+    MetricHelp{"godwitfall_ownership_changes_total", "Coordination gained and lost here."},
+    MetricHelp{"godwitfall_log_lines_held_back_total", "Log lines left out by the rate limit."},
+    MetricHelp{"godwitfall_workers", "Workers, by condition; coordinator."},
+    MetricHelp{"godwitfall_cores", "Processors, by use; coordinator."},
+    MetricHelp{"godwitfall_memory_mb", "Memory, by use; coordinator."},
+    MetricHelp{"godwitfall_open_jobs", "Jobs that are not finished; coordinator."},
+    MetricHelp{"godwitfall_missed_targets", "Serving tasks over their target; coordinator."},
+    MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator."},
+};
+
+std::string label(const std::string &name, const std::string &value)
+{
+    return name + "=\"" + value + "\"";
+}
+
+std::string coordinatorLines(const CoordinatorFigures &figures)
+{
+    constexpr double millicores = 1000.0;
+    std::string page;
+    const auto gauge = [&](const char *name, const char *key, const char *value, double amount) {
+        page += sampleLine(name, amount, label(key, value));
+    };
+    gauge("godwitfall_workers", "condition", "listed", figures.workers);
+    gauge("godwitfall_workers", "condition", "silent", figures.silent);
+    gauge("godwitfall_workers", "condition", "resting", figures.resting);
+    gauge("godwitfall_workers", "condition", "draining", figures.draining);
+    gauge("godwitfall_cores", "use", "all", static_cast<double>(figures.milliCores) / millicores);
+    gauge("godwitfall_cores", "use", "reserved",
+          static_cast<double>(figures.reservedMilliCores) / millicores);
+    gauge("godwitfall_cores", "use", "filling",
+          static_cast<double>(figures.fillingMilliCores) / millicores);
+    gauge("godwitfall_memory_mb", "use", "all", static_cast<double>(figures.memoryMb));
+    gauge("godwitfall_memory_mb", "use", "reserved", static_cast<double>(figures.reservedMemoryMb));
+    page += sampleLine("godwitfall_open_jobs", figures.openJobs);
+    page += sampleLine("godwitfall_missed_targets", figures.missedTargets);
+    for (std::size_t kind = 0; kind < workKinds; ++kind) {
+        const TaskFigures &tasks = figures.tasks.at(kind);
+        const std::string work = label("work", toText(static_cast<WorkKind>(kind))) + ",";
+        const auto phase = [&](const char *name, std::uint32_t count) {
+            page += sampleLine("godwitfall_tasks", count, work + label("phase", name));
+        };
+        phase("waiting", tasks.waiting);
+        phase("starting", tasks.starting);
+        phase("running", tasks.running);
+        phase("stopping", tasks.stopping);
+    }
+    return page;
+}
+
+} // namespace
+
+std::vector<MetricHelp> instanceMetricHelp()
+{
+    return {help.begin(), help.end()};
+}
+
+void InstanceMetrics::count(const std::string &name, const std::string &labels)
+{
+    ++this->counters[{name, labels}];
+}
+
+void InstanceMetrics::observe(const std::string &name, double milliseconds)
+{
+    this->histograms.observe(name, milliseconds);
+}
+
+std::string InstanceMetrics::page(const CoordinatorFigures *figures,
+                                  std::uint64_t heldBackLines) const
+{
+    std::string page = this->histograms.text();
+    for (const auto &[key, value] : this->counters) {
+        page += sampleLine(key.first, static_cast<double>(value), key.second);
+    }
+    page += sampleLine("godwitfall_log_lines_held_back_total", static_cast<double>(heldBackLines));
+    return figures ? page + coordinatorLines(*figures) : page;
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/src/godwitfall/instancemetrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordinatorfigures.h"
+#include "metrics.h"
+
+namespace godwitfall {
+
+/** What the page of one metric says of it. */
+struct MetricHelp
+{
+    const char *name;
+    const char *help;
+};
+
+/** Returns all metrics of an entry instance; docs/OPERATIONS.md lists the same. */
+std::vector<MetricHelp> instanceMetricHelp();
+
+/** Counters and latency histograms of one entry instance. Single-threaded. */
+class InstanceMetrics
+{
+public:
+    /** Adds one to the counter; labels as in the exposition format, without braces. */
+    void count(const std::string &name, const std::string &labels = {});
+
+    /** Adds a latency, in ms, to the histogram of that name. */
+    void observe(const std::string &name, double milliseconds);
+
+    /** Returns the page in the text exposition format; figures only of a coordinator. */
+    std::string page(const CoordinatorFigures *figures, std::uint64_t heldBackLines) const;
+
+private:
+    std::map<std::pair<std::string, std::string>, std::uint64_t> counters;
+    Metrics histograms;
+};
+
+} // namespace godwitfall
--- a/src/godwitfall/logging.cpp
+++ b/src/godwitfall/logging.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <iostream>
+#include <mutex>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -14,6 +16,8 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 
+#include "linebudget.h"
+
 namespace godwitfall {
 
 namespace {
@@ -23,6 +27,27 @@
 constexpr std::array<std::string_view, 5> levelNames = {"trace", "debug", "info", "warning",
                                                         "error"};
 
+/** The budget of this process's log; lines come from any thread. */
+struct GuardedBudget
+{
+    std::mutex mutex;
+    LineBudget lines;
+};
+
+GuardedBudget &budget()
+{
+    static GuardedBudget guarded;
+    return guarded;
+}
+
+LineBudget::Verdict admit(std::string_view event)
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    const Instant now(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+    std::lock_guard lock(budget().mutex);
+    return budget().lines.admit(std::string(event), now);
+}
+
 std::string &instanceName()
 {
     static std::string name;
@@ -79,13 +104,26 @@
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     static logs::sources::severity_logger_mt<int> logger;
+    const LineBudget::Verdict verdict = admit(event);
+    if (!verdict.write) {
+        return;
+    }
     const int severity = static_cast<int>(level);
     std::string line = "level=" + std::string(levelNames.at(static_cast<std::size_t>(severity))) +
                        " instance=" + quotedValue(instanceName()) + " event=" + std::string(event);
     for (const LogField &field : fields) {
         line += " " + std::string(field.name) + "=" + quotedValue(field.value);
     }
+    if (verdict.heldBack > 0) {
+        line += " held_back=" + std::to_string(verdict.heldBack);
+    }
     BOOST_LOG_SEV(logger, severity) << line;
 }
 
+std::uint64_t heldBackLogLines()
+{
+    std::lock_guard lock(budget().mutex);
+    return budget().lines.heldBack();
+}
+
 } // namespace godwitfall
--- a/src/godwitfall/logging.h
+++ b/src/godwitfall/logging.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -25,7 +26,13 @@
  */
 bool startLogging(const std::string &level, const std::string &instance);
 
-/** Writes one log line. */
+/**
+ * Writes one log line, or holds it back when too many of its kind came; a later line of the kind
+ * tells how many.
+ */
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/** Returns the number of lines held back so far. */
+std::uint64_t heldBackLogLines();
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -86,6 +86,7 @@
 
     bool coordinates() const { return this->coordinator.active(); }
     Coordinator &coordination() { return this->coordinator; }
+    const Coordinator &coordination() const { return this->coordinator; }
     JobDesk &jobDesk() { return this->desk; }
     JobTable &jobs() { return this->table; }
 
--- /dev/null
+++ b/src/libgodwitfall/linebudget.cpp
@@ -0,0 +1,29 @@
+#include "linebudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwitfall {
+
+LineBudget::Verdict LineBudget::admit(const std::string &kind, Instant now)
+{
+    constexpr std::int64_t oneLine = 1000;
+    const auto [place, fresh] = this->buckets.try_emplace(kind);
+    Bucket &bucket = place->second;
+    if (!fresh) {
+        // A thousandth of a token a millisecond for each line a second.
+        const std::int64_t gained = (now - bucket.filledAt).count() * linesPerSecond;
+        bucket.milliTokens =
+            std::clamp(bucket.milliTokens + gained, std::int64_t(0), burst * oneLine);
+    }
+    bucket.filledAt = now;
+    if (bucket.milliTokens < oneLine) {
+        ++bucket.heldBack;
+        ++this->total;
+        return {};
+    }
+    bucket.milliTokens -= oneLine;
+    return Verdict{true, std::exchange(bucket.heldBack, 0)};
+}
+
+} // namespace godwitfall
--- /dev/null
+++ b/tests/net/test_observability.cpp
@@ -0,0 +1,90 @@
+#include <fstream>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "instancemetrics.h"
+#include "linebudget.h"
+
+namespace godwitfall {
+namespace {
+
+std::string readPage(const std::string &path)
+{
+    std::ifstream file(std::string(GODWITFALL_SOURCE_DIR) + "/" + path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+TEST(LineBudgetTest, HoldsBackFloodsOfOneKindAndTellsHowMany)
+{
+    LineBudget budget;
+    const Instant begin(1000);
+    std::int64_t written = 0;
+    for (std::int64_t line = 0; line < LineBudget::burst * 3; ++line) {
+        written += budget.admit("flood", begin).write ? 1 : 0;
+    }
+    EXPECT_EQ(written, LineBudget::burst);
+    EXPECT_EQ(budget.heldBack(), static_cast<std::uint64_t>(LineBudget::burst * 2));
+    // Another kind is not held back by it.
+    EXPECT_TRUE(budget.admit("rare", begin).write);
+    const LineBudget::Verdict later = budget.admit("flood", begin + Duration(100));
+    EXPECT_TRUE(later.write);
+    EXPECT_EQ(later.heldBack, static_cast<std::uint64_t>(LineBudget::burst * 2));
+    EXPECT_EQ(budget.admit("flood", begin + Duration(200)).heldBack, 0U);
+}
+
+TEST(LineBudgetTest, WritesAtItsRateForGood)
+{
+    LineBudget budget;
+    std::int64_t written = 0;
+    constexpr std::int64_t seconds = 60;
+    for (std::int64_t ms = 0; ms < seconds * 1000; ++ms) {
+        written += budget.admit("steady", Instant(ms)).write ? 1 : 0;
+    }
+    EXPECT_NEAR(static_cast<double>(written),
+                static_cast<double>(LineBudget::burst + seconds * LineBudget::linesPerSecond), 2.0);
+}
+
+TEST(InstanceMetricsTest, EveryMetricIsDocumentedAndOnlyThose)
+{
+    const std::string page = readPage("docs/OPERATIONS.md");
+    for (const MetricHelp &metric : instanceMetricHelp()) {
+        const std::string row = "| `" + std::string(metric.name) + "` | " + metric.help + " |";
+        EXPECT_NE(page.find(row), std::string::npos) << row;
+    }
+}
+
+TEST(InstanceMetricsTest, PageHasOnlyMetricsWithHelp)
+{
+    InstanceMetrics metrics;
+    metrics.count("godwitfall_answers_total", "status=\"200\"");
+    metrics.count("godwitfall_answers_total", "status=\"200\"");
+    metrics.observe("godwitfall_answer_ms", 12.0);
+    CoordinatorFigures figures;
+    figures.workers = 48;
+    figures.tasks.at(static_cast<std::size_t>(WorkKind::Filling)).waiting = 3;
+    const std::string page = metrics.page(&figures, 7);
+    EXPECT_NE(page.find("godwitfall_answers_total{status=\"200\"} 2\n"), std::string::npos);
+    EXPECT_NE(page.find("godwitfall_answer_ms_count 1\n"), std::string::npos);
+    EXPECT_NE(page.find("godwitfall_log_lines_held_back_total 7\n"), std::string::npos);
+    EXPECT_NE(page.find("godwitfall_workers{condition=\"listed\"} 48\n"), std::string::npos);
+    EXPECT_NE(page.find("godwitfall_tasks{work=\"filling\",phase=\"waiting\"} 3\n"),
+              std::string::npos);
+    EXPECT_EQ(metrics.page(nullptr, 0).find("godwitfall_workers"), std::string::npos);
+    std::istringstream lines(page);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with('#')) {
+            continue;
+        }
+        const auto help = instanceMetricHelp();
+        EXPECT_TRUE(std::any_of(help.begin(), help.end(), [&](const MetricHelp &metric) {
+            return line.starts_with(metric.name);
+        })) << line;
+    }
+}
+
+} // namespace
+} // namespace godwitfall
