--- a/src/libgodwitfall/jobs/ownerlease.cpp
+++ b/src/libgodwitfall/jobs/ownerlease.cpp
@@ -42,8 +42,7 @@
     if (owner.epoch != this->delayEpoch || prompt != this->delayPrompt) {
         this->delayEpoch = owner.epoch;
         this->delayPrompt = prompt;
-        this->delay = this->random.below(prompt ? promptClaimSpread : claimSpread) +
-                      (formerSelf ? Duration(0) : this->handicap);
+        this->delay = this->random.below(claimSpread) + (formerSelf ? Duration(0) : this->handicap);
         this->seenSince = now;
     }
     if (prompt) {
--- a/src/libgodwitfall/jobs/ownerlease.h
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -24,14 +24,14 @@
     static constexpr Duration renewWithoutStore{5000};
     /** Age of the newest read above which the log is not known well enough to claim. */
     static constexpr Duration readFreshness{1500};
-    /** Range of the random delay before a claim, against claims at the same moment. */
-    static constexpr Duration claimSpread{300};
-    /** Delay before a claim of what was released or never owned. */
-    static constexpr Duration promptClaimSpread{60};
+    /** Range of the random delay before a claim, against claims at the same moment; less than what
+     * the handicaps of strong and weak instances differ by. */
+    static constexpr Duration claimSpread{60};
 
     /** Delay of an instance of one core before a claim; weaker ones wait longer in proportion, so
-     * that coordination goes to who can bear it. Above the spread of reads at a tenth of a core. */
-    static constexpr Duration claimHandicap{12};
+     * that coordination goes to who can bear it. At a tenth of a core it is above the spread of
+     * reads and claims. */
+    static constexpr Duration claimHandicap{25};
     static constexpr Duration longestHandicap{300};
 
     /** The processors are those that the process may use, as a share of one core. */
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -174,11 +174,11 @@
     };
     OwnerView nobody;
     for (const Case &given : {Case{"a core", 1.0, OwnerLease::claimHandicap,
-                                   OwnerLease::claimHandicap + OwnerLease::promptClaimSpread},
+                                   OwnerLease::claimHandicap + OwnerLease::claimSpread},
                               Case{"a tenth", 0.1, OwnerLease::claimHandicap * 10,
-                                   OwnerLease::claimHandicap * 10 + OwnerLease::promptClaimSpread},
+                                   OwnerLease::claimHandicap * 10 + OwnerLease::claimSpread},
                               Case{"next to none", 0.0001, OwnerLease::longestHandicap,
-                                   OwnerLease::longestHandicap + OwnerLease::promptClaimSpread}}) {
+                                   OwnerLease::longestHandicap + OwnerLease::claimSpread}}) {
         Random random(1);
         OwnerLease lease("a", 1, given.processors, random);
         const Instant begin(1000);
