Ask for advice before placement and start with tickets

Cause: on queues with advice a worker rejects starts without a ticket, so no job of such a queue ever ran here; the field was read and nothing came of it. Change: AdviceDesk, a cache of what the service outside said of each life of a worker for each step; one question of up to 30 workers at a time, usable ones first, asked when nothing else can be placed; a refused ticket is forgotten and asked for again; tickets count from the question and are left unused in their last half second. Calls and formats in platform/.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -82,7 +82,7 @@
     , http(context)
     , store(this->http, this->settings.storeAddress)
     , orders(
-          this->http,
+          this->http, this->settings.adviceAddress,
           platform::OrderReplies{
               [this](const WorkerId &worker, OrderOutcome outcome, const WorkerReport &report,
                      Instant sentAt) {
@@ -103,6 +103,10 @@
                      std::uint32_t percent, OrderOutcome outcome) {
                   this->node.coordination().paceAnswered(worker, task, run, percent, outcome);
               },
+              [this](const StepRef &step, const std::optional<Advice> &advice) {
+                  this->node.coordination().advised(step, advice, this->now());
+                  this->wake();
+              },
               [this] {
                   return this->now();
               }})
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -32,6 +32,7 @@
     , observer(observer)
     , policy(this->interference)
     , pacePolicy(this->interference)
+    , advice(orders)
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse)
@@ -58,6 +59,7 @@
     this->starts.clear();
     this->stops.clear();
     this->strays.clear();
+    this->advice.clear();
     this->dirty.clear();
     this->recording.clear();
     this->inBatch.clear();
@@ -615,6 +617,7 @@
         if (!placed) {
             this->open.erase(job);
             job->dropTasks();
+            this->advice.forget(job->id());
         }
     }
     this->publishing.clear();
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "advicedesk.h"
 #include "coordinatorfigures.h"
 #include "jobtable.h"
 #include "orders.h"
@@ -113,6 +114,9 @@
     void paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                       std::uint32_t percent, OrderOutcome outcome);
 
+    /** Takes in what the service outside answered; nothing when it did not in time. */
+    void advised(const StepRef &step, const std::optional<Advice> &advice, Instant now);
+
     /** Sends what is due: holds, repeats, and declares lapsed what surely has. */
     void tick(Instant now, std::int64_t unixMs, bool mayRenew);
 
@@ -164,6 +168,11 @@
 
     WorkerState *findWorker(const WorkerId &id);
     std::vector<WorkerState *> candidates(const Job &job);
+    /** Returns the candidates that may run the step, by advice where the queue needs it. */
+    std::vector<WorkerState *> allowed(const Job &job, std::uint32_t occurrence, std::uint32_t step,
+                                       Instant now);
+    /** Asks for advice on workers for the step, best ones first. */
+    void askAdvice(const Job &job, const StepRun &run, Instant now);
     const QueueConfig *queueOf(const Job &job) const;
     void adopt(Job &job);
     OrderTarget targetOf(const WorkerState &worker) const;
@@ -202,7 +211,7 @@
 
     void planJob(Job &job, Instant now, std::int64_t unixMs);
     void planStep(Job &job, StepRun &run, Instant now);
-    void preempt(const Job &job, const jobs::StepSpec &step, Instant now);
+    void preempt(const Job &job, const StepRun &run, Instant now);
     /**
      * Returns whether a task that lasts has to wait, so that short work finds room: it takes only
      * room that has been free for a while.
@@ -231,6 +240,7 @@
     InterferenceModel interference;
     PlacementPolicy policy;
     PacePolicy pacePolicy;
+    AdviceDesk advice;
     JobConfig config;
 
     std::uint64_t epoch = 0;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -37,6 +37,10 @@
     order.payload = job.spec().payload();
     order.leaseEndMs = worker->leaseEnd(now, this->bounds.longestLease);
     order.checkpoint = task.checkpoint;
+    const StepRef step{ref.job, ref.occurrence, ref.step};
+    if (const std::string *ticket = this->advice.ticket(step, *worker, now)) {
+        order.ticket = *ticket;
+    }
     worker->noteLeaseEnd(order.leaseEndMs);
     this->orders.start(std::move(order));
 }
@@ -86,6 +90,9 @@
     case OrderOutcome::NoRoom:
         this->rest(*worker, roomRest, now);
         break;
+    case OrderOutcome::TicketInvalid:
+        this->advice.refused(StepRef{ref.job, ref.occurrence, ref.step}, id);
+        break;
     case OrderOutcome::OtherLife:
         worker->holdDue = now;
         [[fallthrough]];
@@ -262,7 +269,7 @@
             continue;
         }
         const PlacementRequest request{*job, ref.occurrence, ref.step, {}, false};
-        if (this->policy.choose(this->candidates(*job), request, now)) {
+        if (this->policy.choose(this->allowed(*job, ref.occurrence, ref.step, now), request, now)) {
             this->stopTask(ref, task, now);
         }
     }
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -138,7 +138,8 @@
         return false;
     }
     const PlacementRequest request{*paced.job, paced.ref.occurrence, paced.ref.step, {}, false};
-    const WorkerState *better = this->policy.choose(this->candidates(*paced.job), request, now);
+    const WorkerState *better = this->policy.choose(
+        this->allowed(*paced.job, paced.ref.occurrence, paced.ref.step, now), request, now);
     return better && better != &worker;
 }
 
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -85,6 +85,41 @@
     return result;
 }
 
+std::vector<WorkerState *> Coordinator::allowed(const Job &job, std::uint32_t occurrence,
+                                                std::uint32_t step, Instant now)
+{
+    std::vector<WorkerState *> result = this->candidates(job);
+    const QueueConfig *queue = this->queueOf(job);
+    if (queue && queue->advice) {
+        const StepRef ref{job.id(), occurrence, step};
+        std::erase_if(result, [&](const WorkerState *worker) {
+            return this->advice.ticket(ref, *worker, now) == nullptr;
+        });
+    }
+    return result;
+}
+
+void Coordinator::askAdvice(const Job &job, const StepRun &run, Instant now)
+{
+    const QueueConfig *queue = this->queueOf(job);
+    if (!queue || !queue->advice) {
+        return;
+    }
+    // Usable ones first; advice on the others would only help later.
+    const PlacementRequest request{job, run.occurrence, run.step, {}, true};
+    std::vector<WorkerState *> best = this->candidates(job);
+    std::stable_partition(best.begin(), best.end(), [&](WorkerState *worker) {
+        return this->policy.usable(*worker, request, now);
+    });
+    this->advice.ask(StepRef{job.id(), run.occurrence, run.step}, best, *queue->advice, now);
+}
+
+void Coordinator::advised(const StepRef &step, const std::optional<Advice> &said, Instant now)
+{
+    this->advice.answered(step, said, now);
+    this->planNeeded = true;
+}
+
 void Coordinator::plan(Instant now, std::int64_t newUnixMs)
 {
     this->unixMs = newUnixMs;
@@ -167,7 +202,8 @@
             return;
         }
     }
-    const std::vector<WorkerState *> workersOfJob = this->candidates(job);
+    const std::vector<WorkerState *> workersOfJob =
+        this->allowed(job, run.occurrence, run.step, now);
     const bool insist = now - run.readySince > (mostlyFree(workersOfJob) ? idleWait : harmlessWait);
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         if (run.tasks[index].phase != TaskPhase::Waiting) {
@@ -182,7 +218,8 @@
         const PlacementRequest request{job, run.occurrence, run.step, {}, insist};
         WorkerState *worker = this->policy.choose(workersOfJob, request, now);
         if (!worker) {
-            this->preempt(job, step, now);
+            this->askAdvice(job, run, now);
+            this->preempt(job, run, now);
             return;
         }
         run.tasks[index].run += 1;
@@ -219,14 +256,15 @@
     return queue ? queue->priority : job.spec().priority();
 }
 
-void Coordinator::preempt(const Job &job, const jobs::StepSpec &step, Instant now)
+void Coordinator::preempt(const Job &job, const StepRun &run, Instant now)
 {
+    const jobs::StepSpec &step = job.stepSpec(run.step);
     if (step.fills() || now - this->preemptedAt < preemptGap) {
         return;
     }
     WorkerState *best = nullptr;
     std::vector<TaskRef> bestVictims;
-    for (WorkerState *worker : this->candidates(job)) {
+    for (WorkerState *worker : this->allowed(job, run.occurrence, run.step, now)) {
         if (!worker->listed || worker->entry.draining || !worker->heard ||
             now < worker->restUntil) {
             continue;
@@ -298,6 +336,9 @@
         return this->placeTogether(job, run, rack, now);
     });
     placed = placed || (step.gang() && this->placeTogether(job, run, {}, now));
+    if (!placed) {
+        this->askAdvice(job, run, now);
+    }
     for (std::size_t index = 0; index < run.tasks.size(); ++index) {
         if (placed && step.gang()) {
             run.tasks[index].checkpoint = checkpoint;
@@ -309,7 +350,8 @@
 
 bool Coordinator::placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now)
 {
-    const std::vector<WorkerState *> workersOfJob = this->candidates(job);
+    const std::vector<WorkerState *> workersOfJob =
+        this->allowed(job, run.occurrence, run.step, now);
     std::vector<WorkerState *> chosen;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         const PlacementRequest request{job, run.occurrence, run.step, rack, false};
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -26,6 +26,16 @@
     auto operator<=>(const TaskRef &) const = default;
 };
 
+/** Names one step of one occurrence of a job. */
+struct StepRef
+{
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(const StepRef &) const = default;
+};
+
 /** Where a task stands. */
 enum class TaskPhase : std::uint8_t {
     Waiting,     ///< Runs nowhere.
--- a/src/libgodwitfall/jobs/orders.h
+++ b/src/libgodwitfall/jobs/orders.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <vector>
 
 #include "job.h"
 
@@ -53,6 +55,21 @@
     std::uint32_t percent = 100;
 };
 
+/** Asks the service outside which workers may run a step. */
+struct AdviceOrder
+{
+    StepRef step;
+    std::vector<WorkerId> workers;
+    Duration answerTime{0}; ///< What the service takes to answer when nobody else asks.
+};
+
+/** What the service outside answered. */
+struct Advice
+{
+    std::map<std::string, std::string> tickets; ///< By worker; those left out may not run the step.
+    Duration valid{0};                          ///< 0: as the queue's rules say.
+};
+
 /** How a worker answered an order. */
 enum class OrderOutcome : std::uint8_t {
     Accepted,
@@ -77,6 +94,7 @@
     virtual void stop(StopOrder order) = 0;
     virtual void hold(HoldOrder order) = 0;
     virtual void pace(PaceOrder order) = 0;
+    virtual void advise(AdviceOrder order) = 0;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/queueconfig.h
+++ b/src/libgodwitfall/jobs/queueconfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,14 @@
 
 using JobId = NameId<struct JobTag>;
 
+/** How the service outside says which workers may run a step of a queue. */
+struct AdviceRules
+{
+    Duration decide{0}; ///< Until it begins to answer.
+    Duration each{0};   ///< More for each worker asked about.
+    Duration valid{0};  ///< How long a ticket holds.
+};
+
 /** Rules under which the jobs of one queue run. */
 struct QueueConfig
 {
@@ -22,7 +31,7 @@
     unsigned maxAttempts = 1;
     double stretch = 1.0; ///< Multiple of the job's longest chain of work that its users accept.
     Duration targetLatency{0};
-    bool needsAdvice = false; ///< A service outside says which workers may run a step.
+    std::optional<AdviceRules> advice; ///< Unset: any worker of the service may run its steps.
 };
 
 /** A pool of workers that runs the tasks of queues. */
--- a/tests/jobs/jobworld.cpp
+++ b/tests/jobs/jobworld.cpp
@@ -14,22 +14,6 @@
 constexpr std::int64_t appendTimeoutMs = 800;
 constexpr std::int64_t restartMs = 1000;
 
-class QuietHost : public JobNodeHost
-{
-public:
-    void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
-    void jobFinished(const Job &) override {}
-    void workerRests(const WorkerId &, Duration) override {}
-    void workerReborn(const WorkerId &) override {}
-    void superseded(const WorkerId &) override {}
-    void ownershipGained(std::uint64_t) override { this->needsWorkers = true; }
-    void ownershipLost(std::uint64_t, const char *) override { this->needsReload = true; }
-    void recordUnreadable(const JobRecord &) override {}
-
-    bool needsWorkers = false;
-    bool needsReload = true;
-};
-
 } // namespace
 
 /** One instance with its links; a kill replaces the node by a new life. */
@@ -146,6 +130,7 @@
     }
 
     void pace(PaceOrder) override {}
+    void advise(AdviceOrder) override {}
 
     JobWorld &world;
     const std::string name;
--- a/tests/jobs/jobworld.h
+++ b/tests/jobs/jobworld.h
@@ -15,6 +15,23 @@
 
 namespace godwitfall::jobtests {
 
+/** Takes down only what a node asks for. */
+class QuietHost : public JobNodeHost
+{
+public:
+    void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
+    void jobFinished(const Job &) override {}
+    void workerRests(const WorkerId &, Duration) override {}
+    void workerReborn(const WorkerId &) override {}
+    void superseded(const WorkerId &) override {}
+    void ownershipGained(std::uint64_t) override { this->needsWorkers = true; }
+    void ownershipLost(std::uint64_t, const char *) override { this->needsReload = true; }
+    void recordUnreadable(const JobRecord &) override {}
+
+    bool needsWorkers = false;
+    bool needsReload = true;
+};
+
 /** How often things go wrong, each in parts of a thousand. */
 struct FaultRates
 {
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -1,6 +1,7 @@
 // Parts of the job model, each by itself.
 #include <gtest/gtest.h>
 
+#include "advicedesk.h"
 #include "groupcommit.h"
 #include "interferencemodel.h"
 #include "jobtable.h"
@@ -530,6 +531,112 @@
               &worker);
 }
 
+/** Takes down what is sent. */
+class Recorder : public OrderSender
+{
+public:
+    void start(StartOrder order) override { this->starts.push_back(std::move(order)); }
+    void stop(StopOrder) override {}
+    void hold(HoldOrder) override {}
+    void pace(PaceOrder) override {}
+    void advise(AdviceOrder order) override { this->questions.push_back(std::move(order)); }
+
+    std::vector<StartOrder> starts;
+    std::vector<AdviceOrder> questions;
+};
+
+const AdviceRules rules{Duration(50), Duration(2), Duration(3000)};
+
+TEST(AdviceDeskTest, AsksOnceForEachLifeOfAWorkerAndKeepsTicketsWhileTheyHold)
+{
+    Recorder orders;
+    AdviceDesk desk(orders);
+    const StepRef step{jobId, 0, 0};
+    WorkerState good(entryOf("good"));
+    WorkerState bad(entryOf("bad"));
+    good.entry.bornMs = bad.entry.bornMs = 7;
+    const std::vector<WorkerState *> both = {&good, &bad};
+    EXPECT_TRUE(desk.ask(step, both, rules, Instant(1000)));
+    ASSERT_EQ(orders.questions.size(), 1U);
+    EXPECT_EQ(orders.questions[0].workers.size(), 2U);
+    EXPECT_EQ(orders.questions[0].answerTime, Duration(54));
+    // One question at a time, also for other steps.
+    EXPECT_FALSE(desk.ask(StepRef{jobId, 0, 1}, both, rules, Instant(1010)));
+    desk.answered(step, Advice{{{"good", "t-1"}}, Duration(0)}, Instant(1060));
+    ASSERT_NE(desk.ticket(step, good, Instant(1100)), nullptr);
+    EXPECT_EQ(*desk.ticket(step, good, Instant(1100)), "t-1");
+    EXPECT_EQ(desk.ticket(step, bad, Instant(1100)), nullptr);
+    EXPECT_EQ(desk.ticket(StepRef{jobId, 0, 1}, good, Instant(1100)), nullptr);
+    EXPECT_FALSE(desk.ask(step, both, rules, Instant(1200))) << "all has been said";
+    // Counted from the question, and not used close to its end.
+    EXPECT_NE(desk.ticket(step, good, Instant(3499)), nullptr);
+    EXPECT_EQ(desk.ticket(step, good, Instant(3500)), nullptr);
+    EXPECT_TRUE(desk.ask(step, both, rules, Instant(3500)));
+    EXPECT_EQ(orders.questions[1].workers, std::vector<WorkerId>{WorkerId("good")});
+    // Without an answer it asks again after a pause.
+    desk.answered(step, std::nullopt, Instant(3600));
+    EXPECT_FALSE(desk.ask(step, both, rules, Instant(3700)));
+    bad.entry.bornMs = 8;
+    EXPECT_TRUE(desk.ask(step, both, rules, Instant(3900)));
+    EXPECT_EQ(orders.questions[2].workers.size(), 2U) << "another life is asked about anew";
+}
+
+TEST(CoordinatorTest, StartsOnQueuesWithAdviceCarryATicket)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    JobConfig config;
+    config.queues.emplace_back();
+    config.queues[0].name = "plan";
+    config.queues[0].service = ServiceId("orchard");
+    config.queues[0].advice = rules;
+    coordinator.setConfig(config);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    *spec.add_steps() = stepOf(2, 100);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    report.bornMs = 7;
+    for (const char *name : {"w1", "w2"}) {
+        WorkerEntry entry = entryOf(name);
+        entry.bornMs = 7;
+        coordinator.setWorker(entry, Instant(1000));
+        coordinator.reported(entry.id, Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             report);
+    }
+    const auto commit = [&](std::int64_t at) {
+        coordinator.plan(Instant(at), 1);
+        coordinator.takeBatch();
+        coordinator.committed(Instant(at), true);
+    };
+    commit(1020);
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.questions.size(), 1U);
+    const StepRef step = orders.questions[0].step;
+    coordinator.advised(step, Advice{{{"w2", "t-2"}}, Duration(3000)}, Instant(1100));
+    commit(1110);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    for (const StartOrder &start : orders.starts) {
+        EXPECT_EQ(start.target.worker, WorkerId("w2"));
+        EXPECT_EQ(start.ticket, "t-2");
+    }
+    // A ticket that its worker refuses is asked for again, and the task starts then.
+    coordinator.startAnswered(WorkerId("w2"), orders.starts[0].task, orders.starts[0].run,
+                              Instant(1120), OrderOutcome::TicketInvalid);
+    commit(2000);
+    ASSERT_EQ(orders.questions.size(), 2U);
+    coordinator.advised(step, Advice{{{"w2", "t-3"}}, Duration(3000)}, Instant(2100));
+    commit(2110);
+    ASSERT_EQ(orders.starts.size(), 3U);
+    EXPECT_EQ(orders.starts[2].ticket, "t-3");
+}
+
 TEST(WorkerStateTest, LapseCountsFromTheWorkersOwnClock)
 {
     WorkerState worker(entryOf("w"));
--- a/tests/platform/test_codec.cpp
+++ b/tests/platform/test_codec.cpp
@@ -36,6 +36,23 @@
     }
 }
 
+TEST(AdviceTest, QuestionsAndAnswersAreAsThePlatformSays)
+{
+    const JobId job("5c0e7a21d94b36f8");
+    AdviceOrder order;
+    order.step = StepRef{job, 0, 1};
+    order.workers = {WorkerId("i-1"), WorkerId("i-2")};
+    EXPECT_EQ(adviceBody(order), R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})");
+    const Result<Advice> advice = parseAdvice(R"({"good":[["i-1","c81e"]],"valid_ms":3000})");
+    ASSERT_TRUE(advice);
+    EXPECT_EQ(advice->tickets, (std::map<std::string, std::string>{{"i-1", "c81e"}}));
+    EXPECT_EQ(advice->valid, Duration(3000));
+    for (const char *body : {"", "[]", "{}", R"({"good":{}})", R"({"good":["i-1"]})",
+                             R"({"good":[["i-1"]]})", R"({"good":[["",""]]})"}) {
+        EXPECT_FALSE(parseAdvice(body)) << body;
+    }
+}
+
 TEST(WorkerEntryTest, EntriesOfOtherWritersNameNoWorker)
 {
     const std::string good =
