--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -113,6 +113,17 @@
     return this->config.queue(job.spec().queue());
 }
 
+Coordinator::JobRules Coordinator::rulesOf(const Job &job) const
+{
+    if (const QueueConfig *queue = this->queueOf(job)) {
+        return JobRules{queue->service.value(), queue->priority, queue->maxAttempts, queue->stretch,
+                        queue->targetLatency};
+    }
+    const jobs::JobSpec &spec = job.spec();
+    return JobRules{spec.service(), spec.priority(), spec.max_attempts(), spec.stretch(),
+                    Duration(spec.target_latency_ms())};
+}
+
 void Coordinator::setWorker(const WorkerEntry &entry, Instant now)
 {
     auto &worker = this->workers[entry.id.value()];
@@ -439,146 +450,6 @@
     }
 }
 
-// ---- how tasks and jobs go on
-
-void Coordinator::detach(const TaskRef &ref, Task &task)
-{
-    if (WorkerState *worker = this->findWorker(WorkerId(task.worker))) {
-        worker->release(ref);
-    }
-    task.worker.clear();
-    this->starts.erase(ref);
-    this->stops.erase(ref);
-    this->planNeeded = true;
-}
-
-void Coordinator::finishTask(Job &job, const TaskRef &ref, Task &task, Instant now)
-{
-    const jobs::StepSpec &step = job.stepSpec(ref.step);
-    if (step.long_running() || job.closed()) {
-        this->returnTask(job, ref, task, RunOutcome::Done, now);
-        return;
-    }
-    StepRun &run = job.stepRun(ref.occurrence, ref.step);
-    // Members of a gang end together, so one end stands for all.
-    const std::uint32_t first = step.gang() ? 0 : ref.index;
-    const std::uint32_t last =
-        step.gang() ? static_cast<std::uint32_t>(run.tasks.size()) - 1 : ref.index;
-    for (std::uint32_t index = first; index <= last; ++index) {
-        Task &member = run.tasks[index];
-        const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
-        if (member.phase != TaskPhase::Done) {
-            this->detach(memberRef, member);
-            member.phase = TaskPhase::Done;
-            ++run.done;
-        }
-    }
-    this->markDirty(job);
-    if (run.complete() && job.allDone()) {
-        this->closeJob(job, Job::State::COMPLETED, now);
-    }
-}
-
-void Coordinator::failTask(Job &job, const TaskRef &ref, Task &task, Instant now)
-{
-    const jobs::StepSpec &step = job.stepSpec(ref.step);
-    if (step.long_running() || job.closed()) {
-        this->returnTask(job, ref, task, RunOutcome::Failed, now);
-        return;
-    }
-    // The attempts of a gang are counted at its first member.
-    Task &counted = step.gang() ? job.stepRun(ref.occurrence, ref.step).tasks.front() : task;
-    ++counted.failures;
-    const QueueConfig *queue = this->queueOf(job);
-    const unsigned attempts = queue ? queue->maxAttempts : job.spec().max_attempts();
-    const bool spent = counted.failures >= std::max(1U, attempts);
-    this->returnTask(job, ref, task, RunOutcome::Failed, now);
-    if (spent) {
-        this->closeJob(job, Job::State::FAILED, now);
-    }
-}
-
-void Coordinator::returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome,
-                             Instant now)
-{
-    if (outcome != RunOutcome::Stopped) {
-        this->observer.taskReturned(ref, task.run, WorkerId(task.worker), outcome);
-    }
-    ++job.returns;
-    this->detach(ref, task);
-    task.phase = TaskPhase::Waiting;
-    task.since = now;
-    task.percent = 0;
-    task.pace = 100;
-    task.paceConfirmed = true;
-    task.activity = Activity::Unknown;
-    task.overSince = Instant();
-    this->markDirty(job);
-    if (job.stepSpec(ref.step).gang()) {
-        this->breakGang(job, ref, now);
-    }
-}
-
-void Coordinator::breakGang(Job &job, const TaskRef &ref, Instant now)
-{
-    StepRun &run = job.stepRun(ref.occurrence, ref.step);
-    for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
-        Task &member = run.tasks[index];
-        if (member.phase == TaskPhase::Recording) {
-            this->detach(memberRef, member);
-            member.phase = TaskPhase::Waiting;
-        } else if (member.phase == TaskPhase::Starting || member.phase == TaskPhase::Running) {
-            this->stopTask(memberRef, member, now);
-        }
-    }
-}
-
-void Coordinator::closeJob(Job &job, Job::State state, Instant now)
-{
-    job.state = state;
-    job.closedAt = now;
-    job.finishedMs = std::max<std::int64_t>(1, this->unixMs);
-    this->markDirty(job);
-    this->observer.jobFinished(job);
-    if (state != Job::State::COMPLETED) {
-        this->stopAll(job, now);
-    }
-}
-
-void Coordinator::stopAll(Job &job, Instant now)
-{
-    for (auto &[key, run] : job.stepRuns()) {
-        for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-            Task &task = run.tasks[index];
-            const TaskRef ref{job.id(), run.occurrence, run.step, index};
-            if (task.phase == TaskPhase::Recording) {
-                this->detach(ref, task);
-                task.phase = TaskPhase::Waiting;
-            } else if (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Running ||
-                       task.phase == TaskPhase::Unconfirmed) {
-                this->stopTask(ref, task, now);
-            }
-        }
-    }
-}
-
-bool Coordinator::mayInterrupt(const Job &job, const TaskRef &ref) const
-{
-    const std::uint32_t mayMiss = job.stepSpec(ref.step).may_miss();
-    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
-    if (mayMiss == 0 || !run) {
-        return true;
-    }
-    std::uint32_t away = 0;
-    for (std::uint32_t index = 0; index < run->tasks.size(); ++index) {
-        const Task &task = run->tasks[index];
-        const bool atWork = task.phase == TaskPhase::Running && task.percent >= 100;
-        away += index != ref.index && !atWork ? 1 : 0;
-    }
-    return away < mayMiss;
-}
-
 std::vector<JobRecord> Coordinator::takeBatch()
 {
     std::vector<JobRecord> records;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -158,6 +158,16 @@
         Instant stoppedAt; ///< When its stop was last sent.
     };
 
+    /** Rules of a job: its queue's or, once that is dropped, those of its submission. */
+    struct JobRules
+    {
+        const std::string &service;
+        unsigned priority = 0;
+        unsigned attempts = 1;
+        double stretch = 1.0;
+        Duration targetLatency{0};
+    };
+
     struct RecordedStart
     {
         TaskRef ref;
@@ -174,6 +184,7 @@
     /** Asks for advice on workers for the step, best ones first. */
     void askAdvice(const Job &job, const StepRun &run, Instant now);
     const QueueConfig *queueOf(const Job &job) const;
+    JobRules rulesOf(const Job &job) const;
     void adopt(Job &job);
     OrderTarget targetOf(const WorkerState &worker) const;
 
@@ -218,7 +229,6 @@
      */
     bool leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index,
                                const std::vector<WorkerState *> &workersOfJob, Instant now);
-    unsigned priorityOf(const Job &job) const;
     void planTogether(Job &job, StepRun &run, Instant now);
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -74,8 +74,7 @@
 
 std::vector<WorkerState *> Coordinator::candidates(const Job &job)
 {
-    const QueueConfig *queue = this->queueOf(job);
-    const std::string service = queue ? queue->service.value() : job.spec().service();
+    const std::string &service = this->rulesOf(job).service;
     std::vector<WorkerState *> result;
     for (const auto &[id, worker] : this->workers) {
         if (worker->entry.service.value() == service) {
@@ -134,17 +133,14 @@
         if (job->closed() || job->cancelled) {
             continue;
         }
-        const QueueConfig *queue = this->queueOf(*job);
+        const JobRules rules = this->rulesOf(*job);
         Candidate candidate;
         candidate.job = job;
-        candidate.priority = this->priorityOf(*job);
-        const double stretch = queue ? queue->stretch : job->spec().stretch();
-        const Duration target =
-            queue ? queue->targetLatency : Duration(job->spec().target_latency_ms());
+        candidate.priority = rules.priority;
         const Duration chain = job->longestChain();
         candidate.due =
-            job->knownSince + target +
-            Duration(static_cast<std::int64_t>(stretch * static_cast<double>(chain.count())));
+            job->knownSince + rules.targetLatency +
+            Duration(static_cast<std::int64_t>(rules.stretch * static_cast<double>(chain.count())));
         candidate.late = now + job->remainingChain() > candidate.due;
         candidate.work = candidate.priority == 0 ? 0 : job->estimatedWork();
         order.push_back(candidate);
@@ -250,15 +246,10 @@
     return now - since < settleTime;
 }
 
-unsigned Coordinator::priorityOf(const Job &job) const
-{
-    const QueueConfig *queue = this->queueOf(job);
-    return queue ? queue->priority : job.spec().priority();
-}
-
 void Coordinator::preempt(const Job &job, const StepRun &run, Instant now)
 {
     const jobs::StepSpec &step = job.stepSpec(run.step);
+    const unsigned priority = this->rulesOf(job).priority;
     if (step.fills() || now - this->preemptedAt < preemptGap) {
         return;
     }
@@ -282,7 +273,7 @@
                 missing -= otherStep.fills() ? 0 : otherStep.milli_cores();
             } else if (task.phase == TaskPhase::Running && otherStep.checkpointing() &&
                        !otherStep.fills() && !otherStep.gang() &&
-                       this->priorityOf(*other) > this->priorityOf(job)) {
+                       this->rulesOf(*other).priority > priority) {
                 victims.push_back(ref);
                 missing -= otherStep.milli_cores();
             }
--- a/src/libgodwitfall/jobs/pacepolicy.cpp
+++ b/src/libgodwitfall/jobs/pacepolicy.cpp
@@ -43,6 +43,7 @@
 {
     constexpr double halted = 0.01;
     std::vector<FillShare> shares;
+    shares.reserve(filling.size());
     for (const PacedTask &task : filling) {
         shares.push_back(FillShare{task.image, task.share * task.pace, task.activity});
     }
