Leave the owner to write first when the store is back

Cause: after an outage of the store every instance found the owner silent for longer than it may be, and the first that could read claimed, though the owner was well; on grown sites it was a weak one as its handicap had long passed. Change: silence counts only from when the log can be read again, and 700 ms more. Test: owner kept when it writes, claimed when it does not.

--- a/src/libgodwitfall/jobs/ownerlease.cpp
+++ b/src/libgodwitfall/jobs/ownerlease.cpp
@@ -33,6 +33,10 @@
 
 bool OwnerLease::shouldClaim(const OwnerView &owner, Instant now, Instant readAt)
 {
+    if (readAt - this->lastRead > readFreshness) {
+        this->readableSince = readAt;
+    }
+    this->lastRead = readAt;
     if (this->owns(owner) || now - readAt > readFreshness) {
         return false;
     }
@@ -48,7 +52,10 @@
     if (prompt) {
         return now >= this->seenSince + this->delay;
     }
-    return now >= owner.heardAt + ownerSilence + this->delay;
+    // While nobody could read, the owner could not be heard; it may be well.
+    const Instant since =
+        std::max(owner.heardAt + ownerSilence, this->readableSince + returnPatience);
+    return now >= since + this->delay;
 }
 
 void OwnerLease::confirm(Instant sentAt)
--- a/src/libgodwitfall/jobs/ownerlease.h
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -24,6 +24,9 @@
     static constexpr Duration renewWithoutStore{5000};
     /** Age of the newest read above which the log is not known well enough to claim. */
     static constexpr Duration readFreshness{1500};
+    /** Time after the log can be read again for which its owner is left to write first; two of its
+     * records fit in. */
+    static constexpr Duration returnPatience{700};
     /** Range of the random delay before a claim, against claims at the same moment; less than what
      * the handicaps of strong and weak instances differ by. */
     static constexpr Duration claimSpread{60};
@@ -61,6 +64,8 @@
     bool delayPrompt = false;
     Duration delay;
     Instant seenSince;
+    Instant lastRead;
+    Instant readableSince; ///< Since when reads have come without a gap.
 };
 
 } // namespace godwitfall
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -157,6 +157,10 @@
           Case{"nobody", OwnerView(), 200, 200, true}}) {
         Random random(1);
         OwnerLease lease("a", 1, 0.5, random);
+        for (std::int64_t before = 2000; before > 0; before -= 100) {
+            EXPECT_FALSE(
+                lease.shouldClaim(OwnerView(), Instant(0), Instant(given.readAt - before)));
+        }
         lease.shouldClaim(given.owner, Instant(given.now - 100), Instant(given.readAt - 100));
         EXPECT_EQ(lease.shouldClaim(given.owner, Instant(given.now), Instant(given.readAt)),
                   given.claims)
@@ -164,6 +168,29 @@
     }
 }
 
+TEST(OwnerLeaseTest, OwnerIsLeftToWriteFirstWhenTheLogCanBeReadAgain)
+{
+    OwnerView owner;
+    owner.epoch = 3;
+    owner.instance = "b";
+    owner.heardAt = Instant(10000);
+    Random random(1);
+    OwnerLease lease("a", 1, 1.0, random);
+    EXPECT_FALSE(lease.shouldClaim(owner, Instant(10100), Instant(10100)));
+    // The store was away for six seconds, for everyone.
+    EXPECT_FALSE(lease.shouldClaim(owner, Instant(16000), Instant(10100)));
+    const Instant back(16100);
+    EXPECT_FALSE(lease.shouldClaim(owner, back, back));
+    const Instant soon = back + Duration(600);
+    EXPECT_FALSE(lease.shouldClaim(owner, soon, soon));
+    const Instant later =
+        back + OwnerLease::returnPatience + OwnerLease::claimHandicap + OwnerLease::claimSpread;
+    EXPECT_TRUE(lease.shouldClaim(owner, later, later));
+    // An owner that wrote meanwhile keeps its office.
+    owner.heardAt = back + Duration(400);
+    EXPECT_FALSE(lease.shouldClaim(owner, later, later));
+}
+
 TEST(OwnerLeaseTest, StrongInstancesClaimBeforeWeakOnes)
 {
     struct Case
