Let a much stronger instance replace a weak coordinator

Change: the ownership record tells the processors of its instance; one with twice as many or more claims after four seconds, as in any take-over, fenced by its epoch. Equal instances never do. Test: who claims, by processors of both.

--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -204,6 +204,7 @@
     message.set_incarnation(this->settings.incarnation);
     message.set_released(released);
     message.set_address(this->settings.address);
+    message.set_processors(static_cast<float>(this->settings.processors));
     JobRecord record;
     record.key = JobTable::ownerKey;
     record.value = message.SerializeAsString();
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -140,7 +140,11 @@
     if (message.epoch() <= this->ownership.epoch && !same) {
         return Change::None;
     }
+    if (!same) {
+        this->ownership.since = now;
+    }
     this->ownership.epoch = message.epoch();
+    this->ownership.processors = message.processors();
     this->ownership.instance = message.instance();
     this->ownership.incarnation = message.incarnation();
     this->ownership.released = message.released();
--- a/src/libgodwitfall/jobs/ownerlease.cpp
+++ b/src/libgodwitfall/jobs/ownerlease.cpp
@@ -21,6 +21,7 @@
                        Random &random)
     : instance(std::move(instance))
     , incarnation(incarnation)
+    , processors(processors)
     , handicap(handicapOf(processors))
     , random(random)
 {}
@@ -52,10 +53,16 @@
     if (prompt) {
         return now >= this->seenSince + this->delay;
     }
+    return now >= this->replaceableAt(owner) + this->delay;
+}
+
+Instant OwnerLease::replaceableAt(const OwnerView &owner) const
+{
     // While nobody could read, the owner could not be heard; it may be well.
-    const Instant since =
+    const Instant silent =
         std::max(owner.heardAt + ownerSilence, this->readableSince + returnPatience);
-    return now >= since + this->delay;
+    const bool weak = owner.processors > 0.0 && this->processors >= muchStronger * owner.processors;
+    return weak ? std::min(silent, owner.since + weakOwnerTime) : silent;
 }
 
 void OwnerLease::confirm(Instant sentAt)
--- a/src/libgodwitfall/jobs/ownerlease.h
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -27,6 +27,11 @@
     /** Time after the log can be read again for which its owner is left to write first; two of its
      * records fit in. */
     static constexpr Duration returnPatience{700};
+    /** Multiple of the owner's processors from which an instance takes coordination from it. */
+    static constexpr double muchStronger = 2.0;
+    /** Time for which an owner coordinates before a much stronger instance claims; a take-over's
+     * work is done by then. */
+    static constexpr Duration weakOwnerTime{4000};
     /** Range of the random delay before a claim, against claims at the same moment; less than what
      * the handicaps of strong and weak instances differ by. */
     static constexpr Duration claimSpread{60};
@@ -55,8 +60,12 @@
     Instant lastConfirmed() const { return this->confirmedAt; }
 
 private:
+    /** Returns since when the owner may be replaced; the far future: it is well and strong. */
+    Instant replaceableAt(const OwnerView &owner) const;
+
     const std::string instance;
     const std::uint64_t incarnation;
+    const double processors;
     const Duration handicap;
     Random &random;
     Instant confirmedAt;
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -191,6 +191,38 @@
     EXPECT_FALSE(lease.shouldClaim(owner, later, later));
 }
 
+TEST(OwnerLeaseTest, MuchStrongerInstancesReplaceAWeakOwner)
+{
+    struct Case
+    {
+        const char *name;
+        double own;
+        double owners;
+        bool claims;
+    };
+    for (const Case &given :
+         {Case{"equal", 0.25, 0.25, false}, Case{"a little stronger", 0.25, 0.15, false},
+          Case{"much stronger", 0.5, 0.12, true}, Case{"weaker", 0.12, 0.5, false},
+          Case{"not told", 0.5, 0.0, false}}) {
+        OwnerView owner;
+        owner.epoch = 3;
+        owner.instance = "b";
+        owner.processors = given.owners;
+        owner.since = Instant(10000);
+        Random random(1);
+        OwnerLease lease("a", 1, given.own, random);
+        bool claims = false;
+        for (std::int64_t now = 10100; now < 16000; now += 100) {
+            owner.heardAt = Instant(now);
+            const bool claimsNow = lease.shouldClaim(owner, Instant(now), Instant(now));
+            EXPECT_FALSE(claimsNow && now < 10000 + OwnerLease::weakOwnerTime.count())
+                << given.name;
+            claims = claims || claimsNow;
+        }
+        EXPECT_EQ(claims, given.claims) << given.name;
+    }
+}
+
 TEST(OwnerLeaseTest, StrongInstancesClaimBeforeWeakOnes)
 {
     struct Case
