Bound the wait of tasks that last, and count room without regard to tickets

Cause, found by reading the change once more: a task that fits in one place only could wait for ever beside short work; and on a queue with advice no worker counted as room before a ticket was asked for, which then never was. Change: after 15 s such a task takes what room there is; room is counted on all workers of the service. Tests: both red before.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -227,8 +227,7 @@
      * Returns whether a task that lasts has to wait, so that short work finds room: it takes only
      * room that has been free for a while.
      */
-    bool leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index,
-                               const std::vector<WorkerState *> &workersOfJob, Instant now);
+    bool leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index, Instant now);
     void planTogether(Job &job, StepRun &run, Instant now);
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -39,6 +39,8 @@
 constexpr std::int64_t placesForLongWork = 2;
 /** Time for which they must have been free; half of the time that the platform lets them be. */
 constexpr Duration settleTime{1500};
+/** Time after which a task that lasts has waited long enough and takes what room there is. */
+constexpr Duration longWorkPatience{15000};
 
 bool mostlyFree(const std::vector<WorkerState *> &workers)
 {
@@ -208,7 +210,7 @@
         if (this->runsAstray(TaskRef{job.id(), run.occurrence, run.step, index}, now)) {
             continue;
         }
-        if (this->leavesRoomToShortWork(job, run, index, workersOfJob, now)) {
+        if (this->leavesRoomToShortWork(job, run, index, now)) {
             return;
         }
         const PlacementRequest request{job, run.occurrence, run.step, {}, insist};
@@ -224,15 +226,15 @@
 }
 
 bool Coordinator::leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index,
-                                        const std::vector<WorkerState *> &workersOfJob, Instant now)
+                                        Instant now)
 {
     const jobs::StepSpec &step = job.stepSpec(run.step);
     if (!step.long_running() || run.tasks[index].run > 0 ||
-        now - this->shortWorkAt > shortWorkSpan) {
+        now - this->shortWorkAt > shortWorkSpan || now - run.readySince > longWorkPatience) {
         return false;
     }
     std::int64_t places = 0;
-    for (const WorkerState *worker : workersOfJob) {
+    for (const WorkerState *worker : this->candidates(job)) {
         places += std::min(worker->places(step), placesForLongWork);
     }
     Instant &since = job.roomySince(run.occurrence, run.step);
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -44,8 +44,6 @@
 class InterferenceModel
 {
 public:
-    /** Factor from which a pair of images counts as harmful; the others press within the margin. */
-    static constexpr double harmful = 0.5;
     /** Variance of the load behind one tail latency, which is told to about a tenth. */
     static constexpr double sampleVariance = 0.0036;
 
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -15,8 +15,8 @@
 constexpr double harmCost = 1.0;
 /** Harm beyond which one worker is as bad as another. */
 constexpr double largestHarm = 5.0;
-/** Part of the way from a serving task's load now to its peak at which harmful images are judged;
- * the pace follows what the load does later. */
+/** Part of the way from a serving task's load now to its peak for which filling work is placed; the
+ * pace follows what the load does later. */
 constexpr double caution = 0.25;
 /** Load of its own assumed of a serving task that does not run yet. */
 constexpr double usualLoad = 0.5;
--- a/tests/jobs/test_jobworld.cpp
+++ b/tests/jobs/test_jobworld.cpp
@@ -151,6 +151,30 @@
     EXPECT_EQ(runningOf(world, second), 2U);
 }
 
+TEST(JobWorldTest, ShortWorkKeepsTasksThatLastWaitingForABoundedTime)
+{
+    jobs::StepSpec lasting = stepOf(1, 60000);
+    lasting.set_long_running(true);
+    // It fits only where nothing else runs, so two places for it are never free.
+    lasting.set_milli_cores(6000);
+    JobWorld world(8, FaultRates());
+    world.run(1000);
+    for (int worker = 0; worker < 3; ++worker) {
+        world.submit({lasting});
+    }
+    world.run(500);
+    const JobId last = world.submit({lasting});
+    world.submit({stepOf(1, 900)});
+    for (int wave = 0; wave < 20; ++wave) {
+        // Short work that has no room keeps being open.
+        jobs::StepSpec wide = stepOf(1, 900);
+        wide.set_milli_cores(7000);
+        world.submit({wide});
+        world.run(1000);
+    }
+    EXPECT_EQ(runningOf(world, last), 1U);
+}
+
 /** Runs a random day; returns what broke. */
 std::vector<std::string> randomDay(std::uint64_t seed, Missing missing, bool &finished)
 {
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -374,6 +374,7 @@
 
 TEST(InterferenceModelTest, FindsTheImageThatPresses)
 {
+    constexpr double harmful = 0.5;
     // Two images fill beside the serving one, in changing shares; only one presses on it.
     InterferenceModel model;
     const double base = 25.0;
@@ -391,8 +392,8 @@
         EXPECT_NEAR(seen, load, 0.01);
         model.observe("serving", {own, 0.0}, own, seen, {{"heavy", first}, {"light", second}});
     }
-    EXPECT_GT(model.pressure("serving", "heavy"), InterferenceModel::harmful);
-    EXPECT_LT(model.pressure("serving", "light"), InterferenceModel::harmful);
+    EXPECT_GT(model.pressure("serving", "heavy"), harmful);
+    EXPECT_LT(model.pressure("serving", "light"), harmful);
 }
 
 TEST(InterferenceModelTest, TellsBusyFromCalmWork)
@@ -696,6 +697,45 @@
     EXPECT_EQ(orders.starts[2].ticket, "t-3");
 }
 
+TEST(CoordinatorTest, TasksThatLastOnQueuesWithAdviceAreAskedForBesideShortWork)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    JobConfig config;
+    for (const char *name : {"watch", "check"}) {
+        QueueConfig &queue = config.queues.emplace_back();
+        queue.name = name;
+        queue.service = ServiceId("orchard");
+    }
+    config.queues[0].advice = rules;
+    coordinator.setConfig(config);
+    Job *job = nullptr;
+    std::uint64_t offset = 0;
+    for (const char *name : {"check", "watch"}) {
+        jobs::JobSpec spec;
+        spec.set_queue(name);
+        *spec.add_steps() = stepOf(1, 5000);
+        spec.mutable_steps(0)->set_long_running(name == std::string("watch"));
+        const JobId id(std::string("00000000000000") + name[0] + name[1]);
+        ++offset;
+        table.apply(record(JobTable::submissionKey(id), spec.SerializeAsString(), offset),
+                    Instant(1000), job);
+    }
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    WorkerEntry entry = entryOf("w1");
+    coordinator.setWorker(entry, Instant(1000));
+    coordinator.reported(entry.id, Instant(1000), Instant(1010), OrderOutcome::Accepted, report);
+    for (std::int64_t at = 1020; at < 2700; at += 200) {
+        coordinator.reported(entry.id, Instant(at), Instant(at), OrderOutcome::Accepted, report);
+        coordinator.plan(Instant(at), 1);
+    }
+    EXPECT_EQ(orders.questions.size(), 1U);
+}
+
 TEST(WorkerStateTest, LapseCountsFromTheWorkersOwnClock)
 {
     WorkerState worker(entryOf("w"));
