Serve clients also where the metrics page finds no address

Cause, found by reading the change: a port in use would have ended the instance at its start. Change: a warning line, and the instance serves on.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -179,8 +179,9 @@
             this->context, limits,
             [this](const HttpRequest &, const Respond &respond) { this->serveMetrics(respond); });
         const std::string address = this->settings.ip + ":" + std::to_string(this->metricsPort);
+        // Clients are served without metrics, too.
         if (const auto listening = this->metricsServer->listen(address); !listening) {
-            return listening;
+            logLine(LogLevel::Warning, "metrics_unavailable", {{"why", listening.error().text()}});
         }
     }
     this->waitForSignals();
