Compute a share of a worker's processors in one place

The capacity of a worker, guarded against 0 and cast, was spelled out in five places to divide by; they call WorkerState::shareOf() now, the same division. sendStop() took a time that nothing read; it is gone. No change of behaviour.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -249,7 +249,7 @@
     });
     for (const UnansweredStart &start : worker.unanswered) {
         if (start.stoppedIn != worker.life) {
-            this->sendStop(worker, start.task, start.run, now);
+            this->sendStop(worker, start.task, start.run);
         }
     }
 }
@@ -263,7 +263,7 @@
         StrayRun &stray = this->strays[{running.task, worker.entry.id.value()}];
         if (stray.run != running.run || now - stray.stoppedAt > strayStopGap) {
             stray = StrayRun{running.run, now};
-            this->sendStop(worker, running.task, running.run, now);
+            this->sendStop(worker, running.task, running.run);
         }
         return;
     }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -235,7 +235,7 @@
     void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
     void noteUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run, bool sameLife,
                         Instant now);
-    void sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run, Instant now);
+    void sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run);
     void sendHold(WorkerState &worker, Instant now, bool mayRenew);
     void retryOrders(Instant now, bool mayRenew);
     void findStalled(WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -135,15 +135,14 @@
         if (!worker->entry.address.empty()) {
             open.inFlight = true;
             this->stops[ref] = open;
-            this->sendStop(*worker, ref, task.run, now);
+            this->sendStop(*worker, ref, task.run);
             return;
         }
     }
     this->stops[ref] = open;
 }
 
-void Coordinator::sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run,
-                           Instant)
+void Coordinator::sendStop(const WorkerState &worker, const TaskRef &ref, std::uint32_t run)
 {
     this->orders.stop(StopOrder{this->targetOf(worker), ref, run});
 }
@@ -222,7 +221,7 @@
         open.retryAt = now + orderRetry;
         if (worker && !worker->entry.address.empty()) {
             open.inFlight = true;
-            this->sendStop(*worker, ref, open.run, now);
+            this->sendStop(*worker, ref, open.run);
         }
     }
 }
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -83,15 +83,13 @@
 
 std::vector<PacedTask> Coordinator::bearablePaces(const WorkerState &worker, Instant now) const
 {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     std::vector<PacedTask> filling;
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         const Task &task = *job->task(ref);
         if (step.fills() && task.phase == TaskPhase::Running) {
-            filling.push_back(
-                PacedTask{ref, job, step.image(), task.activity, step.milli_cores() / capacity});
+            filling.push_back(PacedTask{ref, job, step.image(), task.activity,
+                                        worker.shareOf(step.milli_cores())});
         }
     }
     if (!filling.empty()) {
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -56,11 +56,9 @@
 /** Returns the share of the worker's processors in use, with what a task would add. */
 double loadWith(const WorkerState &worker, double added)
 {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     const double reserved = static_cast<double>(worker.reserved.milliCores);
     const double filling = static_cast<double>(worker.fillMilliCores);
-    return (reserved * PlacementPolicy::servingUse + filling + added) / capacity;
+    return worker.shareOf(reserved * PlacementPolicy::servingUse + filling + added);
 }
 
 } // namespace
@@ -101,9 +99,7 @@
     std::vector<FillShare> filling = worker.fillShares(true);
     double harm = 0.0;
     if (step.fills()) {
-        const double capacity =
-            static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
-        filling.push_back(FillShare{step.image(), step.milli_cores() / capacity});
+        filling.push_back(FillShare{step.image(), worker.shareOf(step.milli_cores())});
         harm = this->paces.cost(step.image(), Activity::Unknown,
                                 this->servingOn(worker, now, caution), filling);
     } else {
@@ -149,12 +145,11 @@
 
 double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const
 {
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     // Filling tasks go where most is left over; reserved room is packed tightly, so that wide tasks
     // still find some.
-    double cost = step.fills() ? loadWith(worker, step.milli_cores())
-                               : 1.0 - static_cast<double>(worker.reserved.milliCores) / capacity;
+    double cost = step.fills()
+                      ? loadWith(worker, step.milli_cores())
+                      : 1.0 - worker.shareOf(static_cast<double>(worker.reserved.milliCores));
     if (step.target_ms() > 0) {
         cost -= likenessGain * likeness(worker, step.image());
     }
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -85,6 +85,12 @@
     return (this->reserved + reservedBy(step)).fitsIn(this->entry.capacity);
 }
 
+double WorkerState::shareOf(double milliCores) const
+{
+    return milliCores /
+           static_cast<double>(std::max<std::int64_t>(1, this->entry.capacity.milliCores));
+}
+
 std::int64_t WorkerState::places(const jobs::StepSpec &step) const
 {
     if (!this->listed || this->entry.draining || !this->heard || !this->fits(step)) {
@@ -102,8 +108,6 @@
 std::vector<FillShare> WorkerState::fillShares(bool atFullPace) const
 {
     constexpr double fullPace = 100.0;
-    const double capacity =
-        static_cast<double>(std::max<std::int64_t>(1, this->entry.capacity.milliCores));
     std::vector<FillShare> shares;
     for (const auto &[ref, job] : this->tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
@@ -113,7 +117,7 @@
         const Task &task = *job->task(ref);
         const double pace = atFullPace ? 1.0 : task.pace / fullPace;
         const bool works = atFullPace || task.phase == TaskPhase::Running;
-        const double share = works ? step.milli_cores() * pace / capacity : 0.0;
+        const double share = works ? this->shareOf(step.milli_cores() * pace) : 0.0;
         const auto known = std::find_if(shares.begin(), shares.end(), [&](const FillShare &entry) {
             return entry.image == step.image() && entry.activity == task.activity;
         });
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -124,6 +124,9 @@
     /** Returns whether a task of the step fits beside what is placed. */
     bool fits(const jobs::StepSpec &step) const;
 
+    /** Returns what share of the worker's processors the milli-cores are. */
+    double shareOf(double milliCores) const;
+
     /** Returns how many tasks of the step fit beside what is placed, by processors and memory; 0
      * while nothing is placed here. */
     std::int64_t places(const jobs::StepSpec &step) const;
