--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -44,6 +44,11 @@
     this->interference.restore(this->table.pressures());
     for (const auto &[id, job] : this->table.all()) {
         this->adopt(*job);
+    }
+    for (const auto &[id, worker] : this->workers) {
+        this->stopOfEarlierLives(*worker, now);
+    }
+    for (const auto &[id, job] : this->table.all()) {
         if (job->cancelled && !job->closed()) {
             this->jobCancelled(*job, now);
         }
@@ -88,6 +93,7 @@
                 worker->listed = false;
                 worker->unheardLapse = this->formerLeasesLapse;
             }
+            worker->entry.bornMs = std::max(worker->entry.bornMs, task.workerBornMs);
             worker->assign(ref, job);
         }
     }
@@ -429,6 +435,18 @@
     worker.holdDue = now;
 }
 
+void Coordinator::stopOfEarlierLives(WorkerState &worker, Instant now)
+{
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        Task &task = *job->task(ref);
+        if (task.workerBornMs != 0 && task.workerBornMs < worker.entry.bornMs) {
+            this->stopTask(ref, task, now);
+            worker.unheardLapse = now + WorkerState::lateOrders + this->bounds.longestLease;
+        }
+    }
+}
+
 void Coordinator::noteFailure(WorkerState &worker, const JobId &job, Instant now)
 {
     worker.failedJobs.insert(job.value());
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -206,6 +206,8 @@
                  Instant now);
     void loseWorker(WorkerState &worker, Instant now);
     void reborn(WorkerState &worker, std::int64_t bornMs, Instant now);
+    /** Stops tasks that were placed on an earlier life than one that records tell of. */
+    void stopOfEarlierLives(WorkerState &worker, Instant now);
     void noteFailure(WorkerState &worker, const JobId &job, Instant now);
     void rest(WorkerState &worker, Duration length, Instant now);
 
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -375,6 +375,7 @@
     task.phase = TaskPhase::Recording;
     task.maybeLate = false;
     task.worker = worker.entry.id.value();
+    task.workerBornMs = worker.entry.bornMs;
     task.since = now;
     task.percent = 0;
     worker.assign(ref, job);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -36,6 +36,7 @@
             jobs::Placement &placed = *message.add_placed();
             placed.set_index(index);
             placed.set_worker(task.worker);
+            placed.set_worker_born_ms(task.workerBornMs);
         }
         if (task.failures > 0) {
             jobs::Failures &failed = *message.add_failed();
@@ -223,6 +224,7 @@
                 task.phase = TaskPhase::Unconfirmed;
                 task.maybeLate = true;
                 task.worker = placed.worker();
+                task.workerBornMs = placed.worker_born_ms();
                 task.since = now;
                 task.progressAt = now;
             }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -54,6 +54,7 @@
     std::uint32_t run = 0; ///< Number of the newest start; 0 before the first.
     std::uint32_t failures = 0;
     std::string worker; ///< Where it is placed; empty when it runs nowhere.
+    std::int64_t workerBornMs = 0; ///< Life of the worker that it was placed on; 0: not known.
     std::string checkpoint;
     bool maybeLate = false; ///< A try of its start may still be carried out, by a later life too.
     std::uint32_t percent = 0;
