Stop late starts on a worker's next life ahead of its first hold

Cause: the registry showed w2's new life; the coordinator first sent a hold and only after its answer the stop of the start without an answer, and the late start arrived between the two. Ruled out: the record of the end (durable, acknowledged) and the numbering of runs (run 1 carried out after run 2 had ended elsewhere).

Change: the stop goes out as soon as the registry tells of the new life, ahead of the first hold.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -143,6 +143,8 @@
     worker->listed = true;
     if (bornBefore != 0 && entry.bornMs > bornBefore) {
         this->reborn(*worker, entry.bornMs, now);
+        // Ahead of the first hold, as a late start may be about to arrive.
+        this->stopUnanswered(*worker, now);
     } else if (entry.bornMs < bornBefore) {
         worker->entry.bornMs = bornBefore;
     }
