--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -43,7 +43,7 @@
     this->formerLeasesLapse = lapse;
     this->interference.restore(this->table.pressures());
     for (const auto &[id, job] : this->table.all()) {
-        this->adopt(*job);
+        this->adopt(*job, now);
     }
     for (const auto &[id, worker] : this->workers) {
         this->stopOfEarlierLives(*worker, now);
@@ -64,6 +64,7 @@
     this->starts.clear();
     this->stops.clear();
     this->strays.clear();
+    this->unansweredElsewhere.clear();
     this->advice.clear();
     this->dirty.clear();
     this->recording.clear();
@@ -74,17 +75,25 @@
     this->fencedByWorker = false;
 }
 
-void Coordinator::adopt(Job &job)
+void Coordinator::adopt(Job &job, Instant now)
 {
     bool placed = false;
     for (auto &[key, run] : job.stepRuns()) {
         for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
             Task &task = run.tasks[index];
+            const TaskRef ref{job.id(), run.occurrence, run.step, index};
+            for (LateStart &start : task.lateStarts) {
+                start.at = now;
+                if (start.worker == task.worker && start.run == task.run) {
+                    continue;
+                }
+                this->unansweredElsewhere[start.worker].push_back(
+                    UnansweredStart{ref, start.run, now, 0});
+            }
             if (task.worker.empty()) {
                 continue;
             }
             placed = true;
-            const TaskRef ref{job.id(), run.occurrence, run.step, index};
             auto &worker = this->workers[task.worker];
             if (!worker) {
                 WorkerEntry unknown;
@@ -95,10 +104,13 @@
             }
             worker->entry.bornMs = std::max(worker->entry.bornMs, task.workerBornMs);
             worker->assign(ref, job);
+            worker->unanswered.push_back(UnansweredStart{ref, task.run, now, worker->life});
         }
     }
     if (!job.closed() || placed) {
         this->open.insert(&job);
+    } else {
+        job.dropTasks();
     }
 }
 
@@ -143,11 +155,17 @@
     worker->listed = true;
     if (bornBefore != 0 && entry.bornMs > bornBefore) {
         this->reborn(*worker, entry.bornMs, now);
-        // Ahead of the first hold, as a late start may be about to arrive.
-        this->stopUnanswered(*worker, now);
     } else if (entry.bornMs < bornBefore) {
         worker->entry.bornMs = bornBefore;
     }
+    if (auto former = this->unansweredElsewhere.extract(entry.id.value())) {
+        worker->unanswered.insert(worker->unanswered.end(), former.mapped().begin(),
+                                  former.mapped().end());
+    }
+    if (!worker->heard) {
+        // Ahead of the first hold, as a late start may be about to arrive.
+        this->stopUnanswered(*worker, now);
+    }
     this->planNeeded = true;
 }
 
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -185,7 +185,7 @@
     void askAdvice(const Job &job, const StepRun &run, Instant now);
     const QueueConfig *queueOf(const Job &job) const;
     JobRules rulesOf(const Job &job) const;
-    void adopt(Job &job);
+    void adopt(Job &job, Instant now);
     OrderTarget targetOf(const WorkerState &worker) const;
 
     void stopUnanswered(WorkerState &worker, Instant now);
@@ -205,6 +205,8 @@
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
                  Instant now);
     void loseWorker(WorkerState &worker, Instant now);
+    /** Forgets a worker that is neither listed nor runs anything. */
+    void forgetWorker(const std::string &id);
     void reborn(WorkerState &worker, std::int64_t bornMs, Instant now);
     /** Stops tasks that were placed on an earlier life than one that records tell of. */
     void stopOfEarlierLives(WorkerState &worker, Instant now);
@@ -263,6 +265,8 @@
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
     std::map<std::pair<TaskRef, std::string>, StrayRun> strays;
+    /** Of workers that are not listed, by worker. */
+    std::map<std::string, std::vector<UnansweredStart>> unansweredElsewhere;
     std::set<Job *> dirty;
     bool planNeeded = false;
     bool someWait = false; ///< The last plan left tasks waiting.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -120,6 +120,13 @@
     });
     // The life that was asked takes a repeated start for the same one; a later one has to be told.
     worker->unanswered.push_back(UnansweredStart{ref, run, now, sameLife ? worker->life : 0});
+    Job *job = this->table.find(ref.job);
+    if (Task *task = job ? job->task(ref) : nullptr) {
+        std::erase_if(task->lateStarts, [&](const LateStart &start) {
+            return start.worker == id.value() && start.run == run;
+        });
+        task->lateStarts.push_back(LateStart{id.value(), run, now});
+    }
 }
 
 void Coordinator::stopTask(const TaskRef &ref, Task &task, Instant now)
@@ -247,8 +254,22 @@
         }
     }
     for (const std::string &id : idle) {
-        this->workers.erase(id);
+        this->forgetWorker(id);
+    }
+}
+
+void Coordinator::forgetWorker(const std::string &id)
+{
+    const auto found = this->workers.find(id);
+    std::vector<UnansweredStart> &left = found->second->unanswered;
+    if (!left.empty()) {
+        // It may come back under its id, in another life.
+        for (UnansweredStart &start : left) {
+            start.stoppedIn = 0;
+        }
+        this->unansweredElsewhere[id] = std::move(left);
     }
+    this->workers.erase(found);
 }
 
 void Coordinator::moveFromDraining(WorkerState &worker, Instant now)
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -374,6 +374,8 @@
     Task &task = run.tasks[index];
     task.phase = TaskPhase::Recording;
     task.maybeLate = false;
+    std::erase_if(task.lateStarts,
+                  [&](const LateStart &start) { return now - start.at > WorkerState::lateOrders; });
     task.worker = worker.entry.id.value();
     task.workerBornMs = worker.entry.bornMs;
     task.since = now;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -38,6 +38,12 @@
             placed.set_worker(task.worker);
             placed.set_worker_born_ms(task.workerBornMs);
         }
+        for (const LateStart &start : task.lateStarts) {
+            jobs::LateStart &late = *message.add_late();
+            late.set_index(index);
+            late.set_worker(start.worker);
+            late.set_run(start.run);
+        }
         if (task.failures > 0) {
             jobs::Failures &failed = *message.add_failed();
             failed.set_index(index);
@@ -189,7 +195,7 @@
     // Of a closed job only what may still run is of use.
     for (const auto &[key, run] : this->runs) {
         jobs::StepProgress message = progressOf(run);
-        if (!this->closed() || message.placed_size() > 0) {
+        if (!this->closed() || message.placed_size() > 0 || message.late_size() > 0) {
             *progress.add_steps() = std::move(message);
         }
     }
@@ -229,6 +235,12 @@
                 task.progressAt = now;
             }
         }
+        for (const jobs::LateStart &late : message.late()) {
+            if (late.index() < run.tasks.size()) {
+                run.tasks[late.index()].lateStarts.push_back(
+                    LateStart{late.worker(), late.run(), now});
+            }
+        }
         for (const jobs::Failures &failed : message.failed()) {
             if (failed.index() < run.tasks.size()) {
                 run.tasks[failed.index()].failures = failed.count();
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -47,16 +47,25 @@
     Done,
 };
 
+/** A start of a task without an answer, which a later life of its worker may still carry out. */
+struct LateStart
+{
+    std::string worker;
+    std::uint32_t run = 0;
+    Instant at;
+};
+
 /** One task of a step. */
 struct Task
 {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t run = 0; ///< Number of the newest start; 0 before the first.
     std::uint32_t failures = 0;
-    std::string worker; ///< Where it is placed; empty when it runs nowhere.
+    std::string worker;            ///< Where it is placed; empty when it runs nowhere.
     std::int64_t workerBornMs = 0; ///< Life of the worker that it was placed on; 0: not known.
     std::string checkpoint;
     bool maybeLate = false; ///< A try of its start may still be carried out, by a later life too.
+    std::vector<LateStart> lateStarts;
     std::uint32_t percent = 0;
     std::uint32_t pace = 100;  ///< Share of its speed at which a filling task may work, in percent.
     bool paceConfirmed = true; ///< The worker took the pace.
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -41,6 +41,9 @@
     this->ledger.running[key.first].erase({this->id, key.second});
     this->ended.push_back(EndedTask{++this->lastEnd, key.first, key.second, how, {}});
     this->ledger.done += how == RunEnd::Done ? 1 : 0;
+    if (how == RunEnd::Done) {
+        this->ledger.everDone.insert(key.first);
+    }
 }
 
 void SimWorker::advance(std::int64_t toMs)
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -17,6 +17,7 @@
     /** Runs at work now, by task. */
     std::map<TaskRef, std::set<std::pair<std::string, std::uint32_t>>> running;
     std::set<TaskRef> acknowledgedDone;
+    std::set<TaskRef> everDone; ///< Tasks of which some run has ended as done.
     std::vector<std::string> broken; ///< What broke a promise, in words.
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
@@ -43,6 +44,9 @@
 
     WorkerEntry entry() const;
 
+    /** Returns its own steady clock, in ms. */
+    std::int64_t clock() const { return this->nowMs + this->clockOffset - this->bornMs; }
+
     bool up = true;
     bool checksFence = true; ///< Off: takes orders of any token, to show that checks notice.
     bool keepsLeases = true; ///< Off: runs on past its lease, to show that checks notice.
@@ -57,7 +61,6 @@
     };
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
-    std::int64_t clock() const { return this->nowMs + this->clockOffset - this->bornMs; }
     bool refusesToken(std::uint64_t token);
     void end(const RunKey &key, RunEnd how);
 
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -596,12 +596,13 @@
 {
 public:
     void start(StartOrder order) override { this->starts.push_back(std::move(order)); }
-    void stop(StopOrder) override {}
+    void stop(StopOrder order) override { this->stops.push_back(std::move(order)); }
     void hold(HoldOrder) override {}
     void pace(PaceOrder) override {}
     void advise(AdviceOrder order) override { this->questions.push_back(std::move(order)); }
 
     std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
     std::vector<AdviceOrder> questions;
 };
 
@@ -697,6 +698,95 @@
     EXPECT_EQ(orders.starts[2].ticket, "t-3");
 }
 
+/** A record of a task placed on w2 in run 2, whose run 1 on w1 was started without an answer. */
+std::string progressWithLateStart(std::int64_t bornMs)
+{
+    jobs::JobProgress progress;
+    progress.set_epoch(1);
+    progress.set_state(jobs::RUNNING);
+    jobs::StepProgress &step = *progress.add_steps();
+    step.add_runs(2);
+    jobs::Placement &placed = *step.add_placed();
+    placed.set_worker("w2");
+    placed.set_worker_born_ms(bornMs);
+    jobs::LateStart &late = *step.add_late();
+    late.set_worker("w1");
+    late.set_run(1);
+    return progress.SerializeAsString();
+}
+
+TEST(CoordinatorTest, ASuccessorStopsLateStartsOnEveryLaterLife)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    *spec.add_steps() = stepOf(1, 5000);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    table.apply(record(JobTable::progressKey(jobId), progressWithLateStart(7), 2), Instant(1000),
+                job);
+    coordinator.begin(2, Instant(1000), 1, Instant(10000));
+    for (const char *name : {"w1", "w2"}) {
+        WorkerEntry entry = entryOf(name);
+        entry.bornMs = 7;
+        coordinator.setWorker(entry, Instant(1000));
+    }
+    ASSERT_EQ(orders.stops.size(), 1U) << "w2 runs what it was told to";
+    EXPECT_EQ(orders.stops[0].target.worker, WorkerId("w1"));
+    EXPECT_EQ(orders.stops[0].run, 1U);
+    WorkerReport report;
+    report.clockMs = 500;
+    report.bornMs = 7;
+    for (const char *name : {"w1", "w2"}) {
+        coordinator.reported(WorkerId(name), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             report);
+    }
+    orders.stops.clear();
+    for (const char *name : {"w1", "w2"}) {
+        WorkerEntry entry = entryOf(name);
+        entry.bornMs = 2000;
+        coordinator.setWorker(entry, Instant(2000));
+    }
+    const auto stopped = [&](const char *worker, std::uint32_t run) {
+        return std::any_of(orders.stops.begin(), orders.stops.end(), [&](const StopOrder &stop) {
+            return stop.target.worker == WorkerId(worker) && stop.run == run;
+        });
+    };
+    EXPECT_TRUE(stopped("w1", 1));
+    EXPECT_TRUE(stopped("w2", 2));
+}
+
+TEST(CoordinatorTest, APlacementOnAnEarlierLifeCountsAsRunningWhileLateStartsMayCome)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    *spec.add_steps() = stepOf(1, 5000);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    table.apply(record(JobTable::progressKey(jobId), progressWithLateStart(7), 2), Instant(1000),
+                job);
+    const Instant formerLapse(10000);
+    coordinator.begin(2, Instant(1000), 1, formerLapse);
+    WorkerEntry entry = entryOf("w2");
+    entry.bornMs = 900;
+    coordinator.setWorker(entry, Instant(1000));
+    const Task &task = *job->task(TaskRef{jobId, 0, 0, 0});
+    coordinator.tick(formerLapse + Duration(500), 1, true);
+    EXPECT_EQ(task.worker, "w2");
+    const Instant over = Instant(1001) + WorkerState::lateOrders + WorkerBounds().longestLease;
+    coordinator.tick(over, 1, true);
+    EXPECT_EQ(task.worker, "");
+}
+
 TEST(CoordinatorTest, TasksThatLastOnQueuesWithAdviceAreAskedForBesideShortWork)
 {
     JobTable table;
--- /dev/null
+++ b/tests/soak/faultplan.cpp
@@ -0,0 +1,280 @@
+#include "faultplan.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <numeric>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace godwitfall::soak {
+
+namespace {
+
+constexpr std::int64_t firstFaultMs = 4000; ///< Leaves instances time to start.
+constexpr std::int64_t gapMs = 200;
+constexpr std::int64_t gapRangeMs = 1300;
+constexpr std::int64_t longestFaultMs = 9000;
+/** Time around a fault within which a broken connection is laid to it. */
+constexpr std::int64_t nearMs = 4000;
+/** Time from a planned stop to the end of the process at the latest; the platform's grace. */
+constexpr std::int64_t graceMs = 6000;
+constexpr std::int64_t longAgoMs = -1000000;
+
+} // namespace
+
+const std::vector<FaultPlan::Kind> &FaultPlan::kinds()
+{
+    static const std::vector<Kind> table = {
+        {"kill", 2, &FaultPlan::killOne},
+        {"kill_owner", 3, &FaultPlan::killOwner},
+        {"freeze", 2, &FaultPlan::freezeOne},
+        {"freeze_owner", 3, &FaultPlan::freezeOwner},
+        {"stop", 2, &FaultPlan::stopOne},
+        {"reread_settings", 1, &FaultPlan::rereadSettings},
+        {"store", 2, &FaultPlan::troubleStore},
+        {"store_answers_lost", 2, &FaultPlan::loseStoreAnswers},
+        {"store_late", 2, &FaultPlan::delayAppends},
+        {"store_history", 1, &FaultPlan::dropHistory},
+        {"store_link", 2, &FaultPlan::troubleStoreLink},
+        {"store_link_owner", 3, &FaultPlan::troubleOwnersStoreLink},
+        {"worker_link", 4, &FaultPlan::troubleWorkerLink},
+        {"worker_reborn", 3, &FaultPlan::rebirthWorker},
+        {"orders", 3, &FaultPlan::troubleOrders},
+        {"config", 1, &FaultPlan::changeConfig},
+    };
+    return table;
+}
+
+FaultPlan::FaultPlan(boost::asio::io_context &context, const SoakLayout &layout,
+                     SoakTargets targets, std::mt19937_64 &random)
+    : context(context)
+    , layout(layout)
+    , targets(std::move(targets))
+    , random(random)
+    , nextAt(firstFaultMs)
+    , ends(layout.instances)
+    , stoppedAtMs(layout.instances, longAgoMs)
+    , disturbedAtMs(layout.instances, longAgoMs)
+    , frozen(layout.instances)
+{}
+
+void FaultPlan::after(std::int64_t milliseconds, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+    timer->expires_after(std::chrono::milliseconds(milliseconds));
+    timer->async_wait(
+        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
+}
+
+void FaultPlan::tick(std::int64_t now)
+{
+    this->nowMs = now;
+    if (this->healed || now < this->nextAt) {
+        return;
+    }
+    this->nextAt = now + gapMs + static_cast<std::int64_t>(this->below(gapRangeMs));
+    const std::vector<Kind> &table = kinds();
+    const unsigned total =
+        std::accumulate(table.begin(), table.end(), 0U,
+                        [](unsigned sum, const Kind &kind) { return sum + kind.weight; });
+    std::uint64_t drawn = this->below(total);
+    for (const Kind &kind : table) {
+        if (drawn < kind.weight) {
+            ++this->done[kind.name];
+            (this->*kind.act)();
+            return;
+        }
+        drawn -= kind.weight;
+    }
+}
+
+void FaultPlan::heal()
+{
+    this->healed = true;
+    this->targets.store.mood = PlatformStore::Mood::Well;
+    this->targets.store.answersLost = 0;
+    this->targets.store.appendsLate = 0;
+    for (const auto &worker : this->targets.workers) {
+        worker->ordersLost = 0;
+        worker->answersLost = 0;
+        worker->ordersLate = 0;
+    }
+    for (const auto *links : {&this->targets.storeLinks, &this->targets.workerLinks}) {
+        for (const auto &link : *links) {
+            link->setMode(LinkProxy::Mode::Pass);
+        }
+    }
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        this->signal(instance, SIGCONT);
+        this->frozen[instance] = false;
+    }
+}
+
+bool FaultPlan::stopsAsPlanned(std::size_t instance) const
+{
+    const std::int64_t stopped = this->stoppedAtMs[instance];
+    return this->nowMs < stopped + graceMs &&
+           this->disturbedAtMs[instance] + nearMs + longestFaultMs < stopped;
+}
+
+bool FaultPlan::signal(std::size_t instance, int number)
+{
+    std::ifstream file(this->layout.processFile(instance));
+    pid_t process = 0;
+    return file >> process && process > 1 && ::kill(process, number) == 0;
+}
+
+void FaultPlan::disturb(std::size_t instance)
+{
+    this->disturbedAtMs[instance] = this->nowMs;
+}
+
+std::size_t FaultPlan::owner()
+{
+    const std::string name = this->targets.store.owner();
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        if (this->layout.instanceName(instance) == name) {
+            return instance;
+        }
+    }
+    return this->anyInstance();
+}
+
+void FaultPlan::kill(std::size_t instance)
+{
+    this->disturb(instance);
+    this->ends[instance] += this->signal(instance, SIGKILL) ? 1 : 0;
+}
+
+void FaultPlan::freeze(std::size_t instance)
+{
+    this->disturb(instance);
+    if (this->frozen[instance] || !this->signal(instance, SIGSTOP)) {
+        return;
+    }
+    this->frozen[instance] = true;
+    this->after(300 + static_cast<std::int64_t>(this->below(longestFaultMs)), [this, instance] {
+        this->signal(instance, SIGCONT);
+        this->frozen[instance] = false;
+        this->disturb(instance);
+    });
+}
+
+void FaultPlan::trouble(LinkProxy &link)
+{
+    constexpr LinkProxy::Mode modes[] = {LinkProxy::Mode::Delay, LinkProxy::Mode::Hold,
+                                         LinkProxy::Mode::HoldReply, LinkProxy::Mode::Reset};
+    link.delay = Duration(static_cast<std::int64_t>(20 + this->below(400)));
+    link.setMode(modes[this->below(std::size(modes))]);
+    this->after(200 + static_cast<std::int64_t>(this->below(longestFaultMs)),
+                [&link] { link.setMode(LinkProxy::Mode::Pass); });
+}
+
+void FaultPlan::killOne()
+{
+    this->kill(this->anyInstance());
+}
+
+void FaultPlan::killOwner()
+{
+    this->kill(this->owner());
+}
+
+void FaultPlan::freezeOne()
+{
+    this->freeze(this->anyInstance());
+}
+
+void FaultPlan::freezeOwner()
+{
+    this->freeze(this->owner());
+}
+
+void FaultPlan::stopOne()
+{
+    const std::size_t instance = this->anyInstance();
+    if (this->nowMs < this->stoppedAtMs[instance] + graceMs || this->frozen[instance]) {
+        return;
+    }
+    if (this->signal(instance, SIGTERM)) {
+        ++this->ends[instance];
+        this->stoppedAtMs[instance] = this->nowMs;
+    }
+}
+
+void FaultPlan::rereadSettings()
+{
+    this->signal(this->anyInstance(), SIGHUP);
+}
+
+void FaultPlan::troubleStore()
+{
+    constexpr PlatformStore::Mood moods[] = {
+        PlatformStore::Mood::Refusing, PlatformStore::Mood::Silent, PlatformStore::Mood::Resetting};
+    this->targets.store.mood = moods[this->below(std::size(moods))];
+    this->after(300 + static_cast<std::int64_t>(this->below(7000)),
+                [this] { this->targets.store.mood = PlatformStore::Mood::Well; });
+}
+
+void FaultPlan::loseStoreAnswers()
+{
+    this->targets.store.answersLost = 30;
+    this->after(2000, [this] { this->targets.store.answersLost = 0; });
+}
+
+void FaultPlan::delayAppends()
+{
+    this->targets.store.appendsLate = 20;
+    this->after(2000, [this] { this->targets.store.appendsLate = 0; });
+}
+
+void FaultPlan::dropHistory()
+{
+    this->targets.store.dropHistory();
+}
+
+void FaultPlan::troubleStoreLink()
+{
+    const std::size_t instance = this->anyInstance();
+    this->disturb(instance);
+    this->trouble(*this->targets.storeLinks[instance]);
+}
+
+void FaultPlan::troubleOwnersStoreLink()
+{
+    const std::size_t instance = this->owner();
+    this->disturb(instance);
+    this->trouble(*this->targets.storeLinks[instance]);
+}
+
+void FaultPlan::troubleWorkerLink()
+{
+    this->trouble(*this->targets.workerLinks[this->anyWorker()]);
+}
+
+void FaultPlan::rebirthWorker()
+{
+    this->targets.rebirthWorker(this->anyWorker());
+}
+
+void FaultPlan::troubleOrders()
+{
+    PlatformWorker &worker = *this->targets.workers[this->anyWorker()];
+    worker.ordersLost = 15;
+    worker.answersLost = 15;
+    worker.ordersLate = 15;
+    this->after(3000, [&worker] {
+        worker.ordersLost = 0;
+        worker.answersLost = 0;
+        worker.ordersLate = 0;
+    });
+}
+
+void FaultPlan::changeConfig()
+{
+    this->targets.publishConfig();
+}
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/faultplan.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "linkproxy.h"
+#include "platformstore.h"
+#include "platformworker.h"
+#include "soaklayout.h"
+
+namespace godwitfall::soak {
+
+/** What a fault may be done to. */
+struct SoakTargets
+{
+    PlatformStore &store;
+    std::vector<std::unique_ptr<PlatformWorker>> &workers;
+    std::vector<std::unique_ptr<LinkProxy>> &storeLinks;  ///< By instance.
+    std::vector<std::unique_ptr<LinkProxy>> &workerLinks; ///< By worker.
+    std::function<void()> publishConfig;
+    std::function<void(std::size_t worker)> rebirthWorker;
+};
+
+/** Draws faults from a seed and does them: signals to instances, faults of links, store, workers.
+ */
+class FaultPlan
+{
+public:
+    FaultPlan(boost::asio::io_context &context, const SoakLayout &layout, SoakTargets targets,
+              std::mt19937_64 &random);
+
+    /** Does what is due; the time is in ms since the run began. */
+    void tick(std::int64_t nowMs);
+
+    /** Ends every fault that is under way. */
+    void heal();
+
+    /** Returns whether the instance is stopping as planned, and was well before. */
+    bool stopsAsPlanned(std::size_t instance) const;
+
+    /** Returns how often the instance was made to end. */
+    unsigned endsCaused(std::size_t instance) const { return this->ends[instance]; }
+
+    /** Sends the signal to the instance, if it runs. */
+    bool signal(std::size_t instance, int number);
+
+    const std::map<std::string, unsigned> &counts() const { return this->done; }
+
+private:
+    struct Kind
+    {
+        const char *name;
+        unsigned weight;
+        void (FaultPlan::*act)();
+    };
+
+    static const std::vector<Kind> &kinds();
+
+    void killOne();
+    void killOwner();
+    void freezeOne();
+    void freezeOwner();
+    void stopOne();
+    void rereadSettings();
+    void troubleStore();
+    void loseStoreAnswers();
+    void delayAppends();
+    void dropHistory();
+    void troubleStoreLink();
+    void troubleOwnersStoreLink();
+    void troubleWorkerLink();
+    void rebirthWorker();
+    void troubleOrders();
+    void changeConfig();
+
+    void kill(std::size_t instance);
+    void freeze(std::size_t instance);
+    void trouble(LinkProxy &link);
+    /** Returns the instance that coordinates, as the log says, or any. */
+    std::size_t owner();
+    std::size_t anyInstance() { return this->below(this->layout.instances); }
+    std::size_t anyWorker() { return this->below(this->targets.workers.size()); }
+    std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
+    void after(std::int64_t milliseconds, std::function<void()> action);
+    void disturb(std::size_t instance);
+
+    boost::asio::io_context &context;
+    const SoakLayout layout;
+    SoakTargets targets;
+    std::mt19937_64 &random;
+    std::int64_t nowMs = 0;
+    std::int64_t nextAt = 0;
+    bool healed = false;
+    std::vector<unsigned> ends;
+    std::vector<std::int64_t> stoppedAtMs;   ///< Last planned stop, by instance.
+    std::vector<std::int64_t> disturbedAtMs; ///< Last other fault near it, by instance.
+    std::vector<bool> frozen;
+    std::map<std::string, unsigned> done;
+};
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,350 @@
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <tclap/CmdLine.h>
+
+#include "faultplan.h"
+#include "platform/names.h"
+#include "soakclients.h"
+
+namespace godwitfall::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickEvery(5);
+constexpr std::int64_t settleMs = 90000;     ///< Longest that a recovered deployment may take.
+constexpr std::int64_t longestStopMs = 9000; ///< Above the grace of a planned stop.
+/** Time that an instance surely had a request for when its connection broke after it. */
+constexpr Duration surelyRead{300};
+constexpr std::int64_t msPerSecond = 1000;
+
+/** What to leave out of the platform, to show that the checks notice. */
+struct Weakening
+{
+    bool workerFence = false;
+    bool workerLease = false;
+    bool storeFence = false;
+};
+
+/** Plays one seed: the platform, its callers, the faults, and the verdict. */
+class Soak
+{
+public:
+    Soak(const SoakLayout &layout, std::uint64_t seed, std::int64_t faultMs,
+         const Weakening &weakening);
+
+    /** Returns whether every promise held. */
+    bool run();
+
+private:
+    enum class Phase { Faults, Settling, Stopping };
+
+    static std::int64_t unixMs();
+    std::int64_t nowMs() const;
+    void listen();
+    void publishWorker(std::size_t worker);
+    void publishConfig();
+    void rebirthWorker(std::size_t worker);
+    void scheduleTick();
+    void tick();
+    void beginStopping();
+    bool allEnded() const;
+    void checkEnds();
+    void breakPromise(const std::string &what);
+
+    const SoakLayout layout;
+    const std::int64_t faultMs;
+    const std::chrono::steady_clock::time_point began;
+    boost::asio::io_context context;
+    std::mt19937_64 random;
+    std::mt19937_64 clientRandom;
+    std::mt19937_64 faultRandom;
+    jobtests::FleetLedger ledger;
+    PlatformStore store;
+    SoakClients clients;
+    std::vector<std::unique_ptr<PlatformWorker>> workers;
+    std::vector<std::unique_ptr<LinkProxy>> storeLinks;
+    std::vector<std::unique_ptr<LinkProxy>> workerLinks;
+    std::unique_ptr<FaultPlan> plan;
+    boost::asio::steady_timer timer;
+    Phase phase = Phase::Faults;
+    std::int64_t phaseAt = 0;
+    std::uint64_t configVersion = 0;
+};
+
+Soak::Soak(const SoakLayout &layout, std::uint64_t seed, std::int64_t faultMs,
+           const Weakening &weakening)
+    : layout(layout)
+    , faultMs(faultMs)
+    , began(std::chrono::steady_clock::now())
+    , random(seed)
+    , clientRandom(seed + 1)
+    , faultRandom(seed + 2)
+    , store(this->context, this->random)
+    , clients(this->context, layout, this->clientRandom, this->ledger)
+    , timer(this->context)
+{
+    for (std::size_t index = 0; index < layout.workers; ++index) {
+        const auto number = static_cast<std::int64_t>(index);
+        // A clock may be up to 2% slow.
+        const PlatformWorker::Clock clock{number * 77777, number % 3 * 9};
+        this->workers.push_back(std::make_unique<PlatformWorker>(
+            this->context, "w" + std::to_string(index), layout.workerProxyAddress(index), clock,
+            this->random, this->ledger, [this](const TaskRef &task, const std::string &payload) {
+                return this->clients.judge(task, payload);
+            }));
+        this->workers.back()->simulation().checksFence = !weakening.workerFence;
+        this->workers.back()->simulation().keepsLeases = !weakening.workerLease;
+        this->workerLinks.push_back(
+            std::make_unique<LinkProxy>(this->context, layout.workerAddress(index)));
+    }
+    if (weakening.storeFence) {
+        this->store.dropFence();
+    }
+    for (std::size_t index = 0; index < layout.instances; ++index) {
+        this->storeLinks.push_back(
+            std::make_unique<LinkProxy>(this->context, layout.storeAddress()));
+    }
+    this->plan = std::make_unique<FaultPlan>(this->context, layout,
+                                             SoakTargets{this->store, this->workers,
+                                                         this->storeLinks, this->workerLinks,
+                                                         [this] { this->publishConfig(); },
+                                                         [this](std::size_t worker) {
+                                                             this->rebirthWorker(worker);
+                                                         }},
+                                             this->faultRandom);
+    this->clients.brokenOff = [this](std::size_t instance, Duration waited) {
+        if (waited >= surelyRead && this->plan->stopsAsPlanned(instance)) {
+            this->breakPromise("a planned stop of " + this->layout.instanceName(instance) +
+                               " broke off a request that it had for " +
+                               std::to_string(waited.count()) + " ms");
+        }
+    };
+}
+
+std::int64_t Soak::unixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+std::int64_t Soak::nowMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                                 this->began)
+        .count();
+}
+
+void Soak::breakPromise(const std::string &what)
+{
+    this->ledger.broken.push_back(what);
+}
+
+void Soak::listen()
+{
+    const auto require = [](const Result<void> &listening) {
+        if (!listening) {
+            throw std::runtime_error(listening.error().text());
+        }
+    };
+    require(this->store.listen(this->layout.storeAddress()));
+    for (std::size_t index = 0; index < this->storeLinks.size(); ++index) {
+        require(this->storeLinks[index]->listen(this->layout.storeProxyAddress(index)));
+        std::ofstream(this->layout.settingsFile(index)) << this->layout.settings(index);
+    }
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+        require(this->workers[index]->listen(this->layout.workerAddress(index)));
+        require(this->workerLinks[index]->listen(this->layout.workerProxyAddress(index)));
+        this->workers[index]->rebirth(unixMs());
+        this->publishWorker(index);
+    }
+    this->publishConfig();
+}
+
+void Soak::publishWorker(std::size_t worker)
+{
+    this->store.put(platform::names::workerTopic, this->workers[worker]->name(),
+                    this->workers[worker]->registryEntry());
+}
+
+void Soak::publishConfig()
+{
+    this->configVersion += 3;
+    std::string queues = std::string(R"([{"name":"plan","host":")") + SoakLayout::queueHost +
+                         R"(","path_prefix":")" + SoakLayout::queuePrefix + R"(","service":")" +
+                         SoakLayout::serviceName + R"(","max_attempts":3,"stretch":3}])";
+    this->store.put(platform::names::configTopic, platform::names::configKey,
+                    R"({"version":)" + std::to_string(this->configVersion) + R"(,"routes":)" +
+                        queues + R"(,"services":[{"name":")" + SoakLayout::serviceName +
+                        R"(","max_connections":8,"enforces_capacity":true}]})");
+}
+
+void Soak::rebirthWorker(std::size_t worker)
+{
+    this->workerLinks[worker]->breakConnections();
+    this->workers[worker]->rebirth(unixMs());
+    this->publishWorker(worker);
+}
+
+void Soak::scheduleTick()
+{
+    this->timer.expires_after(tickEvery);
+    this->timer.async_wait([this](const boost::system::error_code &failure) {
+        if (!failure) {
+            this->tick();
+        }
+    });
+}
+
+void Soak::tick()
+{
+    const std::int64_t now = this->nowMs();
+    this->store.tick(std::chrono::steady_clock::now());
+    for (const auto &worker : this->workers) {
+        worker->tick(unixMs());
+    }
+    switch (this->phase) {
+    case Phase::Faults:
+        this->clients.tick(now);
+        this->plan->tick(now);
+        if (now >= this->faultMs) {
+            this->plan->heal();
+            this->clients.finish();
+            this->phase = Phase::Settling;
+            this->phaseAt = now;
+        }
+        break;
+    case Phase::Settling:
+        if (this->clients.settled() || now >= this->phaseAt + settleMs) {
+            for (const std::string &fault : this->clients.faults()) {
+                this->breakPromise(fault);
+            }
+            std::cout << "settled after ms: " << now - this->phaseAt << std::endl;
+            this->beginStopping();
+        }
+        break;
+    case Phase::Stopping:
+        if (this->allEnded() || now >= this->phaseAt + longestStopMs) {
+            this->checkEnds();
+            this->context.stop();
+            return;
+        }
+        break;
+    }
+    this->scheduleTick();
+}
+
+void Soak::beginStopping()
+{
+    this->phase = Phase::Stopping;
+    this->phaseAt = this->nowMs();
+    std::ofstream(this->layout.stopFile()) << "stop\n";
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        this->plan->signal(instance, SIGTERM);
+    }
+}
+
+bool Soak::allEnded() const
+{
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        if (std::filesystem::exists(this->layout.processFile(instance))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Soak::checkEnds()
+{
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        const std::string name = this->layout.instanceName(instance);
+        if (std::filesystem::exists(this->layout.processFile(instance))) {
+            this->breakPromise(name + " did not end within its grace");
+            continue;
+        }
+        std::ifstream file(this->layout.endsFile(instance));
+        constexpr int killed = 128 + SIGKILL;
+        unsigned ends = 0;
+        for (int status = 0; file >> status;) {
+            ++ends;
+            if (status != 0 && status != killed) {
+                this->breakPromise(name + " ended with status " + std::to_string(status));
+            }
+        }
+        // The last end is the one of beginStopping(). A signal may meet a process that is ending.
+        if (ends > this->plan->endsCaused(instance) + 1) {
+            this->breakPromise(name + " ended by itself: " + std::to_string(ends) + " ends, " +
+                               std::to_string(this->plan->endsCaused(instance) + 1) + " caused");
+        }
+    }
+}
+
+bool Soak::run()
+{
+    this->listen();
+    std::cout << "platform is up" << std::endl;
+    this->scheduleTick();
+    this->context.run();
+    std::cout << "jobs " << this->clients.jobCount() << ", accepted "
+              << this->clients.acceptedCount() << ", rejections " << this->clients.rejections()
+              << ", unknown " << this->clients.unknowns() << ", starts " << this->ledger.starts
+              << ", done " << this->ledger.done << "\nfaults:";
+    for (const auto &[name, count] : this->plan->counts()) {
+        std::cout << " " << name << " " << count;
+    }
+    std::cout << "\n";
+    for (const std::string &broken : this->ledger.broken) {
+        std::cout << "broken: " << broken << "\n";
+    }
+    return this->ledger.broken.empty() && this->ledger.done > 0;
+}
+
+int playSoak(int argc, char **argv)
+{
+    TCLAP::CmdLine flags("Plays the platform, its callers and its faults for instances that "
+                         "scripts/soak-processes starts, and checks what they promise.",
+                         ' ', GODWITFALL_VERSION);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "draws load and faults", false, 1, "number",
+                                        flags);
+    TCLAP::ValueArg<std::int64_t> seconds("", "seconds", "length of the faults, s", false, 30,
+                                          "seconds", flags);
+    TCLAP::ValueArg<unsigned> network("", "network", "second number of the loopback addresses",
+                                      false, 20, "20 to 250", flags);
+    TCLAP::ValueArg<std::size_t> instances("", "instances", "entry instances", false, 5, "number",
+                                           flags);
+    TCLAP::ValueArg<std::string> folder("", "folder", "settings, logs and process ids", true, "",
+                                        "path", flags);
+    TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
+    TCLAP::SwitchArg workerLease("", "without-worker-lease", "workers run on past a lease", flags);
+    TCLAP::SwitchArg storeFence("", "without-store-fence", "the store takes any epoch", flags);
+    flags.parse(argc, argv);
+    SoakLayout layout;
+    layout.network = network.getValue();
+    layout.instances = instances.getValue();
+    layout.folder = folder.getValue();
+    const Weakening weakening{workerFence.getValue(), workerLease.getValue(),
+                              storeFence.getValue()};
+    try {
+        Soak soak(layout, seed.getValue(), seconds.getValue() * msPerSecond, weakening);
+        return soak.run() ? 0 : 1;
+    } catch (const std::exception &failure) {
+        std::cerr << "godwitfall-soak: " << failure.what() << "\n";
+        return 2;
+    }
+}
+
+} // namespace
+
+} // namespace godwitfall::soak
+
+int main(int argc, char **argv)
+{
+    return godwitfall::soak::playSoak(argc, argv);
+}
--- /dev/null
+++ b/tests/soak/platformworker.cpp
@@ -0,0 +1,370 @@
+#include "platformworker.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include "platform/codec.h"
+#include "platform/names.h"
+#include "soakjob.h"
+#include "soaklayout.h"
+
+namespace godwitfall::soak {
+
+namespace {
+
+namespace names = platform::names;
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+constexpr std::int64_t milliCores = 4000;
+constexpr std::int64_t memoryMb = 100000;
+constexpr std::uint64_t longestHoldMs = 2000; ///< From the platform.
+constexpr Duration longestPatience{5000};     ///< Above any caller's timeout.
+constexpr Duration lateFrom{2000};            ///< Range of the delay of late orders.
+constexpr Duration lateRange{9000};
+
+Resources capacity()
+{
+    Resources room;
+    room.milliCores = milliCores;
+    room.memoryMb = memoryMb;
+    return room;
+}
+
+std::uint64_t numberOf(const rapidjson::Document &body, const char *name)
+{
+    const auto found = body.FindMember(name);
+    return found != body.MemberEnd() && found->value.IsUint64() ? found->value.GetUint64() : 0;
+}
+
+std::string textOf(const rapidjson::Document &body, const char *name)
+{
+    const auto found = body.FindMember(name);
+    return found != body.MemberEnd() && found->value.IsString() ? found->value.GetString() : "";
+}
+
+void writeText(Writer &writer, const std::string &value)
+{
+    writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+
+const char *wordOf(RunEnd how)
+{
+    constexpr std::array<const char *, 6> words = {"done",   "failed", "stopped",
+                                                   "lapsed", "broken", "alone"};
+    return words.at(static_cast<std::size_t>(how));
+}
+
+std::string bodyOf(const WorkerReport &report)
+{
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    writer.Key("clock_ms");
+    writer.Int64(report.clockMs);
+    writer.Key("born");
+    writer.Int64(report.bornMs);
+    writer.Key("running");
+    writer.StartArray();
+    for (const RunningTask &running : report.running) {
+        writer.StartArray();
+        writeText(writer, platform::taskName(running.task));
+        writer.Uint(running.run);
+        writeText(writer, running.checkpoint);
+        writer.Uint(running.percent);
+        writer.Int64(running.figure);
+        writer.EndArray();
+    }
+    writer.EndArray();
+    writer.Key("ended");
+    writer.StartArray();
+    for (const EndedTask &ended : report.ended) {
+        writer.StartArray();
+        writer.Uint64(ended.number);
+        writeText(writer, platform::taskName(ended.task));
+        writer.Uint(ended.run);
+        writeText(writer, wordOf(ended.how));
+        writeText(writer, ended.checkpoint);
+        writer.EndArray();
+    }
+    writer.EndArray();
+    writer.EndObject();
+    return buffer.GetString();
+}
+
+HttpResponse withStatus(unsigned status)
+{
+    HttpResponse response;
+    response.status = status;
+    return response;
+}
+
+HttpLimits workerLimits()
+{
+    constexpr std::size_t openConnections = 20000;
+    HttpLimits limits;
+    limits.maxConnections = openConnections;
+    return limits;
+}
+
+} // namespace
+
+PlatformWorker::PlatformWorker(boost::asio::io_context &context, std::string id,
+                               std::string address, Clock clock, std::mt19937_64 &random,
+                               jobtests::FleetLedger &ledger, StartJudge judge)
+    : context(context)
+    , id(std::move(id))
+    , address(std::move(address))
+    , clock(clock)
+    , random(random)
+    , ledger(ledger)
+    , judge(std::move(judge))
+    , server(context, workerLimits(),
+             [this](const HttpRequest &request, const Respond &respond) {
+                 this->handle(request, respond);
+             })
+    , worker(this->id, capacity(), clock.offsetMs, ledger)
+{}
+
+Result<void> PlatformWorker::listen(const std::string &listenAddress)
+{
+    return this->server.listen(listenAddress);
+}
+
+std::int64_t PlatformWorker::localMs(std::int64_t unixMs)
+{
+    constexpr std::int64_t whole = 1000;
+    if (this->firstMs == 0) {
+        this->firstMs = unixMs;
+    }
+    return unixMs - (unixMs - this->firstMs) * this->clock.lostPerThousand / whole;
+}
+
+void PlatformWorker::tick(std::int64_t unixMs)
+{
+    this->nowMs = this->localMs(unixMs);
+    this->worker.advance(this->nowMs);
+    this->waiting.remove_if([&](const Waiting &hold) {
+        if (this->nowMs < hold.untilMs && !this->worker.hasEndsAfter(hold.order.acknowledged)) {
+            return false;
+        }
+        this->answerHold(hold.order, hold.respond);
+        return true;
+    });
+}
+
+void PlatformWorker::rebirth(std::int64_t unixMs)
+{
+    for (const Waiting &hold : this->waiting) {
+        hold.respond(withStatus(dropConnection));
+    }
+    this->waiting.clear();
+    this->nowMs = this->localMs(unixMs);
+    this->worker.rebirth(this->nowMs);
+}
+
+std::string PlatformWorker::registryEntry() const
+{
+    const WorkerEntry entry = this->worker.entry();
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    const auto field = [&](const char *name, const std::string &value) {
+        writer.Key(name);
+        writeText(writer, value);
+    };
+    field("service", SoakLayout::serviceName);
+    field("address", this->address);
+    field("zone", "z1");
+    field("state", "ready");
+    writer.Key("born");
+    writer.Int64(entry.bornMs);
+    writer.Key("labels");
+    writer.StartArray();
+    writeText(writer, entry.kind);
+    writeText(writer, entry.rack);
+    writer.EndArray();
+    writer.Key("capacity");
+    writer.StartObject();
+    writer.Key("cpu");
+    writer.Int64(milliCores);
+    writer.Key("mem_mb");
+    writer.Int64(memoryMb);
+    writer.EndObject();
+    writer.EndObject();
+    return buffer.GetString();
+}
+
+void PlatformWorker::after(Duration time, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+    timer->expires_after(std::chrono::milliseconds(time.count()));
+    timer->async_wait(
+        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
+}
+
+void PlatformWorker::abandon(const Respond &respond)
+{
+    this->after(longestPatience, [respond] { respond(withStatus(dropConnection)); });
+}
+
+void PlatformWorker::handle(const HttpRequest &request, const Respond &respond)
+{
+    if (request.header("x-expected-instance") != this->id) {
+        respond(withStatus(421));
+        return;
+    }
+    const bool hold = request.target == names::hold;
+    using Order = void (PlatformWorker::*)(const std::string &, const Respond &);
+    const Order order = hold                                ? &PlatformWorker::hold
+                        : request.target == names::runStart ? &PlatformWorker::start
+                        : request.target == names::runStop  ? &PlatformWorker::stop
+                                                            : nullptr;
+    if (!order) {
+        respond(withStatus(404));
+        return;
+    }
+    if (this->chance(this->ordersLost)) {
+        this->abandon(respond);
+        return;
+    }
+    const Respond silent = [](const HttpResponse &) {
+    };
+    // A late hold of an earlier life is left out: docs/PLATFORM.md asks the users about it.
+    if (!hold && this->chance(this->ordersLate)) {
+        const auto more = static_cast<std::int64_t>(this->random() %
+                                                    static_cast<std::uint64_t>(lateRange.count()));
+        this->after(lateFrom + Duration(more),
+                    [this, order, silent, body = request.body] { (this->*order)(body, silent); });
+        this->abandon(respond);
+    } else if (this->chance(this->answersLost)) {
+        (this->*order)(request.body, silent);
+        this->abandon(respond);
+    } else {
+        (this->*order)(request.body, respond);
+    }
+}
+
+HttpResponse PlatformWorker::answer(OrderOutcome outcome) const
+{
+    HttpResponse response;
+    const std::string clock = R"({"clock_ms":)" + std::to_string(this->worker.clock());
+    const auto refused = [&](const char *reason) {
+        response.status = 409;
+        response.body = clock + R"(,"reason":")" + reason + "\"}";
+    };
+    response.body = clock + "}";
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        break;
+    case OrderOutcome::Fenced:
+        refused("fence");
+        break;
+    case OrderOutcome::Superseded:
+        refused("old");
+        break;
+    case OrderOutcome::TooLate:
+        refused("late");
+        break;
+    case OrderOutcome::NoRoom:
+        refused("room");
+        break;
+    default:
+        response.status = 400;
+    }
+    return response;
+}
+
+void PlatformWorker::note(const char *event, const TaskRef &task, std::uint32_t run,
+                          std::uint64_t token, OrderOutcome outcome) const
+{
+    std::cout << this->nowMs << " " << this->id << " born " << this->worker.entry().bornMs << " "
+              << event << " " << platform::taskName(task) << " run " << run << " token " << token
+              << " outcome " << static_cast<int>(outcome) << "\n";
+}
+
+void PlatformWorker::start(const std::string &body, const Respond &respond)
+{
+    rapidjson::Document message;
+    message.Parse(body.data(), body.size());
+    const auto task =
+        message.IsObject() ? platform::parseTaskName(textOf(message, "task")) : std::nullopt;
+    if (!task) {
+        respond(withStatus(400));
+        return;
+    }
+    StartOrder order;
+    order.task = *task;
+    order.run = static_cast<std::uint32_t>(numberOf(message, "run"));
+    order.target.fencingToken = numberOf(message, "fencing_token");
+    order.leaseEndMs = static_cast<std::int64_t>(numberOf(message, "deadline_ms"));
+    order.payload = textOf(message, "spec");
+    if (const std::string fault = this->judge(*task, order.payload); !fault.empty()) {
+        this->ledger.broken.push_back(fault);
+    }
+    const TaskBehaviour behaviour = behaviourOf(order.payload, *task, order.run);
+    this->worker.advance(this->nowMs);
+    const OrderOutcome outcome = this->worker.start(order, behaviour.workMs, behaviour.fails);
+    this->note("start", order.task, order.run, order.target.fencingToken, outcome);
+    respond(this->answer(outcome));
+}
+
+void PlatformWorker::stop(const std::string &body, const Respond &respond)
+{
+    rapidjson::Document message;
+    message.Parse(body.data(), body.size());
+    const auto task =
+        message.IsObject() ? platform::parseTaskName(textOf(message, "task")) : std::nullopt;
+    if (!task) {
+        respond(withStatus(400));
+        return;
+    }
+    StopOrder order;
+    order.task = *task;
+    order.run = static_cast<std::uint32_t>(numberOf(message, "run"));
+    order.target.fencingToken = numberOf(message, "fencing_token");
+    const OrderOutcome outcome = this->worker.stop(order);
+    this->note("stop", order.task, order.run, order.target.fencingToken, outcome);
+    respond(this->answer(outcome));
+}
+
+void PlatformWorker::hold(const std::string &body, const Respond &respond)
+{
+    rapidjson::Document message;
+    message.Parse(body.data(), body.size());
+    if (!message.IsObject()) {
+        respond(withStatus(400));
+        return;
+    }
+    HoldOrder order;
+    order.target.fencingToken = numberOf(message, "fencing_token");
+    order.acknowledged = numberOf(message, "ack_cursor");
+    order.leaseEndMs = static_cast<std::int64_t>(numberOf(message, "deadline_ms"));
+    const std::uint64_t wait = std::min(longestHoldMs, numberOf(message, "wait_ms"));
+    WorkerReport report;
+    const bool taken = this->worker.hold(order, report) == OrderOutcome::Accepted;
+    if (!taken || wait == 0 || this->worker.hasEndsAfter(order.acknowledged)) {
+        this->answerHold(order, respond);
+        return;
+    }
+    this->waiting.push_back(Waiting{order, this->nowMs + static_cast<std::int64_t>(wait), respond});
+}
+
+void PlatformWorker::answerHold(const HoldOrder &order, const Respond &respond)
+{
+    WorkerReport report;
+    const OrderOutcome outcome = this->worker.hold(order, report);
+    HttpResponse response = this->answer(outcome);
+    if (outcome == OrderOutcome::Accepted) {
+        response.body = bodyOf(report);
+    }
+    respond(std::move(response));
+}
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/platformworker.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <random>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "httpserver.h"
+#include "simworker.h"
+
+namespace godwitfall::soak {
+
+/** Says what is wrong with a start, from what clients have sent; empty: nothing. */
+using StartJudge = std::function<std::string(const TaskRef &task, const std::string &payload)>;
+
+/** A worker of the platform over HTTP, with faults that can be set while it runs. */
+class PlatformWorker
+{
+public:
+    /** How a worker's own clock differs from the true one. */
+    struct Clock
+    {
+        std::int64_t offsetMs = 0;
+        std::int64_t lostPerThousand = 0; ///< By which it is slow.
+    };
+
+    PlatformWorker(boost::asio::io_context &context, std::string id, std::string address,
+                   Clock clock, std::mt19937_64 &random, jobtests::FleetLedger &ledger,
+                   StartJudge judge);
+
+    /** Listens on the address; the one that it was made with is the one it registers. */
+    Result<void> listen(const std::string &address);
+
+    /** Brings work and leases up to the time and answers holds; in ms since 1970. */
+    void tick(std::int64_t unixMs);
+
+    /** Loses everything and begins a new life. */
+    void rebirth(std::int64_t unixMs);
+
+    /** Returns its entry in the platform's registry. */
+    std::string registryEntry() const;
+
+    const std::string &name() const { return this->id; }
+
+    jobtests::SimWorker &simulation() { return this->worker; }
+
+    unsigned ordersLost = 0;  ///< In percent; neither done nor answered.
+    unsigned answersLost = 0; ///< In percent; done all the same.
+    unsigned ordersLate = 0;  ///< In percent of starts and stops; done seconds later.
+
+private:
+    /** A hold that waits for an end. */
+    struct Waiting
+    {
+        HoldOrder order;
+        std::int64_t untilMs = 0;
+        Respond respond;
+    };
+
+    void handle(const HttpRequest &request, const Respond &respond);
+    void start(const std::string &body, const Respond &respond);
+    void stop(const std::string &body, const Respond &respond);
+    void hold(const std::string &body, const Respond &respond);
+    /** Writes what happened to a run here. */
+    void note(const char *event, const TaskRef &task, std::uint32_t run, std::uint64_t token,
+              OrderOutcome outcome) const;
+    void answerHold(const HoldOrder &order, const Respond &respond);
+    HttpResponse answer(OrderOutcome outcome) const;
+    /** Returns the time as the worker counts it. */
+    std::int64_t localMs(std::int64_t unixMs);
+    void after(Duration time, std::function<void()> action);
+    void abandon(const Respond &respond);
+    bool chance(unsigned percent) { return this->random() % 100 < percent; }
+
+    boost::asio::io_context &context;
+    const std::string id;
+    const std::string address;
+    const Clock clock;
+    std::int64_t firstMs = 0; ///< When its clock was right.
+    std::mt19937_64 &random;
+    jobtests::FleetLedger &ledger;
+    const StartJudge judge;
+    HttpServer server;
+    jobtests::SimWorker worker;
+    std::int64_t nowMs = 0;
+    std::list<Waiting> waiting;
+};
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/soakclients.cpp
@@ -0,0 +1,250 @@
+#include "soakclients.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace godwitfall::soak {
+
+namespace {
+
+constexpr Duration patience{3000}; ///< Of a client for one answer; the platform's usual one.
+constexpr std::int64_t submitGapMs = 60;
+constexpr std::int64_t submitGapRangeMs = 120;
+constexpr std::int64_t retryGapMs = 300;
+constexpr std::int64_t watchGapMs = 400;
+constexpr unsigned mostAttempts = 12; ///< Of a client before it leaves.
+constexpr unsigned cancelPercent = 15;
+constexpr unsigned lastingEvery = 40; ///< One job in so many runs until it is cancelled.
+
+} // namespace
+
+SoakClients::SoakClients(boost::asio::io_context &context, const SoakLayout &layout,
+                         std::mt19937_64 &random, const jobtests::FleetLedger &ledger)
+    : context(context)
+    , layout(layout)
+    , random(random)
+    , ledger(ledger)
+    , http(context)
+{}
+
+void SoakClients::after(std::int64_t milliseconds, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+    timer->expires_after(std::chrono::milliseconds(milliseconds));
+    timer->async_wait(
+        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
+}
+
+void SoakClients::tick(std::int64_t nowMs)
+{
+    if (this->finishing || nowMs < this->nextAt) {
+        return;
+    }
+    this->nextAt = nowMs + submitGapMs + static_cast<std::int64_t>(this->below(submitGapRangeMs));
+    this->submitNew();
+}
+
+void SoakClients::submitNew()
+{
+    auto made = std::make_unique<SoakJob>();
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(this->jobs.size() + 1));
+    made->id = JobId(id);
+    const bool lasts = this->jobs.size() % lastingEvery == 1;
+    const std::uint64_t steps = lasts ? 1 : 1 + this->below(3);
+    for (std::uint32_t step = 0; step < steps; ++step) {
+        SoakStep spec;
+        spec.count = static_cast<std::uint32_t>(1 + this->below(lasts ? 1 : 3));
+        spec.lasts = lasts;
+        if (step > 0) {
+            spec.after.push_back(step - 1);
+        }
+        made->steps.push_back(std::move(spec));
+    }
+    const std::uint64_t work = lasts ? 100000000 : 50 + this->below(700);
+    const bool fails = !lasts && this->below(10) == 0;
+    made->payload = "ms=" + std::to_string(work) + " fails=" + (fails ? "1" : "0");
+    SoakJob &job = *made;
+    this->byId[job.id.value()] = &job;
+    this->jobs.push_back(std::move(made));
+    this->send(job);
+    if (this->below(100) < cancelPercent) {
+        this->after(static_cast<std::int64_t>(this->below(2500)), [this, &job] {
+            job.cancelSent = true;
+            this->cancel(job);
+        });
+    }
+}
+
+void SoakClients::call(std::size_t instance, const char *method, const SoakJob &job,
+                       std::string body, const Handler &handler)
+{
+    HttpCall call;
+    call.step = "client";
+    call.address = this->layout.entranceAddress(instance);
+    call.method = method;
+    call.target = SoakLayout::queuePrefix + job.id.value();
+    call.headers["Host"] = SoakLayout::queueHost;
+    call.headers["X-Deadline-Ms"] = std::to_string(patience.count());
+    call.body = std::move(body);
+    call.timeout = patience;
+    const auto sentAt = std::chrono::steady_clock::now();
+    this->http.call(std::move(call),
+                    [this, instance, handler, sentAt](const Result<HttpResponse> &result) {
+                        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::steady_clock::now() - sentAt);
+                        const bool sent = !result && result.error().fate != Fate::NotDone;
+                        if (sent && Duration(waited.count()) < patience && this->brokenOff) {
+                            this->brokenOff(instance, Duration(waited.count()));
+                        }
+                        handler(result);
+                    });
+}
+
+void SoakClients::send(SoakJob &job)
+{
+    ++job.attempts;
+    const std::size_t instance = this->below(this->layout.instances);
+    this->call(instance, "POST", job, job.body(), [this, &job](const Result<HttpResponse> &result) {
+        if (result && result->status == 200) {
+            job.accepted = true;
+            return;
+        }
+        const bool refused = result ? result->status == 429 || result->status == 503
+                                    : result.error().fate == Fate::NotDone;
+        job.rejected += refused ? 1 : 0;
+        this->rejected += refused ? 1 : 0;
+        this->unknown += refused ? 0 : 1;
+        if (job.attempts < mostAttempts) {
+            this->after(retryGapMs + static_cast<std::int64_t>(this->below(retryGapMs)),
+                        [this, &job] { this->send(job); });
+        }
+    });
+}
+
+void SoakClients::cancel(SoakJob &job)
+{
+    const std::size_t instance = this->below(this->layout.instances);
+    this->call(instance, "DELETE", job, {}, [this, &job](const Result<HttpResponse> &result) {
+        const bool known = result && result->status == 200;
+        // Of a job whose accept is not known yet 410 says nothing.
+        const bool gone = result && result->status == 410 && !job.accepted;
+        if (known) {
+            job.cancelled = true;
+        } else if (!gone || !this->finishing) {
+            this->after(retryGapMs, [this, &job] { this->cancel(job); });
+        }
+    });
+}
+
+void SoakClients::finish()
+{
+    this->finishing = true;
+    for (const auto &job : this->jobs) {
+        this->watch(*job);
+    }
+}
+
+void SoakClients::watch(SoakJob &job)
+{
+    if (!job.accepted && !job.cancelled) {
+        // A job whose client has left with every attempt refused, or not known, is owed nothing.
+        job.settled = job.attempts >= mostAttempts;
+        if (!job.settled) {
+            this->after(watchGapMs, [this, &job] { this->watch(job); });
+        }
+        return;
+    }
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        this->call(instance, "GET", job, {}, [this, &job, instance](const auto &result) {
+            const std::string state = result ? result->body : result.error().text();
+            this->lastShown[job.id.value()] = state;
+            const bool cancelled = state.find("cancelled") != std::string::npos;
+            const bool completed = state.find("completed") != std::string::npos;
+            const bool running = state.find("running") != std::string::npos;
+            const bool ended = job.cancelSent ? cancelled || completed
+                               : job.lasts()  ? running
+                                              : completed;
+            if (ended && result->status == 200) {
+                this->agreed[job.id.value()].insert(instance);
+                job.settled = this->agreed[job.id.value()].size() == this->layout.instances;
+            }
+        });
+    }
+    this->after(watchGapMs, [this, &job] {
+        if (!job.settled) {
+            this->watch(job);
+        }
+    });
+}
+
+bool SoakClients::settled() const
+{
+    return std::all_of(this->jobs.begin(), this->jobs.end(), [&](const auto &job) {
+        const bool lasting = job->lasts() && job->accepted && !job->cancelSent;
+        // A task that lasts is at work again once all is well.
+        const auto at = this->ledger.running.find(TaskRef{job->id, 0, 0, 0});
+        const bool atWork = at != this->ledger.running.end() && !at->second.empty();
+        return job->settled && (!lasting || atWork);
+    });
+}
+
+std::size_t SoakClients::acceptedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(this->jobs.begin(), this->jobs.end(),
+                                                  [](const auto &job) { return job->accepted; }));
+}
+
+std::string SoakClients::judge(const TaskRef &task, const std::string &payload)
+{
+    const std::string name =
+        task.job.value() + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+    const auto found = this->byId.find(task.job.value());
+    if (found == this->byId.end()) {
+        return "start of " + name + ", which no client sent";
+    }
+    SoakJob &job = *found->second;
+    job.started = true;
+    const bool fits = task.step < job.steps.size() && task.index < job.steps[task.step].count;
+    if (!fits || payload != job.payload) {
+        return "start of " + name + " with what its client did not send";
+    }
+    for (const std::uint32_t earlier : job.steps[task.step].after) {
+        for (std::uint32_t index = 0; index < job.steps[earlier].count; ++index) {
+            if (!this->ledger.everDone.contains(TaskRef{task.job, 0, earlier, index})) {
+                return "start of " + name + " before step " + std::to_string(earlier) + " was done";
+            }
+        }
+    }
+    return {};
+}
+
+std::vector<std::string> SoakClients::faults() const
+{
+    std::vector<std::string> found;
+    for (const auto &job : this->jobs) {
+        if (!job->settled) {
+            const auto shown = this->lastShown.find(job->id.value());
+            found.push_back("job " + job->id.value() + " is not settled: " +
+                            (shown == this->lastShown.end() ? "never shown" : shown->second));
+        }
+        if (job->started && job->attempts == job->rejected) {
+            found.push_back("job " + job->id.value() + " ran, and was refused every time");
+        }
+        for (const auto &[task, runs] : this->ledger.running) {
+            const bool over = job->settled && (job->cancelSent || !job->lasts());
+            if (task.job == job->id && !runs.empty() && over) {
+                found.push_back("a task of " + job->id.value() + " runs though its job is over");
+            }
+        }
+    }
+    if (found.empty() && !this->settled()) {
+        found.emplace_back("a task that lasts is not at work");
+    }
+    return found;
+}
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/soakclients.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "httpclient.h"
+#include "simworker.h"
+#include "soakjob.h"
+#include "soaklayout.h"
+
+namespace godwitfall::soak {
+
+/**
+ * Callers that submit, watch and cancel jobs at all instances and compare what they are told with
+ * what workers do.
+ */
+class SoakClients
+{
+public:
+    SoakClients(boost::asio::io_context &context, const SoakLayout &layout, std::mt19937_64 &random,
+                const jobtests::FleetLedger &ledger);
+
+    /** Submits new jobs and cancels old ones; the time is in ms since the run began. */
+    void tick(std::int64_t nowMs);
+
+    /** Submits no more; from now on every instance has to show how each job ended. */
+    void finish();
+
+    /** Returns whether every job is settled. */
+    bool settled() const;
+
+    /** Says what is wrong with a start, for workers. */
+    std::string judge(const TaskRef &task, const std::string &payload);
+
+    /** Returns what was still wrong at the end, in words. */
+    std::vector<std::string> faults() const;
+
+    std::size_t jobCount() const { return this->jobs.size(); }
+    std::size_t acceptedCount() const;
+    std::size_t rejections() const { return this->rejected; }
+    std::size_t unknowns() const { return this->unknown; }
+
+    /** Told when a connection broke after the instance had had the request for a while. */
+    std::function<void(std::size_t instance, Duration waited)> brokenOff;
+
+private:
+    using Handler = std::function<void(const Result<HttpResponse> &)>;
+
+    void submitNew();
+    void send(SoakJob &job);
+    void cancel(SoakJob &job);
+    void watch(SoakJob &job);
+    void call(std::size_t instance, const char *method, const SoakJob &job, std::string body,
+              const Handler &handler);
+    void after(std::int64_t milliseconds, std::function<void()> action);
+    std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
+
+    boost::asio::io_context &context;
+    const SoakLayout layout;
+    std::mt19937_64 &random;
+    const jobtests::FleetLedger &ledger;
+    HttpClient http;
+    std::vector<std::unique_ptr<SoakJob>> jobs;
+    std::map<std::string, SoakJob *> byId;
+    std::map<std::string, std::set<std::size_t>> agreed; ///< Instances that show the end, by job.
+    std::map<std::string, std::string> lastShown;
+    std::int64_t nextAt = 0;
+    std::size_t rejected = 0;
+    std::size_t unknown = 0;
+    bool finishing = false;
+};
+
+} // namespace godwitfall::soak
--- /dev/null
+++ b/tests/soak/soaklayout.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+
+namespace godwitfall::soak {
+
+/** Addresses and files of a deployment of instances, workers and a store on loopback. */
+struct SoakLayout
+{
+    unsigned network = 20; ///< Second number of every address, so that runs don't meet.
+    std::size_t instances = 5;
+    std::size_t workers = 6;
+    std::filesystem::path folder; ///< Of settings, logs and process ids.
+
+    std::string storeAddress() const { return this->address(0, 1); }
+
+    /** Where the instance finds the store; a proxy. */
+    std::string storeProxyAddress(std::size_t instance) const { return this->address(1, instance); }
+
+    std::string workerAddress(std::size_t worker) const { return this->address(2, worker); }
+
+    /** Where instances find the worker; a proxy. */
+    std::string workerProxyAddress(std::size_t worker) const { return this->address(3, worker); }
+
+    std::string instanceName(std::size_t instance) const
+    {
+        return "instance" + std::to_string(instance);
+    }
+
+    std::string entranceAddress(std::size_t instance) const { return this->address(4, instance); }
+
+    std::filesystem::path settingsFile(std::size_t instance) const
+    {
+        return this->folder / (this->instanceName(instance) + ".conf");
+    }
+
+    /** Holds the process id of the instance while it runs; written by who starts it. */
+    std::filesystem::path processFile(std::size_t instance) const
+    {
+        return this->folder / (this->instanceName(instance) + ".pid");
+    }
+
+    /** Holds the status of each end of the instance, one a line; written by who starts it. */
+    std::filesystem::path endsFile(std::size_t instance) const
+    {
+        return this->folder / (this->instanceName(instance) + ".ends");
+    }
+
+    /** While it is there, ended instances are not started again. */
+    std::filesystem::path stopFile() const { return this->folder / "stop"; }
+
+    /** Returns the text of the instance's settings file. */
+    std::string settings(std::size_t instance) const;
+
+    static constexpr const char *queueHost = "plans.example";
+    static constexpr const char *queuePrefix = "/plan/";
+    static constexpr const char *serviceName = "orchard";
+
+private:
+    static constexpr unsigned port = 7300;
+
+    std::string ip(std::size_t group, std::size_t index) const
+    {
+        return "127." + std::to_string(this->network) + "." + std::to_string(group) + "." +
+               std::to_string(index + 1);
+    }
+
+    std::string address(std::size_t group, std::size_t index) const
+    {
+        return this->ip(group, index) + ":" + std::to_string(port);
+    }
+};
+
+} // namespace godwitfall::soak
