Count a failed run once, and take a view that lags for stale

Failed attempts are now kept by the number of their run. Cause: each page of a read renewed the view's age, also while the log went on behind the page, and with the time at which the process came to it. Ruled out: a lost append (the coordinator ran the job), trimming (120 s), the load of the newest records. The view is now of the time at which its read was asked for, a wait of one read later at the most, and only once it has reached the log's end.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1,5 +1,6 @@
 #include "entryinstance.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <ctime>
@@ -207,6 +208,9 @@
 void EntryInstance::load(Follower &follower, const std::string &after)
 {
     const std::uint64_t generation = follower.generation;
+    if (after.empty()) {
+        follower.askedAt = this->now();
+    }
     this->store.newest(
         follower.topic, after,
         [this, &follower, generation, after](const Result<platform::NewestPage> &page) {
@@ -231,7 +235,7 @@
             }
             follower.loaded = true;
             follower.busy = false;
-            this->noteRead(follower);
+            this->noteRead(follower, follower.askedAt);
             this->wake();
         });
 }
@@ -239,6 +243,7 @@
 void EntryInstance::readOn(Follower &follower)
 {
     const std::uint64_t generation = follower.generation;
+    follower.askedAt = this->now();
     this->store.read(
         follower.topic, follower.cursor, readWait,
         [this, &follower, generation](platform::StoreClient::ReadOutcome outcome,
@@ -270,16 +275,20 @@
             const Duration gap = &follower == &this->workerFollower ? workerReadGap
                                  : owner                            ? ownerReadGap
                                                                     : standbyReadGap;
-            follower.dueAt = at + gap;
-            this->noteRead(follower);
+            const bool atEnd = follower.cursor >= page.end;
+            follower.dueAt = atEnd ? at + gap : at;
+            if (atEnd) {
+                // The answer may have waited for this process to be given the processor.
+                this->noteRead(follower, std::min(at, follower.askedAt + readWait));
+            }
             this->wake();
         });
 }
 
-void EntryInstance::noteRead(Follower &follower)
+void EntryInstance::noteRead(const Follower &follower, Instant asOf)
 {
     if (&follower == &this->jobFollower) {
-        this->node.viewRead(follower.cursor, this->now());
+        this->node.viewRead(follower.cursor, asOf);
     }
 }
 
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -45,6 +45,7 @@
         std::uint64_t cursor = 0;
         Instant dueAt;
         std::uint64_t generation = 0;
+        Instant askedAt; ///< When the read was sent whose answer is awaited or was last taken in.
     };
 
     void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
@@ -73,7 +74,8 @@
     void applyRecord(Follower &follower, const JobRecord &record);
     void applyConfigRecord(const JobRecord &record);
     void applyWorkerRecord(const JobRecord &record);
-    void noteRead(Follower &follower);
+    /** Notes that the follower knows all that its topic held at the time. */
+    void noteRead(const Follower &follower, Instant asOf);
     void restart(Follower &follower);
 
     void serveReadiness(const HttpRequest &request, const Respond &respond);
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -383,7 +383,8 @@
     // A late start began the run; its end is acknowledged with the others and so has to count.
     if (ended.how == RunEnd::Done) {
         this->finishTask(job, ended.task, task, now);
-    } else if (ended.how == RunEnd::Failed && this->countFailure(job, ended.task, task)) {
+    } else if (ended.how == RunEnd::Failed &&
+               this->countFailure(job, ended.task, task, ended.run)) {
         this->closeJob(job, Job::State::FAILED, now);
     }
 }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -216,8 +216,8 @@
     void rest(WorkerState &worker, Duration length, Instant now);
 
     void finishTask(Job &job, const TaskRef &ref, Task &task, Instant now);
-    /** Counts a failed run; returns whether the task has had all its attempts. */
-    bool countFailure(Job &job, const TaskRef &ref, Task &task);
+    /** Counts a failed run, once; returns whether the task has had all its attempts. */
+    bool countFailure(Job &job, const TaskRef &ref, Task &task, std::uint32_t run);
     void failTask(Job &job, const TaskRef &ref, Task &task, Instant now);
     void returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome, Instant now);
     void breakGang(Job &job, const TaskRef &ref, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -43,14 +43,17 @@
     }
 }
 
-bool Coordinator::countFailure(Job &job, const TaskRef &ref, Task &task)
+bool Coordinator::countFailure(Job &job, const TaskRef &ref, Task &task, std::uint32_t run)
 {
     // The attempts of a gang are counted at its first member.
     Task &counted =
         job.stepSpec(ref.step).gang() ? job.stepRun(ref.occurrence, ref.step).tasks.front() : task;
-    ++counted.failures;
-    this->markDirty(job);
-    return counted.failures >= std::max(1U, this->rulesOf(job).attempts);
+    std::vector<std::uint32_t> &failed = counted.failedRuns;
+    if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
+        failed.push_back(run);
+        this->markDirty(job);
+    }
+    return failed.size() >= std::max(1U, this->rulesOf(job).attempts);
 }
 
 void Coordinator::failTask(Job &job, const TaskRef &ref, Task &task, Instant now)
@@ -60,7 +63,7 @@
         this->returnTask(job, ref, task, RunOutcome::Failed, now);
         return;
     }
-    const bool spent = this->countFailure(job, ref, task);
+    const bool spent = this->countFailure(job, ref, task, task.run);
     this->returnTask(job, ref, task, RunOutcome::Failed, now);
     if (spent) {
         this->closeJob(job, Job::State::FAILED, now);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -44,10 +44,12 @@
             late.set_worker(start.worker);
             late.set_run(start.run);
         }
-        if (task.failures > 0) {
+        if (!task.failedRuns.empty()) {
             jobs::Failures &failed = *message.add_failed();
             failed.set_index(index);
-            failed.set_count(task.failures);
+            for (const std::uint32_t number : task.failedRuns) {
+                failed.add_runs(number);
+            }
         }
     }
     message.set_done(std::move(done));
@@ -243,7 +245,8 @@
         }
         for (const jobs::Failures &failed : message.failed()) {
             if (failed.index() < run.tasks.size()) {
-                run.tasks[failed.index()].failures = failed.count();
+                run.tasks[failed.index()].failedRuns.assign(failed.runs().begin(),
+                                                            failed.runs().end());
             }
         }
     }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -59,9 +59,9 @@
 struct Task
 {
     TaskPhase phase = TaskPhase::Waiting;
-    std::uint32_t run = 0; ///< Number of the newest start; 0 before the first.
-    std::uint32_t failures = 0;
-    std::string worker;            ///< Where it is placed; empty when it runs nowhere.
+    std::uint32_t run = 0;                 ///< Number of the newest start; 0 before the first.
+    std::vector<std::uint32_t> failedRuns; ///< Attempts that count, by the number of the run.
+    std::string worker;                    ///< Where it is placed; empty when it runs nowhere.
     std::int64_t workerBornMs = 0; ///< Life of the worker that it was placed on; 0: not known.
     std::string checkpoint;
     bool maybeLate = false; ///< A try of its start may still be carried out, by a later life too.
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -39,7 +39,7 @@
     run.tasks[1].phase = TaskPhase::Running;
     run.tasks[1].run = 2;
     run.tasks[1].worker = "w1";
-    run.tasks[2].failures = 1;
+    run.tasks[2].failedRuns = {1};
     run.tasks[2].run = 3;
     job.state = jobs::RUNNING;
 
@@ -52,7 +52,7 @@
     EXPECT_EQ(back->tasks[0].run, 4U);
     EXPECT_EQ(back->tasks[1].phase, TaskPhase::Unconfirmed);
     EXPECT_EQ(back->tasks[1].worker, "w1");
-    EXPECT_EQ(back->tasks[2].failures, 1U);
+    EXPECT_EQ(back->tasks[2].failedRuns, std::vector<std::uint32_t>{1});
     EXPECT_EQ(back->tasks[2].phase, TaskPhase::Waiting);
     EXPECT_EQ(other.published, jobs::RUNNING);
 }
@@ -796,6 +796,38 @@
     }
 }
 
+TEST(CoordinatorTest, AFailedRunCountsOnceHoweverOftenItIsListed)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    spec.set_max_attempts(2);
+    *spec.add_steps() = stepOf(1, 5000);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    table.apply(record(JobTable::progressKey(jobId), progressWithLateStart(7), 2), Instant(1000),
+                job);
+    WorkerReport report;
+    report.clockMs = 500;
+    report.bornMs = 7;
+    report.ended.push_back(EndedTask{1, TaskRef{jobId, 0, 0, 0}, 2, RunEnd::Failed, {}});
+    // Its end is durable, and the coordinator is replaced before it acknowledges it.
+    for (std::uint64_t epoch = 2; epoch < 5; ++epoch) {
+        coordinator.begin(epoch, Instant(1000), 1, Instant(10000));
+        coordinator.setWorker(entryOf("w2"), Instant(1000));
+        coordinator.reported(WorkerId("w2"), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             report);
+        for (const JobRecord &made : coordinator.takeBatch()) {
+            table.apply(record(made.key, made.value, 10 + epoch), Instant(1000), job);
+        }
+    }
+    EXPECT_EQ(job->state, jobs::RUNNING);
+}
+
 TEST(CoordinatorTest, APlacementOnAnEarlierLifeCountsAsRunningWhileLateStartsMayCome)
 {
     JobTable table;
