--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -17,7 +17,7 @@
     /** Runs at work now, by task. */
     std::map<TaskRef, std::set<std::pair<std::string, std::uint32_t>>> running;
     std::set<TaskRef> acknowledgedDone;
-    std::set<TaskRef> everDone; ///< Tasks of which some run has ended as done.
+    std::set<TaskRef> everDone;      ///< Tasks of which some run has ended as done.
     std::vector<std::string> broken; ///< What broke a promise, in words.
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
--- /dev/null
+++ b/tests/platform/test_entryinstance.cpp
@@ -0,0 +1,135 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <random>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "entryinstance.h"
+#include "httpclient.h"
+#include "jobworld.h"
+#include "platform/names.h"
+#include "platformstore.h"
+
+namespace godwitfall {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr const char *storeAddress = "127.18.0.1:7300";
+constexpr const char *entranceAddress = "127.18.4.1:7300";
+constexpr const char *lastJob = "00000000000fffff";
+constexpr Duration visibleAfter{3000}; ///< Of an accepted job; from the platform.
+
+std::string idOf(int number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(number));
+    return text;
+}
+
+platform::Settings settingsOf()
+{
+    platform::Settings settings;
+    settings.instance = "instance0";
+    settings.zone = "z1";
+    settings.ip = "127.18.4.1";
+    settings.entranceAddress = entranceAddress;
+    settings.readinessAddress = "127.18.4.1:7301";
+    settings.peerAddress = "127.18.4.1:7302";
+    settings.storeAddress = storeAddress;
+    return settings;
+}
+
+/** An instance beside a store, and a client that asks it for one job again and again. */
+class EntryInstanceTest : public ::testing::Test
+{
+protected:
+    EntryInstanceTest()
+        : random(1)
+        , store(this->context, this->random)
+        , instance(this->context, settingsOf(), 1, 0)
+        , client(this->context)
+        , timer(this->context)
+    {
+        EXPECT_TRUE(this->store.listen(storeAddress));
+        this->store.put(platform::names::configTopic, platform::names::configKey,
+                        R"({"version":1,"routes":[{"name":"plan","host":"a.example",)"
+                        R"("path_prefix":"/plan/","service":"orchard"}],"services":[]})");
+        EXPECT_TRUE(this->instance.start());
+    }
+
+    /** Asks for the job until the callback, given the status, returns true. */
+    void ask(const std::string &id, std::function<bool(unsigned)> done)
+    {
+        HttpCall call;
+        call.step = "ask";
+        call.address = entranceAddress;
+        call.method = "GET";
+        call.target = "/plan/" + id;
+        call.headers["Host"] = "a.example";
+        this->client.call(std::move(call), [this, id, done](const Result<HttpResponse> &result) {
+            if (result && done(result->status)) {
+                return;
+            }
+            this->timer.expires_after(std::chrono::milliseconds(20));
+            this->timer.async_wait(
+                [this, id, done](const boost::system::error_code &) { this->ask(id, done); });
+        });
+    }
+
+    boost::asio::io_context context;
+    std::mt19937_64 random;
+    soak::PlatformStore store;
+    EntryInstance instance;
+    HttpClient client;
+    boost::asio::steady_timer timer;
+};
+
+TEST_F(EntryInstanceTest, DoesNotDenyAJobWhileItsViewIsBehind)
+{
+    constexpr int records = 8000; // Eight pages, of which each takes one slow read.
+    Clock::time_point accepted;
+    unsigned denied = 0;
+    unsigned shown = 0;
+    const auto submitAll = [&] {
+        jobs::JobSpec spec;
+        spec.set_queue("plan");
+        *spec.add_steps() = jobtests::stepOf(1, 100);
+        const std::string body = spec.SerializeAsString();
+        this->store.latency = Duration(600);
+        for (int number = 1; number < records; ++number) {
+            this->store.put(platform::names::jobTopic, "a/" + idOf(number), body);
+        }
+        this->store.put(platform::names::jobTopic, std::string("a/") + lastJob, body);
+        accepted = Clock::now();
+    };
+    this->ask(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        submitAll();
+        this->ask(lastJob, [&](unsigned later) {
+            const bool late =
+                Clock::now() - accepted > std::chrono::milliseconds(visibleAfter.count());
+            denied += later == 410 && late ? 1 : 0;
+            shown += later == 200 ? 1 : 0;
+            if (shown > 0) {
+                this->context.stop();
+            }
+            return shown > 0;
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(denied, 0U);
+    EXPECT_EQ(shown, 1U);
+}
+
+} // namespace
+
+} // namespace godwitfall
