Stop no more tasks on draining workers than others have room for

Cause: each task on each draining worker was stopped as soon as some worker had room for one, so a hundred were stopped for the room of a few. Ruled out: room kept for short work (holds for first starts only). Change: moves of tasks that last are bounded by the room of others, less what waits and what moves already; looked at every 100 ms, no longer at every tick. The test is red before (5 stopped for room of 0, 1 and 3), green after.

Soak: long jobs of one step that don't fail, links of workers cut for up to 16 s.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -247,7 +247,11 @@
     void sendHold(WorkerState &worker, Instant now, bool mayRenew);
     void retryOrders(Instant now, bool mayRenew);
     void findStalled(WorkerState &worker, Instant now);
-    void moveFromDraining(WorkerState &worker, Instant now);
+    /** Moves tasks from draining workers, where others have room for them. */
+    void moveFromDraining(Instant now);
+    void moveFromDraining(WorkerState &worker, std::int64_t &wanted, Instant now);
+    /** Returns how many tasks of the step other workers have room for. */
+    std::int64_t roomFor(const Job &job, std::uint32_t occurrence, std::uint32_t step, Instant now);
     bool mayInterrupt(const Job &job, const TaskRef &ref) const;
 
     JobTable &table;
@@ -273,7 +277,9 @@
     std::map<std::string, std::vector<UnansweredStart>> unansweredElsewhere;
     std::set<Job *> dirty;
     bool planNeeded = false;
-    bool someWait = false; ///< The last plan left tasks waiting.
+    bool someWait = false;        ///< The last plan left tasks waiting.
+    std::int64_t lastingWait = 0; ///< Tasks that last which the last plan left waiting.
+    Instant movedAt;              ///< When tasks on draining workers were last looked at.
     Instant plannedAt;
     Instant preemptedAt;
     Instant shortWorkAt{-1000000}; ///< When work that ends was last open.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** Time between two looks at tasks on draining workers; short beside the time that they stay. */
+constexpr Duration moveGap{100};
 /** Rest of a worker whose room was counted wrongly. */
 constexpr Duration roomRest{150};
 
@@ -237,14 +239,15 @@
 {
     this->unixMs = newUnixMs;
     this->retryOrders(now, mayRenew);
+    if (now >= this->movedAt + moveGap) {
+        this->movedAt = now;
+        this->moveFromDraining(now);
+    }
     std::vector<std::string> idle;
     for (const auto &[id, worker] : this->workers) {
         if (!worker->tasks.empty() && now > worker->lapsesAt(this->bounds)) {
             this->loseWorker(*worker, now);
         }
-        if (worker->entry.draining && worker->heard) {
-            this->moveFromDraining(*worker, now);
-        }
         if (!worker->listed && worker->tasks.empty() && !worker->holdInFlight) {
             idle.push_back(id);
             continue;
@@ -272,7 +275,40 @@
     this->workers.erase(found);
 }
 
-void Coordinator::moveFromDraining(WorkerState &worker, Instant now)
+std::int64_t Coordinator::roomFor(const Job &job, std::uint32_t occurrence, std::uint32_t step,
+                                  Instant now)
+{
+    const PlacementRequest request{job, occurrence, step, {}, false};
+    std::int64_t room = 0;
+    for (WorkerState *worker : this->allowed(job, occurrence, step, now)) {
+        if (this->policy.usable(*worker, request, now)) {
+            room += std::max<std::int64_t>(1, worker->places(job.stepSpec(step)));
+        }
+    }
+    return room;
+}
+
+void Coordinator::moveFromDraining(Instant now)
+{
+    std::vector<WorkerState *> draining;
+    // Room that waiting tasks and those on their way will take is not there for others.
+    std::int64_t wanted = this->lastingWait;
+    for (const auto &[id, worker] : this->workers) {
+        if (!worker->entry.draining || !worker->heard) {
+            continue;
+        }
+        draining.push_back(worker.get());
+        for (const auto &[ref, job] : worker->tasks) {
+            const bool moving = job->task(ref)->phase == TaskPhase::Stopping;
+            wanted += moving && job->stepSpec(ref.step).long_running() ? 1 : 0;
+        }
+    }
+    for (WorkerState *worker : draining) {
+        this->moveFromDraining(*worker, wanted, now);
+    }
+}
+
+void Coordinator::moveFromDraining(WorkerState &worker, std::int64_t &wanted, Instant now)
 {
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
@@ -288,8 +324,9 @@
         if (!movable || !this->mayInterrupt(*job, ref)) {
             continue;
         }
-        const PlacementRequest request{*job, ref.occurrence, ref.step, {}, false};
-        if (this->policy.choose(this->allowed(*job, ref.occurrence, ref.step, now), request, now)) {
+        const std::int64_t before = step.long_running() ? wanted : 0;
+        if (this->roomFor(*job, ref.occurrence, ref.step, now) > before) {
+            wanted += step.long_running() ? 1 : 0;
             this->stopTask(ref, task, now);
         }
     }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -59,6 +59,12 @@
                        [](const Task &task) { return task.phase == TaskPhase::Waiting; });
 }
 
+std::int64_t countWaiting(const StepRun &run)
+{
+    return std::count_if(run.tasks.begin(), run.tasks.end(),
+                         [](const Task &task) { return task.phase == TaskPhase::Waiting; });
+}
+
 bool allWaiting(const StepRun &run)
 {
     return std::all_of(run.tasks.begin(), run.tasks.end(),
@@ -129,6 +135,7 @@
     }
     this->planNeeded = false;
     this->someWait = false;
+    this->lastingWait = 0;
     this->plannedAt = now;
     std::vector<Candidate> order;
     for (Job *job : this->open) {
@@ -181,6 +188,7 @@
             run.readySince = ready;
             this->planStep(job, run, now);
             this->someWait = this->someWait || anyWaiting(run);
+            this->lastingWait += job.stepSpec(number).long_running() ? countWaiting(run) : 0;
             if (untouched(run)) {
                 job.stepRuns().erase({occurrence, number});
             } else if (!anyWaiting(run)) {
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -796,6 +796,61 @@
     }
 }
 
+TEST(CoordinatorTest, NoMoreTasksThatLastLeaveADrainingWorkerThanOthersHaveRoomFor)
+{
+    for (const std::size_t room : {0U, 1U, 3U}) {
+        JobTable table;
+        Recorder orders;
+        QuietHost host;
+        Coordinator coordinator(table, WorkerBounds(), orders, host);
+        jobs::JobSpec spec;
+        spec.set_queue("plan");
+        spec.set_service("orchard");
+        *spec.add_steps() = stepOf(5, 5000);
+        spec.mutable_steps(0)->set_long_running(true);
+        spec.mutable_steps(0)->set_milli_cores(1000);
+        Job *job = nullptr;
+        table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1),
+                    Instant(1000), job);
+        jobs::JobProgress progress;
+        progress.set_epoch(1);
+        progress.set_state(jobs::RUNNING);
+        jobs::StepProgress &step = *progress.add_steps();
+        WorkerReport busy;
+        busy.clockMs = 500;
+        for (std::uint32_t index = 0; index < 5; ++index) {
+            step.add_runs(1);
+            jobs::Placement &placed = *step.add_placed();
+            placed.set_index(index);
+            placed.set_worker("w1");
+            busy.running.push_back(RunningTask{TaskRef{jobId, 0, 0, index}, 1, {}, 100, 0});
+        }
+        table.apply(record(JobTable::progressKey(jobId), progress.SerializeAsString(), 2),
+                    Instant(1000), job);
+        coordinator.begin(2, Instant(1000), 1, Instant(10000));
+        WorkerEntry leaving = entryOf("w1");
+        leaving.draining = true;
+        coordinator.setWorker(leaving, Instant(1000));
+        WorkerEntry other = entryOf("w2");
+        other.capacity.milliCores = static_cast<std::int64_t>(1000 * room + 500);
+        coordinator.setWorker(other, Instant(1000));
+        WorkerReport free;
+        free.clockMs = 500;
+        coordinator.reported(WorkerId("w1"), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             busy);
+        coordinator.reported(WorkerId("w2"), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             free);
+        for (std::int64_t at = 1200; at < 2000; at += 200) {
+            coordinator.tick(Instant(at), 1, true);
+        }
+        std::set<std::uint32_t> stopped;
+        for (const StopOrder &stop : orders.stops) {
+            stopped.insert(stop.task.index);
+        }
+        EXPECT_EQ(stopped.size(), room);
+    }
+}
+
 TEST(CoordinatorTest, AFailedRunCountsOnceHoweverOftenItIsListed)
 {
     JobTable table;
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -20,8 +20,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr const char *storeAddress = "127.18.0.1:7300";
-constexpr const char *entranceAddress = "127.18.4.1:7300";
+constexpr const char *storeAddress = "127.17.0.1:7300";
+constexpr const char *entranceAddress = "127.17.4.1:7300";
 constexpr const char *lastJob = "00000000000fffff";
 constexpr Duration visibleAfter{3000}; ///< Of an accepted job; from the platform.
 
@@ -37,10 +37,10 @@
     platform::Settings settings;
     settings.instance = "instance0";
     settings.zone = "z1";
-    settings.ip = "127.18.4.1";
+    settings.ip = "127.17.4.1";
     settings.entranceAddress = entranceAddress;
-    settings.readinessAddress = "127.18.4.1:7301";
-    settings.peerAddress = "127.18.4.1:7302";
+    settings.readinessAddress = "127.17.4.1:7301";
+    settings.peerAddress = "127.17.4.1:7302";
     settings.storeAddress = storeAddress;
     return settings;
 }
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t gapMs = 200;
 constexpr std::int64_t gapRangeMs = 1300;
 constexpr std::int64_t longestFaultMs = 9000;
+/** Above the time after which the tasks of a worker that is not heard go on elsewhere. */
+constexpr std::int64_t longestWorkerCutMs = 16000;
 /** Time around a fault within which a broken connection is laid to it. */
 constexpr std::int64_t nearMs = 4000;
 /** Time from a planned stop to the end of the process at the latest; the platform's grace. */
@@ -162,13 +164,13 @@
     });
 }
 
-void FaultPlan::trouble(LinkProxy &link)
+void FaultPlan::trouble(LinkProxy &link, std::int64_t longestMs)
 {
     constexpr LinkProxy::Mode modes[] = {LinkProxy::Mode::Delay, LinkProxy::Mode::Hold,
                                          LinkProxy::Mode::HoldReply, LinkProxy::Mode::Reset};
     link.delay = Duration(static_cast<std::int64_t>(20 + this->below(400)));
     link.setMode(modes[this->below(std::size(modes))]);
-    this->after(200 + static_cast<std::int64_t>(this->below(longestFaultMs)),
+    this->after(200 + static_cast<std::int64_t>(this->below(longestMs)),
                 [&link] { link.setMode(LinkProxy::Mode::Pass); });
 }
 
@@ -239,19 +241,19 @@
 {
     const std::size_t instance = this->anyInstance();
     this->disturb(instance);
-    this->trouble(*this->targets.storeLinks[instance]);
+    this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
 }
 
 void FaultPlan::troubleOwnersStoreLink()
 {
     const std::size_t instance = this->owner();
     this->disturb(instance);
-    this->trouble(*this->targets.storeLinks[instance]);
+    this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
 }
 
 void FaultPlan::troubleWorkerLink()
 {
-    this->trouble(*this->targets.workerLinks[this->anyWorker()]);
+    this->trouble(*this->targets.workerLinks[this->anyWorker()], longestWorkerCutMs);
 }
 
 void FaultPlan::rebirthWorker()
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -82,7 +82,8 @@
 
     void kill(std::size_t instance);
     void freeze(std::size_t instance);
-    void trouble(LinkProxy &link);
+    /** Draws what is wrong with the link and for how long. */
+    void trouble(LinkProxy &link, std::int64_t longestMs);
     /** Returns the instance that coordinates, as the log says, or any. */
     std::size_t owner();
     std::size_t anyInstance() { return this->below(this->layout.instances); }
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned mostAttempts = 12; ///< Of a client before it leaves.
 constexpr unsigned cancelPercent = 15;
 constexpr unsigned lastingEvery = 40; ///< One job in so many runs until it is cancelled.
+constexpr std::uint64_t lastingWorkMs = 100000000;
+constexpr unsigned longEvery = 12; ///< One job in so many works for longer than a lease.
+constexpr std::uint64_t longWorkMs = 9000;
 
 } // namespace
 
@@ -54,7 +57,8 @@
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(this->jobs.size() + 1));
     made->id = JobId(id);
     const bool lasts = this->jobs.size() % lastingEvery == 1;
-    const std::uint64_t steps = lasts ? 1 : 1 + this->below(3);
+    const bool isLong = this->jobs.size() % longEvery == 2;
+    const std::uint64_t steps = lasts || isLong ? 1 : 1 + this->below(3);
     for (std::uint32_t step = 0; step < steps; ++step) {
         SoakStep spec;
         spec.count = static_cast<std::uint32_t>(1 + this->below(lasts ? 1 : 3));
@@ -64,8 +68,10 @@
         }
         made->steps.push_back(std::move(spec));
     }
-    const std::uint64_t work = lasts ? 100000000 : 50 + this->below(700);
-    const bool fails = !lasts && this->below(10) == 0;
+    const std::uint64_t work = lasts    ? lastingWorkMs
+                               : isLong ? longWorkMs + this->below(longWorkMs)
+                                        : 50 + this->below(700);
+    const bool fails = !lasts && !isLong && this->below(10) == 0;
     made->payload = "ms=" + std::to_string(work) + " fails=" + (fails ? "1" : "0");
     SoakJob &job = *made;
     this->byId[job.id.value()] = &job;
