--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,7 +18,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickEvery(5);
-constexpr std::int64_t settleMs = 90000;     ///< Longest that a recovered deployment may take.
+constexpr std::int64_t settleMs = 90000; ///< Longest that a recovered deployment may take.
+/** Time in which the last tasks of a job cancelled just now have to be gone; the platform's bounds
+ * on cancels and stops. */
+constexpr std::int64_t lastStopsMs = 4400;
 constexpr std::int64_t longestStopMs = 9000; ///< Above the grace of a planned stop.
 /** Time that an instance surely had a request for when its connection broke after it. */
 constexpr Duration surelyRead{300};
@@ -43,7 +46,7 @@
     bool run();
 
 private:
-    enum class Phase { Faults, Settling, Stopping };
+    enum class Phase { Faults, Settling, LastStops, Stopping };
 
     static std::int64_t unixMs();
     std::int64_t nowMs() const;
@@ -206,14 +209,14 @@
 void Soak::tick()
 {
     const std::int64_t now = this->nowMs();
+    this->clients.tick(now);
+    this->plan->tick(now);
     this->store.tick(std::chrono::steady_clock::now());
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
     }
     switch (this->phase) {
     case Phase::Faults:
-        this->clients.tick(now);
-        this->plan->tick(now);
         if (now >= this->faultMs) {
             this->plan->heal();
             this->clients.finish();
@@ -223,10 +226,16 @@
         break;
     case Phase::Settling:
         if (this->clients.settled() || now >= this->phaseAt + settleMs) {
+            std::cout << "settled after ms: " << now - this->phaseAt << std::endl;
+            this->phase = Phase::LastStops;
+            this->phaseAt = now;
+        }
+        break;
+    case Phase::LastStops:
+        if (now >= this->phaseAt + lastStopsMs) {
             for (const std::string &fault : this->clients.faults()) {
                 this->breakPromise(fault);
             }
-            std::cout << "settled after ms: " << now - this->phaseAt << std::endl;
             this->beginStopping();
         }
         break;
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iostream>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +19,7 @@
 constexpr unsigned mostAttempts = 12; ///< Of a client before it leaves.
 constexpr unsigned cancelPercent = 15;
 constexpr unsigned lastingEvery = 40; ///< One job in so many runs until it is cancelled.
+constexpr unsigned mostLasting = 6;   ///< A quarter of all room stays taken at the most.
 constexpr std::uint64_t lastingWorkMs = 100000000;
 constexpr unsigned longEvery = 12; ///< One job in so many works for longer than a lease.
 constexpr std::uint64_t longWorkMs = 9000;
@@ -41,12 +43,13 @@
         [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
 }
 
-void SoakClients::tick(std::int64_t nowMs)
+void SoakClients::tick(std::int64_t now)
 {
-    if (this->finishing || nowMs < this->nextAt) {
+    this->nowMs = now;
+    if (this->finishing || now < this->nextAt) {
         return;
     }
-    this->nextAt = nowMs + submitGapMs + static_cast<std::int64_t>(this->below(submitGapRangeMs));
+    this->nextAt = now + submitGapMs + static_cast<std::int64_t>(this->below(submitGapRangeMs));
     this->submitNew();
 }
 
@@ -56,7 +59,8 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(this->jobs.size() + 1));
     made->id = JobId(id);
-    const bool lasts = this->jobs.size() % lastingEvery == 1;
+    const bool lasts =
+        this->jobs.size() % lastingEvery == 1 && this->jobs.size() / lastingEvery < mostLasting;
     const bool isLong = this->jobs.size() % longEvery == 2;
     const std::uint64_t steps = lasts || isLong ? 1 : 1 + this->below(3);
     for (std::uint32_t step = 0; step < steps; ++step) {
@@ -140,6 +144,7 @@
         const bool gone = result && result->status == 410 && !job.accepted;
         if (known) {
             job.cancelled = true;
+            std::cout << "cancelled " << job.id.value() << " after ms: " << this->nowMs << "\n";
         } else if (!gone || !this->finishing) {
             this->after(retryGapMs, [this, &job] { this->cancel(job); });
         }
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -28,7 +28,7 @@
                 const jobtests::FleetLedger &ledger);
 
     /** Submits new jobs and cancels old ones; the time is in ms since the run began. */
-    void tick(std::int64_t nowMs);
+    void tick(std::int64_t now);
 
     /** Submits no more; from now on every instance has to show how each job ended. */
     void finish();
@@ -71,6 +71,7 @@
     std::map<std::string, SoakJob *> byId;
     std::map<std::string, std::set<std::size_t>> agreed; ///< Instances that show the end, by job.
     std::map<std::string, std::string> lastShown;
+    std::int64_t nowMs = 0;
     std::int64_t nextAt = 0;
     std::size_t rejected = 0;
     std::size_t unknown = 0;
