Call back after a time by one function in the soak

Four classes had the same private method; the behaviour of a run asked for a task that it did not use.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -6,7 +6,7 @@
 #include <numeric>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
+#include "callafter.h"
 
 namespace godwitfall::soak {
 
@@ -62,14 +62,6 @@
     , frozen(layout.instances)
 {}
 
-void FaultPlan::after(std::int64_t milliseconds, std::function<void()> action)
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    timer->expires_after(std::chrono::milliseconds(milliseconds));
-    timer->async_wait(
-        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
-}
-
 void FaultPlan::tick(std::int64_t now)
 {
     this->nowMs = now;
@@ -157,11 +149,12 @@
         return;
     }
     this->frozen[instance] = true;
-    this->after(300 + static_cast<std::int64_t>(this->below(longestFaultMs)), [this, instance] {
-        this->signal(instance, SIGCONT);
-        this->frozen[instance] = false;
-        this->disturb(instance);
-    });
+    callAfter(this->context, Duration(300 + static_cast<std::int64_t>(this->below(longestFaultMs))),
+              [this, instance] {
+                  this->signal(instance, SIGCONT);
+                  this->frozen[instance] = false;
+                  this->disturb(instance);
+              });
 }
 
 void FaultPlan::trouble(LinkProxy &link, std::int64_t longestMs)
@@ -170,8 +163,8 @@
                                          LinkProxy::Mode::HoldReply, LinkProxy::Mode::Reset};
     link.delay = Duration(static_cast<std::int64_t>(20 + this->below(400)));
     link.setMode(modes[this->below(std::size(modes))]);
-    this->after(200 + static_cast<std::int64_t>(this->below(longestMs)),
-                [&link] { link.setMode(LinkProxy::Mode::Pass); });
+    callAfter(this->context, Duration(200 + static_cast<std::int64_t>(this->below(longestMs))),
+              [&link] { link.setMode(LinkProxy::Mode::Pass); });
 }
 
 void FaultPlan::killOne()
@@ -216,20 +209,20 @@
     constexpr PlatformStore::Mood moods[] = {
         PlatformStore::Mood::Refusing, PlatformStore::Mood::Silent, PlatformStore::Mood::Resetting};
     this->targets.store.mood = moods[this->below(std::size(moods))];
-    this->after(300 + static_cast<std::int64_t>(this->below(7000)),
-                [this] { this->targets.store.mood = PlatformStore::Mood::Well; });
+    callAfter(this->context, Duration(300 + static_cast<std::int64_t>(this->below(7000))),
+              [this] { this->targets.store.mood = PlatformStore::Mood::Well; });
 }
 
 void FaultPlan::loseStoreAnswers()
 {
     this->targets.store.answersLost = 30;
-    this->after(2000, [this] { this->targets.store.answersLost = 0; });
+    callAfter(this->context, Duration(2000), [this] { this->targets.store.answersLost = 0; });
 }
 
 void FaultPlan::delayAppends()
 {
     this->targets.store.appendsLate = 20;
-    this->after(2000, [this] { this->targets.store.appendsLate = 0; });
+    callAfter(this->context, Duration(2000), [this] { this->targets.store.appendsLate = 0; });
 }
 
 void FaultPlan::dropHistory()
@@ -267,7 +260,7 @@
     worker.ordersLost = 15;
     worker.answersLost = 15;
     worker.ordersLate = 15;
-    this->after(3000, [&worker] {
+    callAfter(this->context, Duration(3000), [&worker] {
         worker.ordersLost = 0;
         worker.answersLost = 0;
         worker.ordersLate = 0;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -89,7 +89,6 @@
     std::size_t anyInstance() { return this->below(this->layout.instances); }
     std::size_t anyWorker() { return this->below(this->targets.workers.size()); }
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
-    void after(std::int64_t milliseconds, std::function<void()> action);
     void disturb(std::size_t instance);
 
     boost::asio::io_context &context;
--- a/tests/soak/platformstore.cpp
+++ b/tests/soak/platformstore.cpp
@@ -3,10 +3,10 @@
 #include <sstream>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include "callafter.h"
 #include "jobtable.h"
 #include "platform/codec.h"
 #include "platform/names.h"
@@ -162,17 +162,9 @@
     return {};
 }
 
-void PlatformStore::after(Duration time, std::function<void()> action)
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    timer->expires_after(std::chrono::milliseconds(time.count()));
-    timer->async_wait(
-        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
-}
-
 void PlatformStore::abandon(const Respond &respond)
 {
-    this->after(longestPatience, [respond] { respond(answerOf(dropConnection, {})); });
+    callAfter(this->context, longestPatience, [respond] { respond(answerOf(dropConnection, {})); });
 }
 
 void PlatformStore::handle(const HttpRequest &request, const Respond &respond)
@@ -203,7 +195,7 @@
             respond(answerOf(404, "{}"));
         }
     };
-    this->after(this->latency, execute);
+    callAfter(this->context, this->latency, execute);
 }
 
 void PlatformStore::append(const Query &query, const std::string &body, const Respond &respond)
@@ -211,8 +203,8 @@
     if (this->chance(this->appendsLate)) {
         const auto more = static_cast<std::int64_t>(this->random() %
                                                     static_cast<std::uint64_t>(lateRange.count()));
-        this->after(lateFrom + Duration(more),
-                    [this, query, body] { this->executeAppend(query, body); });
+        callAfter(this->context, lateFrom + Duration(more),
+                  [this, query, body] { this->executeAppend(query, body); });
         this->abandon(respond);
         return;
     }
--- a/tests/soak/platformstore.h
+++ b/tests/soak/platformstore.h
@@ -76,8 +76,6 @@
     HttpResponse newest(const Query &query);
     HttpResponse page(const Topic &topic, std::uint64_t from) const;
     void serveWaiting(const std::string &topic);
-    /** Calls back after the time. */
-    void after(Duration time, std::function<void()> action);
     /** Leaves the call without an answer, for longer than any caller waits. */
     void abandon(const Respond &respond);
     bool chance(unsigned percent) { return this->random() % 100 < percent; }
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -5,11 +5,11 @@
 #include <iostream>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include "callafter.h"
 #include "platform/codec.h"
 #include "platform/names.h"
 #include "soakjob.h"
@@ -201,17 +201,9 @@
     return buffer.GetString();
 }
 
-void PlatformWorker::after(Duration time, std::function<void()> action)
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    timer->expires_after(std::chrono::milliseconds(time.count()));
-    timer->async_wait(
-        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
-}
-
 void PlatformWorker::abandon(const Respond &respond)
 {
-    this->after(longestPatience, [respond] { respond(withStatus(dropConnection)); });
+    callAfter(this->context, longestPatience, [respond] { respond(withStatus(dropConnection)); });
 }
 
 void PlatformWorker::handle(const HttpRequest &request, const Respond &respond)
@@ -240,8 +232,8 @@
     if (!hold && this->chance(this->ordersLate)) {
         const auto more = static_cast<std::int64_t>(this->random() %
                                                     static_cast<std::uint64_t>(lateRange.count()));
-        this->after(lateFrom + Duration(more),
-                    [this, order, silent, body = request.body] { (this->*order)(body, silent); });
+        callAfter(this->context, lateFrom + Duration(more),
+                  [this, order, silent, body = request.body] { (this->*order)(body, silent); });
         this->abandon(respond);
     } else if (this->chance(this->answersLost)) {
         (this->*order)(request.body, silent);
@@ -308,7 +300,7 @@
     if (const std::string fault = this->judge(*task, order.payload); !fault.empty()) {
         this->ledger.broken.push_back(fault);
     }
-    const TaskBehaviour behaviour = behaviourOf(order.payload, *task, order.run);
+    const TaskBehaviour behaviour = behaviourOf(order.payload, order.run);
     this->worker.advance(this->nowMs);
     const OrderOutcome outcome = this->worker.start(order, behaviour.workMs, behaviour.fails);
     this->note("start", order.task, order.run, order.target.fencingToken, outcome);
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -70,7 +70,6 @@
     HttpResponse answer(OrderOutcome outcome) const;
     /** Returns the time as the worker counts it. */
     std::int64_t localMs(std::int64_t unixMs);
-    void after(Duration time, std::function<void()> action);
     void abandon(const Respond &respond);
     bool chance(unsigned percent) { return this->random() % 100 < percent; }
 
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
+#include "callafter.h"
 
 namespace godwitfall::soak {
 
@@ -35,14 +35,6 @@
     , http(context)
 {}
 
-void SoakClients::after(std::int64_t milliseconds, std::function<void()> action)
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
-    timer->expires_after(std::chrono::milliseconds(milliseconds));
-    timer->async_wait(
-        [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
-}
-
 void SoakClients::tick(std::int64_t now)
 {
     this->nowMs = now;
@@ -82,10 +74,11 @@
     this->jobs.push_back(std::move(made));
     this->send(job);
     if (this->below(100) < cancelPercent) {
-        this->after(static_cast<std::int64_t>(this->below(2500)), [this, &job] {
-            job.cancelSent = true;
-            this->cancel(job);
-        });
+        callAfter(this->context, Duration(static_cast<std::int64_t>(this->below(2500))),
+                  [this, &job] {
+                      job.cancelSent = true;
+                      this->cancel(job);
+                  });
     }
 }
 
@@ -129,8 +122,9 @@
         this->rejected += refused ? 1 : 0;
         this->unknown += refused ? 0 : 1;
         if (job.attempts < mostAttempts) {
-            this->after(retryGapMs + static_cast<std::int64_t>(this->below(retryGapMs)),
-                        [this, &job] { this->send(job); });
+            callAfter(this->context,
+                      Duration(retryGapMs + static_cast<std::int64_t>(this->below(retryGapMs))),
+                      [this, &job] { this->send(job); });
         }
     });
 }
@@ -146,7 +140,7 @@
             job.cancelled = true;
             std::cout << "cancelled " << job.id.value() << " after ms: " << this->nowMs << "\n";
         } else if (!gone || !this->finishing) {
-            this->after(retryGapMs, [this, &job] { this->cancel(job); });
+            callAfter(this->context, Duration(retryGapMs), [this, &job] { this->cancel(job); });
         }
     });
 }
@@ -165,7 +159,7 @@
         // A job whose client has left with every attempt refused, or not known, is owed nothing.
         job.settled = job.attempts >= mostAttempts;
         if (!job.settled) {
-            this->after(watchGapMs, [this, &job] { this->watch(job); });
+            callAfter(this->context, Duration(watchGapMs), [this, &job] { this->watch(job); });
         }
         return;
     }
@@ -185,7 +179,7 @@
             }
         });
     }
-    this->after(watchGapMs, [this, &job] {
+    callAfter(this->context, Duration(watchGapMs), [this, &job] {
         if (!job.settled) {
             this->watch(job);
         }
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -59,7 +59,6 @@
     void watch(SoakJob &job);
     void call(std::size_t instance, const char *method, const SoakJob &job, std::string body,
               const Handler &handler);
-    void after(std::int64_t milliseconds, std::function<void()> action);
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
 
     boost::asio::io_context &context;
--- a/tests/soak/soakjob.cpp
+++ b/tests/soak/soakjob.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-TaskBehaviour behaviourOf(const std::string &payload, const TaskRef &, std::uint32_t run)
+TaskBehaviour behaviourOf(const std::string &payload, std::uint32_t run)
 {
     unsigned workMs = 0;
     unsigned failing = 0;
@@ -40,7 +40,7 @@
         number("count", step.count);
         number("cpu", milliCoresOfTask);
         number("mem_mb", memoryOfTask);
-        number("estimated_ms", behaviourOf(this->payload, TaskRef(), 1).workMs);
+        number("estimated_ms", behaviourOf(this->payload, 1).workMs);
         if (step.lasts) {
             writer.Key("long_running");
             writer.Bool(true);
--- a/tests/soak/soakjob.h
+++ b/tests/soak/soakjob.h
@@ -17,7 +17,7 @@
 };
 
 /** Returns how the run behaves, as the payload of its job says. */
-TaskBehaviour behaviourOf(const std::string &payload, const TaskRef &task, std::uint32_t run);
+TaskBehaviour behaviourOf(const std::string &payload, std::uint32_t run);
 
 /** One step of a job of a run. */
 struct SoakStep
