Stop starts that a worker's unknown new life may have taken

Trace: w0 was reborn under its address and id; 0.49 s later, before the registry told of it, it took starts of epoch 3, whose answers name no life; on the news of the new life the coordinator held these runs for gone with the old one and started the tasks anew, while they ran and ended on w0. Ruled out: late orders (answered in time, accepted), a take-over (same epoch), the stray's guard (nothing had been listed yet).

Change: on a rebirth a task that no report of its life has listed is stopped on the new life first, as one with an unanswered start is. AStartTakenByALifeThatIsNotKnownYetIsStoppedThere: red without, green with it.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -296,6 +296,7 @@
     if (running.percent != task->percent || running.checkpoint != task->checkpoint) {
         task->progressAt = now;
     }
+    task->listed = true;
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
     task->figure = running.figure;
@@ -460,8 +461,10 @@
         Task &task = *job->task(ref);
         const auto start = this->starts.find(ref);
         const bool underWay = start != this->starts.end() && start->second.inFlight;
+        // The new life may have taken the start before it was known, and its answer tells no life.
+        const bool takenByEither = task.phase != TaskPhase::Recording && !task.listed;
         // A start that may still be carried out by the new life has to be stopped there first.
-        if (underWay || task.maybeLate) {
+        if (underWay || task.maybeLate || takenByEither) {
             this->stopTask(ref, task, now);
         } else if (task.phase != TaskPhase::Recording) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -382,6 +382,7 @@
     Task &task = run.tasks[index];
     task.phase = TaskPhase::Recording;
     task.maybeLate = false;
+    task.listed = false;
     std::erase_if(task.lateStarts,
                   [&](const LateStart &start) { return now - start.at > WorkerState::lateOrders; });
     task.worker = worker.entry.id.value();
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -64,6 +64,7 @@
     std::string worker;                    ///< Where it is placed; empty when it runs nowhere.
     std::int64_t workerBornMs = 0; ///< Life of the worker that it was placed on; 0: not known.
     std::string checkpoint;
+    bool listed = false;    ///< A report of the life that it was placed on has listed it.
     bool maybeLate = false; ///< A try of its start may still be carried out, by a later life too.
     std::vector<LateStart> lateStarts;
     std::uint32_t percent = 0;
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -796,6 +796,55 @@
     }
 }
 
+TEST(CoordinatorTest, AStartTakenByALifeThatIsNotKnownYetIsStoppedThere)
+{
+    for (const bool listedBefore : {false, true}) {
+        JobTable table;
+        Recorder orders;
+        QuietHost host;
+        Coordinator coordinator(table, WorkerBounds(), orders, host);
+        jobs::JobSpec spec;
+        spec.set_queue("plan");
+        spec.set_service("orchard");
+        *spec.add_steps() = stepOf(1, 5000);
+        Job *job = nullptr;
+        table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1),
+                    Instant(1000), job);
+        coordinator.begin(1, Instant(1000), 1, Instant(1000));
+        WorkerReport report;
+        report.clockMs = 500;
+        report.bornMs = 7;
+        for (const char *name : {"w1", "w2"}) {
+            WorkerEntry entry = entryOf(name);
+            entry.bornMs = 7;
+            coordinator.setWorker(entry, Instant(1000));
+            coordinator.reported(entry.id, Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                                 report);
+        }
+        const auto commit = [&](std::int64_t at) {
+            coordinator.plan(Instant(at), 1);
+            coordinator.takeBatch();
+            coordinator.committed(Instant(at), true);
+        };
+        commit(1020);
+        ASSERT_EQ(orders.starts.size(), 1U);
+        const StartOrder first = orders.starts[0];
+        coordinator.startAnswered(first.target.worker, first.task, first.run, Instant(1030),
+                                  OrderOutcome::Accepted);
+        if (listedBefore) {
+            report.running.push_back(RunningTask{first.task, first.run, {}, 10, 0});
+            coordinator.reported(first.target.worker, Instant(1040), Instant(1050),
+                                 OrderOutcome::Accepted, report);
+        }
+        WorkerEntry next = entryOf(first.target.worker.value().c_str());
+        next.bornMs = 900;
+        coordinator.setWorker(next, Instant(1100));
+        commit(1110);
+        EXPECT_EQ(orders.stops.size(), listedBefore ? 0U : 1U);
+        EXPECT_EQ(orders.starts.size(), listedBefore ? 2U : 1U);
+    }
+}
+
 TEST(CoordinatorTest, NoMoreTasksThatLastLeaveADrainingWorkerThanOthersHaveRoomFor)
 {
     for (const std::size_t room : {0U, 1U, 3U}) {
