--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -98,6 +98,22 @@
     return buffer.GetString();
 }
 
+/** Reads what starts and stops of a run share; returns whether the body names a task. */
+template <typename Order>
+bool readRun(const std::string &body, rapidjson::Document &message, Order &order)
+{
+    message.Parse(body.data(), body.size());
+    const auto task =
+        message.IsObject() ? platform::parseTaskName(textOf(message, "task")) : std::nullopt;
+    if (!task) {
+        return false;
+    }
+    order.task = *task;
+    order.run = static_cast<std::uint32_t>(numberOf(message, "run"));
+    order.target.fencingToken = numberOf(message, "fencing_token");
+    return true;
+}
+
 HttpResponse withStatus(unsigned status)
 {
     HttpResponse response;
@@ -284,20 +300,14 @@
 void PlatformWorker::start(const std::string &body, const Respond &respond)
 {
     rapidjson::Document message;
-    message.Parse(body.data(), body.size());
-    const auto task =
-        message.IsObject() ? platform::parseTaskName(textOf(message, "task")) : std::nullopt;
-    if (!task) {
+    StartOrder order;
+    if (!readRun(body, message, order)) {
         respond(withStatus(400));
         return;
     }
-    StartOrder order;
-    order.task = *task;
-    order.run = static_cast<std::uint32_t>(numberOf(message, "run"));
-    order.target.fencingToken = numberOf(message, "fencing_token");
     order.leaseEndMs = static_cast<std::int64_t>(numberOf(message, "deadline_ms"));
     order.payload = textOf(message, "spec");
-    if (const std::string fault = this->judge(*task, order.payload); !fault.empty()) {
+    if (const std::string fault = this->judge(order.task, order.payload); !fault.empty()) {
         this->ledger.broken.push_back(fault);
     }
     const TaskBehaviour behaviour = behaviourOf(order.payload, order.run);
@@ -310,17 +320,11 @@
 void PlatformWorker::stop(const std::string &body, const Respond &respond)
 {
     rapidjson::Document message;
-    message.Parse(body.data(), body.size());
-    const auto task =
-        message.IsObject() ? platform::parseTaskName(textOf(message, "task")) : std::nullopt;
-    if (!task) {
+    StopOrder order;
+    if (!readRun(body, message, order)) {
         respond(withStatus(400));
         return;
     }
-    StopOrder order;
-    order.task = *task;
-    order.run = static_cast<std::uint32_t>(numberOf(message, "run"));
-    order.target.fencingToken = numberOf(message, "fencing_token");
     const OrderOutcome outcome = this->worker.stop(order);
     this->note("stop", order.task, order.run, order.target.fencingToken, outcome);
     respond(this->answer(outcome));
