Search workers lazily, and plan only jobs that have something to place

Cause: the coordinator of 540 workers spent over half of its processor time on pricing every worker in full for every task of filling work, built lists of all workers several times a task, planned every open job at each event, and looked at all workers and copied all open orders at every event.

Change: WorkerSearch, a best-first search with lazy evaluation, chooses as before but prices few workers in full; UnmetNeeds keeps one plan from searching for what a smaller need did not find; plans walk only jobs with tasks to place; ticks come at most every 8 ms; lists of placed tasks are no longer copied at each report; queues are found by a hash (a configuration may have 1,500 routes); jobs are ordered by id, so equal runs decide alike.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -60,7 +60,10 @@
 {
     this->epoch = 0;
     this->workers.clear();
+    this->poolsStale = true;
     this->open.clear();
+    this->unplaced.clear();
+    this->tickedAt = Instant(-1000000);
     this->starts.clear();
     this->stops.clear();
     this->strays.clear();
@@ -101,6 +104,7 @@
                 worker = std::make_unique<WorkerState>(std::move(unknown));
                 worker->listed = false;
                 worker->unheardLapse = this->formerLeasesLapse;
+                this->poolsStale = true;
             }
             worker->entry.bornMs = std::max(worker->entry.bornMs, task.workerBornMs);
             worker->assign(ref, job);
@@ -112,11 +116,18 @@
     } else {
         job.dropTasks();
     }
+    if (!job.closed() && !job.cancelled) {
+        this->unplaced.insert(&job);
+    }
 }
 
 void Coordinator::setConfig(const JobConfig &newConfig)
 {
     this->config = newConfig;
+    this->queues.clear();
+    for (const QueueConfig &queue : this->config.queues) {
+        this->queues.emplace(queue.name, &queue);
+    }
     this->planNeeded = true;
 }
 
@@ -128,7 +139,8 @@
 
 const QueueConfig *Coordinator::queueOf(const Job &job) const
 {
-    return this->config.queue(job.spec().queue());
+    const auto found = this->queues.find(job.spec().queue());
+    return found == this->queues.end() ? nullptr : found->second;
 }
 
 Coordinator::JobRules Coordinator::rulesOf(const Job &job) const
@@ -153,6 +165,7 @@
     const std::int64_t bornBefore = worker->entry.bornMs;
     worker->entry = entry;
     worker->listed = true;
+    this->poolsStale = true;
     if (bornBefore != 0 && entry.bornMs > bornBefore) {
         this->reborn(*worker, entry.bornMs, now);
     } else if (entry.bornMs < bornBefore) {
@@ -180,6 +193,7 @@
 void Coordinator::jobSubmitted(Job &job)
 {
     this->open.insert(&job);
+    this->unplaced.insert(&job);
     this->planNeeded = true;
 }
 
@@ -245,6 +259,7 @@
         worker->noteLeaseEnd(report.clockMs + this->bounds.longestLease.count());
         this->planNeeded = true;
     }
+    ++this->reports;
     this->forgetStrays(*worker, report.running);
     for (const RunningTask &running : report.running) {
         this->applyRunning(*worker, running, now);
@@ -297,6 +312,7 @@
         task->progressAt = now;
     }
     task->listed = true;
+    task->listedIn = this->reports;
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
     task->figure = running.figure;
@@ -396,13 +412,14 @@
     if (report.ended.size() >= endedPage) {
         return;
     }
-    std::set<TaskRef> listed;
-    for (const RunningTask &running : report.running) {
-        listed.insert(running.task);
+    std::vector<std::pair<TaskRef, Job *>> missing;
+    for (const auto &[ref, job] : worker.tasks) {
+        if (job->task(ref)->listedIn != this->reports) {
+            missing.emplace_back(ref, job);
+        }
     }
-    const std::map<TaskRef, Job *> placed = worker.tasks;
-    for (const auto &[ref, job] : placed) {
-        if (listed.contains(ref) || !worker.tasks.contains(ref)) {
+    for (const auto &[ref, job] : missing) {
+        if (!worker.tasks.contains(ref)) {
             continue;
         }
         Task &task = *job->task(ref);
@@ -421,16 +438,21 @@
 
 void Coordinator::findStalled(WorkerState &worker, Instant now)
 {
-    const std::map<TaskRef, Job *> placed = worker.tasks;
-    for (const auto &[ref, job] : placed) {
-        Task &task = *job->task(ref);
+    std::vector<std::pair<TaskRef, Job *>> stalled;
+    for (const auto &[ref, job] : worker.tasks) {
+        const Task &task = *job->task(ref);
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         const bool working = task.phase == TaskPhase::Running && !step.gang() && task.pace == 100 &&
                              (!step.long_running() || task.percent < 100);
         const Duration limit = stallTime + Duration(step.estimated_ms() / 10);
-        if (working && now - task.progressAt > limit && this->mayInterrupt(*job, ref)) {
+        if (working && now - task.progressAt > limit) {
+            stalled.emplace_back(ref, job);
+        }
+    }
+    for (const auto &[ref, job] : stalled) {
+        if (this->mayInterrupt(*job, ref)) {
             this->noteFailure(worker, job->id(), now);
-            this->stopTask(ref, task, now);
+            this->stopTask(ref, *job->task(ref), now);
         }
     }
 }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -15,6 +15,8 @@
 #include "pacepolicy.h"
 #include "placementpolicy.h"
 #include "queueconfig.h"
+#include "unmetneeds.h"
+#include "workersearch.h"
 #include "workerstate.h"
 
 namespace godwitfall {
@@ -80,6 +82,8 @@
     static constexpr Duration longestRest{16000};
     /** Distinct jobs that fail on a worker, without a success between, before it rests. */
     static constexpr std::size_t failuresToRest = 3;
+    /** Least time between two looks at what is due; short beside every retry and hold. */
+    static constexpr Duration tickGap{8};
     /** Time without progress after which a task counts as stalled, beyond twice its estimate. */
     static constexpr Duration stallTime{2500};
 
@@ -176,8 +180,31 @@
 
     using Workers = std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
 
+    /** Orders jobs by id, so that equal runs decide alike. */
+    struct ById
+    {
+        bool operator()(const Job *left, const Job *right) const
+        {
+            return left->id() < right->id();
+        }
+    };
+    using JobSet = std::set<Job *, ById>;
+
+    /** What one plan has found out; room only shrinks while it lasts. */
+    struct PlanRound
+    {
+        Instant now;
+        std::int64_t unixMs = 0;
+        UnmetNeeds unmet;
+        /** Needs for which nothing could be stopped, by priority. */
+        std::map<unsigned, UnmetNeeds> unmetByPreemption;
+        std::map<std::string, bool> mostlyFree; ///< By service.
+        bool mayPreempt = false;
+    };
+
     WorkerState *findWorker(const WorkerId &id);
-    std::vector<WorkerState *> candidates(const Job &job);
+    /** Returns the workers of the job's service. */
+    const std::vector<WorkerState *> &candidates(const Job &job);
     /** Returns the candidates that may run the step, by advice where the queue needs it. */
     std::vector<WorkerState *> allowed(const Job &job, std::uint32_t occurrence, std::uint32_t step,
                                        Instant now);
@@ -228,14 +255,24 @@
     void markDirty(Job &job);
     void noteFenced(const WorkerId &id);
 
-    void planJob(Job &job, Instant now, std::int64_t unixMs);
-    void planStep(Job &job, StepRun &run, Instant now);
-    void preempt(const Job &job, const StepRun &run, Instant now);
+    /** Places what can be placed of the job; returns whether some of it is left to be placed. */
+    bool planJob(Job &job, PlanRound &round);
+    void planStep(Job &job, StepRun &run, PlanRound &round);
+    /** Returns whether a search for room for a task of the step would be in vain. */
+    bool roomIsOut(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
+    RoomNeed needOf(const Job &job, std::uint32_t step, bool insist) const;
+    /** Returns whether filling work goes also where it slows what serves. */
+    bool insists(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
+    void preempt(const Job &job, const StepRun &run, PlanRound &round);
+    /** Stops the least work that makes room for a task of the step; returns whether any does. */
+    bool stopForRoom(const Job &job, const StepRun &run, Instant now);
     /**
-     * Returns whether a task that lasts has to wait, so that short work finds room: it takes only
-     * room that has been free for a while.
+     * Returns whether tasks of the step that last have to wait, so that short work finds room: they
+     * take only room that has been free for a while.
      */
-    bool leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index, Instant now);
+    bool leavesRoomToShortWork(Job &job, const StepRun &run, std::int64_t places, Instant now);
+    /** Returns how many tasks of the step find room, as far as its tasks that last need to know. */
+    std::int64_t placesFor(Job &job, const StepRun &run);
     void planTogether(Job &job, StepRun &run, Instant now);
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
@@ -268,20 +305,28 @@
     Instant formerLeasesLapse;
     std::int64_t unixMs = 0;
     Workers workers;
-    std::set<Job *> open;
+    /** Workers by service; rebuilt on use after a change. */
+    std::map<std::string, std::vector<WorkerState *>> pools;
+    bool poolsStale = true;
+    std::unordered_map<std::string, const QueueConfig *> queues; ///< Of config, by name.
+    JobSet open;
+    JobSet unplaced; ///< Open jobs of which some task may have to be placed, now or later.
     std::map<TaskRef, OpenOrder> starts;
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
     std::map<std::pair<TaskRef, std::string>, StrayRun> strays;
     /** Of workers that are not listed, by worker. */
     std::map<std::string, std::vector<UnansweredStart>> unansweredElsewhere;
-    std::set<Job *> dirty;
+    JobSet dirty;
     bool planNeeded = false;
-    bool someWait = false;        ///< The last plan left tasks waiting.
-    std::int64_t lastingWait = 0; ///< Tasks that last which the last plan left waiting.
-    Instant movedAt;              ///< When tasks on draining workers were last looked at.
+    bool someWait = false;              ///< The last plan left tasks waiting.
+    std::int64_t lastingWait = 0;       ///< Tasks that last which the last plan left waiting.
+    Instant movedAt;                    ///< When tasks on draining workers were last looked at.
+    std::int64_t nextDueMs = INT64_MAX; ///< When an occurrence is due next, since 1970.
     Instant plannedAt;
-    Instant preemptedAt;
+    Instant preemptedAt; ///< When work was last looked for that might be stopped.
+    Instant tickedAt{-1000000};
+    std::uint64_t reports = 0;     ///< Counts the reports of workers.
     Instant shortWorkAt{-1000000}; ///< When work that ends was last open.
     bool acknowledgeDirty = false;
     bool fencedByWorker = false;
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -38,6 +38,10 @@
         }
     }
     this->markDirty(job);
+    if (run.complete()) {
+        // Steps that come after it may be placed.
+        this->unplaced.insert(&job);
+    }
     if (run.complete() && job.allDone()) {
         this->closeJob(job, Job::State::COMPLETED, now);
     }
@@ -86,6 +90,9 @@
     task.activity = Activity::Unknown;
     task.overSince = Instant();
     this->markDirty(job);
+    if (!job.closed()) {
+        this->unplaced.insert(&job);
+    }
     if (job.stepSpec(ref.step).gang()) {
         this->breakGang(job, ref, now);
     }
@@ -100,6 +107,9 @@
         if (member.phase == TaskPhase::Recording) {
             this->detach(memberRef, member);
             member.phase = TaskPhase::Waiting;
+            if (!job.closed()) {
+                this->unplaced.insert(&job);
+            }
         } else if (member.phase == TaskPhase::Starting || member.phase == TaskPhase::Running) {
             this->stopTask(memberRef, member, now);
         }
@@ -111,6 +121,7 @@
     job.state = state;
     job.closedAt = now;
     job.finishedMs = std::max<std::int64_t>(1, this->unixMs);
+    this->unplaced.erase(&job);
     this->markDirty(job);
     this->observer.jobFinished(job);
     if (state != Job::State::COMPLETED) {
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -211,11 +211,13 @@
 
 void Coordinator::retryOrders(Instant now, bool mayRenew)
 {
-    const std::map<TaskRef, OpenOrder> openStarts = this->starts;
-    for (const auto &[ref, open] : openStarts) {
-        if (open.inFlight || now < open.retryAt || !mayRenew) {
-            continue;
+    std::vector<TaskRef> dueStarts;
+    for (const auto &[ref, open] : this->starts) {
+        if (!open.inFlight && now >= open.retryAt && mayRenew) {
+            dueStarts.push_back(ref);
         }
+    }
+    for (const TaskRef &ref : dueStarts) {
         Job *job = this->table.find(ref.job);
         Task *task = job ? job->task(ref) : nullptr;
         if (task && task->phase == TaskPhase::Starting) {
@@ -238,6 +240,10 @@
 void Coordinator::tick(Instant now, std::int64_t newUnixMs, bool mayRenew)
 {
     this->unixMs = newUnixMs;
+    if (now < this->tickedAt + tickGap) {
+        return;
+    }
+    this->tickedAt = now;
     this->retryOrders(now, mayRenew);
     if (now >= this->movedAt + moveGap) {
         this->movedAt = now;
@@ -273,6 +279,7 @@
         this->unansweredElsewhere[id] = std::move(left);
     }
     this->workers.erase(found);
+    this->poolsStale = true;
 }
 
 std::int64_t Coordinator::roomFor(const Job &job, std::uint32_t occurrence, std::uint32_t step,
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -33,7 +33,7 @@
 
 void Coordinator::sampleServing(WorkerState &worker, Instant now)
 {
-    const std::vector<FillShare> filling = worker.fillShares(false);
+    const std::vector<FillShare> filling = worker.pacedFillShares();
     for (const auto &[ref, job] : worker.tasks) {
         const jobs::StepSpec &step = job->stepSpec(ref.step);
         Task &task = *job->task(ref);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -42,6 +42,9 @@
 /** Time after which a task that lasts has waited long enough and takes what room there is. */
 constexpr Duration longWorkPatience{15000};
 
+/** Pause between searches for a worker that bears filling work; figures come as often. */
+constexpr Duration fillSearchGap{100};
+
 bool mostlyFree(const std::vector<WorkerState *> &workers)
 {
     std::int64_t capacity = 0;
@@ -80,16 +83,16 @@
 
 } // namespace
 
-std::vector<WorkerState *> Coordinator::candidates(const Job &job)
+const std::vector<WorkerState *> &Coordinator::candidates(const Job &job)
 {
-    const std::string &service = this->rulesOf(job).service;
-    std::vector<WorkerState *> result;
-    for (const auto &[id, worker] : this->workers) {
-        if (worker->entry.service.value() == service) {
-            result.push_back(worker.get());
+    if (this->poolsStale) {
+        this->poolsStale = false;
+        this->pools.clear();
+        for (const auto &[id, worker] : this->workers) {
+            this->pools[worker->entry.service.value()].push_back(worker.get());
         }
     }
-    return result;
+    return this->pools[this->rulesOf(job).service];
 }
 
 std::vector<WorkerState *> Coordinator::allowed(const Job &job, std::uint32_t occurrence,
@@ -130,18 +133,18 @@
 void Coordinator::plan(Instant now, std::int64_t newUnixMs)
 {
     this->unixMs = newUnixMs;
-    if (!this->planNeeded && (!this->someWait || now < this->plannedAt + replanGap)) {
+    const bool lookAgain = this->someWait && now >= this->plannedAt + replanGap;
+    if (!this->planNeeded && !lookAgain && newUnixMs < this->nextDueMs) {
         return;
     }
     this->planNeeded = false;
     this->someWait = false;
     this->lastingWait = 0;
+    this->nextDueMs = INT64_MAX;
     this->plannedAt = now;
     std::vector<Candidate> order;
-    for (Job *job : this->open) {
-        if (job->closed() || job->cancelled) {
-            continue;
-        }
+    order.reserve(this->unplaced.size());
+    for (Job *job : this->unplaced) {
         const JobRules rules = this->rulesOf(*job);
         Candidate candidate;
         candidate.job = job;
@@ -154,53 +157,109 @@
         candidate.work = candidate.priority == 0 ? 0 : job->estimatedWork();
         order.push_back(candidate);
     }
-    std::sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
+    std::stable_sort(order.begin(), order.end(), [](const Candidate &left, const Candidate &right) {
         return left.key() < right.key();
     });
-    const bool shortWork = std::any_of(order.begin(), order.end(), [](const Candidate &candidate) {
-        const auto &steps = candidate.job->spec().steps();
-        return std::any_of(steps.begin(), steps.end(), [](const jobs::StepSpec &step) {
-            return !step.long_running() && !step.fills();
-        });
+    const bool shortWork = std::any_of(this->open.begin(), this->open.end(), [](const Job *job) {
+        return job->hasShortWork() && !job->closed();
     });
     this->shortWorkAt = shortWork ? now : this->shortWorkAt;
+    PlanRound round;
+    round.now = now;
+    round.unixMs = newUnixMs;
+    round.mayPreempt = now - this->preemptedAt >= preemptGap;
     for (const Candidate &candidate : order) {
-        this->planJob(*candidate.job, now, newUnixMs);
+        if (!this->planJob(*candidate.job, round)) {
+            this->unplaced.erase(candidate.job);
+        }
     }
 }
 
-void Coordinator::planJob(Job &job, Instant now, std::int64_t newUnixMs)
+bool Coordinator::planJob(Job &job, PlanRound &round)
 {
+    bool left = false;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
-        if (job.dueMs(occurrence) > newUnixMs) {
-            // It becomes due without any event, so the next plan looks again.
-            this->planNeeded = true;
-            break;
+        if (job.dueMs(occurrence) > round.unixMs) {
+            this->nextDueMs = std::min(this->nextDueMs, job.dueMs(occurrence));
+            return true;
         }
-        for (int step = 0; step < job.spec().steps_size(); ++step) {
-            const auto number = static_cast<std::uint32_t>(step);
-            const StepRun *known = job.findStepRun(occurrence, number);
-            if ((known && !anyWaiting(*known)) || !job.dependenciesDone(occurrence, number)) {
+        for (int index = 0; index < job.spec().steps_size(); ++index) {
+            const auto step = static_cast<std::uint32_t>(index);
+            const StepRun *known = job.findStepRun(occurrence, step);
+            if ((known && !anyWaiting(*known)) || !job.dependenciesDone(occurrence, step)) {
                 continue;
             }
-            StepRun &run = job.stepRun(occurrence, number);
-            Instant &ready = job.readySince(occurrence, number, now);
-            run.readySince = ready;
-            this->planStep(job, run, now);
-            this->someWait = this->someWait || anyWaiting(run);
-            this->lastingWait += job.stepSpec(number).long_running() ? countWaiting(run) : 0;
-            if (untouched(run)) {
-                job.stepRuns().erase({occurrence, number});
-            } else if (!anyWaiting(run)) {
+            StepWait &wait = job.waitOf(occurrence, step);
+            wait.readySince = wait.readySince == Instant() ? round.now : wait.readySince;
+            std::int64_t waiting = known ? countWaiting(*known) : job.stepSpec(step).count();
+            if (!this->roomIsOut(job, occurrence, step, round)) {
+                StepRun &run = job.stepRun(occurrence, step);
+                run.readySince = wait.readySince;
+                this->planStep(job, run, round);
+                waiting = countWaiting(run);
+                if (untouched(run)) {
+                    job.stepRuns().erase({occurrence, step});
+                }
+            }
+            if (waiting == 0) {
                 // What returns later waits anew.
-                ready = Instant();
+                wait.readySince = Instant();
+                continue;
             }
+            left = true;
+            this->someWait = true;
+            this->lastingWait += job.stepSpec(step).long_running() ? waiting : 0;
         }
     }
+    return left;
+}
+
+RoomNeed Coordinator::needOf(const Job &job, std::uint32_t step, bool insist) const
+{
+    const jobs::StepSpec &spec = job.stepSpec(step);
+    RoomNeed need;
+    need.service = this->rulesOf(job).service;
+    need.label = spec.required_label();
+    need.fills = spec.fills();
+    need.fillingImage = spec.fills() && !insist ? spec.image() : std::string();
+    need.amount.milliCores = spec.milli_cores();
+    need.amount.memoryMb = spec.memory_mb();
+    need.amount.accelerators = spec.accelerators();
+    return need;
+}
+
+bool Coordinator::insists(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round)
+{
+    if (!job.stepSpec(step).fills()) {
+        return false;
+    }
+    const std::string &service = this->rulesOf(job).service;
+    auto free = round.mostlyFree.find(service);
+    if (free == round.mostlyFree.end()) {
+        free = round.mostlyFree.emplace(service, mostlyFree(this->candidates(job))).first;
+    }
+    const Duration waited = round.now - job.waitOf(occurrence, step).readySince;
+    return waited > (free->second ? idleWait : harmlessWait);
+}
+
+bool Coordinator::roomIsOut(Job &job, std::uint32_t occurrence, std::uint32_t step,
+                            PlanRound &round)
+{
+    StepWait &wait = job.waitOf(occurrence, step);
+    if (job.stepSpec(step).fills() && round.now - wait.searchedAt < fillSearchGap) {
+        return true;
+    }
+    const bool insist = this->insists(job, occurrence, step, round);
+    if (!round.unmet.covers(this->needOf(job, step, insist))) {
+        return false;
+    }
+    wait.roomySince = Instant();
+    return true;
 }
 
-void Coordinator::planStep(Job &job, StepRun &run, Instant now)
+void Coordinator::planStep(Job &job, StepRun &run, PlanRound &round)
 {
+    const Instant now = round.now;
     const jobs::StepSpec &step = job.stepSpec(run.step);
     if (step.gang() || (step.tightly_coupled() && allWaiting(run))) {
         this->planTogether(job, run, now);
@@ -208,9 +267,12 @@
             return;
         }
     }
+    const bool insist = this->insists(job, run.occurrence, run.step, round);
+    const PlacementRequest request{job, run.occurrence, run.step, {}, insist};
     const std::vector<WorkerState *> workersOfJob =
         this->allowed(job, run.occurrence, run.step, now);
-    const bool insist = now - run.readySince > (mostlyFree(workersOfJob) ? idleWait : harmlessWait);
+    WorkerSearch search(this->policy, workersOfJob, request, now);
+    std::int64_t places = -1;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         if (run.tasks[index].phase != TaskPhase::Waiting) {
             continue;
@@ -218,14 +280,23 @@
         if (this->runsAstray(TaskRef{job.id(), run.occurrence, run.step, index}, now)) {
             continue;
         }
-        if (this->leavesRoomToShortWork(job, run, index, now)) {
-            return;
+        if (step.long_running() && run.tasks[index].run == 0) {
+            places = places < 0 ? this->placesFor(job, run) : places;
+            if (this->leavesRoomToShortWork(job, run, places, now)) {
+                return;
+            }
+            --places;
         }
-        const PlacementRequest request{job, run.occurrence, run.step, {}, insist};
-        WorkerState *worker = this->policy.choose(workersOfJob, request, now);
+        WorkerState *worker = search.next();
         if (!worker) {
+            job.waitOf(run.occurrence, run.step).searchedAt = now;
+            const QueueConfig *queue = this->queueOf(job);
+            const bool shared = step.max_per_worker() == 0 && !(queue && queue->advice);
+            if (shared) {
+                round.unmet.note(this->needOf(job, run.step, insist));
+            }
             this->askAdvice(job, run, now);
-            this->preempt(job, run, now);
+            this->preempt(job, run, round);
             return;
         }
         run.tasks[index].run += 1;
@@ -233,19 +304,27 @@
     }
 }
 
-bool Coordinator::leavesRoomToShortWork(Job &job, const StepRun &run, std::uint32_t index,
-                                        Instant now)
+std::int64_t Coordinator::placesFor(Job &job, const StepRun &run)
 {
     const jobs::StepSpec &step = job.stepSpec(run.step);
-    if (!step.long_running() || run.tasks[index].run > 0 ||
-        now - this->shortWorkAt > shortWorkSpan || now - run.readySince > longWorkPatience) {
-        return false;
-    }
+    const std::int64_t enough = static_cast<std::int64_t>(run.tasks.size()) + placesForLongWork;
     std::int64_t places = 0;
     for (const WorkerState *worker : this->candidates(job)) {
-        places += std::min(worker->places(step), placesForLongWork);
+        if (places >= enough) {
+            break;
+        }
+        places += std::min(worker->places(step), enough);
+    }
+    return places;
+}
+
+bool Coordinator::leavesRoomToShortWork(Job &job, const StepRun &run, std::int64_t places,
+                                        Instant now)
+{
+    if (now - this->shortWorkAt > shortWorkSpan || now - run.readySince > longWorkPatience) {
+        return false;
     }
-    Instant &since = job.roomySince(run.occurrence, run.step);
+    Instant &since = job.waitOf(run.occurrence, run.step).roomySince;
     if (places < placesForLongWork) {
         since = Instant();
         return true;
@@ -256,13 +335,31 @@
     return now - since < settleTime;
 }
 
-void Coordinator::preempt(const Job &job, const StepRun &run, Instant now)
+void Coordinator::preempt(const Job &job, const StepRun &run, PlanRound &round)
 {
-    const jobs::StepSpec &step = job.stepSpec(run.step);
+    if (!round.mayPreempt || job.stepSpec(run.step).fills()) {
+        return;
+    }
     const unsigned priority = this->rulesOf(job).priority;
-    if (step.fills() || now - this->preemptedAt < preemptGap) {
+    const RoomNeed need = this->needOf(job, run.step, false);
+    const bool inVain = std::any_of(
+        round.unmetByPreemption.begin(), round.unmetByPreemption.end(),
+        [&](const auto &tried) { return tried.first <= priority && tried.second.covers(need); });
+    if (inVain) {
         return;
     }
+    this->preemptedAt = round.now;
+    if (this->stopForRoom(job, run, round.now)) {
+        round.mayPreempt = false;
+    } else {
+        round.unmetByPreemption[priority].note(need);
+    }
+}
+
+bool Coordinator::stopForRoom(const Job &job, const StepRun &run, Instant now)
+{
+    const jobs::StepSpec &step = job.stepSpec(run.step);
+    const unsigned priority = this->rulesOf(job).priority;
     WorkerState *best = nullptr;
     std::vector<TaskRef> bestVictims;
     for (WorkerState *worker : this->allowed(job, run.occurrence, run.step, now)) {
@@ -294,12 +391,12 @@
         }
     }
     if (!best) {
-        return;
+        return false;
     }
-    this->preemptedAt = now;
     for (const TaskRef &ref : bestVictims) {
         this->stopTask(ref, *best->tasks.at(ref)->task(ref), now);
     }
+    return true;
 }
 
 void Coordinator::planTogether(Job &job, StepRun &run, Instant now)
--- a/src/libgodwitfall/jobs/interferencemodel.cpp
+++ b/src/libgodwitfall/jobs/interferencemodel.cpp
@@ -71,8 +71,24 @@
 const InterferenceModel::Factors &InterferenceModel::factorsOf(const std::string &serving,
                                                                const std::string &filling) const
 {
-    const auto found = this->factors.find({serving, filling});
-    return found == this->factors.end() ? unseen : found->second;
+    return factorsOf(this->factorsOf(serving), filling);
+}
+
+const InterferenceModel::FactorsByFilling *
+InterferenceModel::factorsOf(const std::string &serving) const
+{
+    const auto found = this->factors.find(serving);
+    return found == this->factors.end() ? nullptr : &found->second;
+}
+
+const InterferenceModel::Factors &InterferenceModel::factorsOf(const FactorsByFilling *known,
+                                                               const std::string &filling)
+{
+    if (!known) {
+        return unseen;
+    }
+    const auto found = known->find(filling);
+    return found == known->end() ? unseen : found->second;
 }
 
 double InterferenceModel::pressure(const std::string &serving, const std::string &filling,
@@ -87,8 +103,9 @@
                                          const std::vector<FillShare> &filling) const
 {
     LoadEstimate sum;
+    const FactorsByFilling *ofServing = this->factorsOf(serving);
     for (const FillShare &fill : filling) {
-        const Factors &known = this->factorsOf(serving, fill.image);
+        const Factors &known = factorsOf(ofServing, fill.image);
         const CalmAndBusy part = partsOf(fill.activity);
         const double calm = part.calm * fill.share;
         const double busy = part.busy * fill.share;
@@ -110,8 +127,9 @@
     const double variance = expected.variance + own.variance + sampleVariance;
     const double bound = surprise * std::sqrt(variance);
     const double error = std::clamp(load - own.mean - expected.mean, -bound, bound);
+    FactorsByFilling &ofServing = this->factors[serving];
     for (const FillShare &fill : filling) {
-        Factors &known = this->factors.try_emplace({serving, fill.image}, unseen).first->second;
+        Factors &known = ofServing.try_emplace(fill.image, unseen).first->second;
         const CalmAndBusy part = partsOf(fill.activity);
         const auto correct = [&](Estimate &factor, double share) {
             const double gain = factor.variance * share / variance;
@@ -127,14 +145,16 @@
 jobs::LearntPressures InterferenceModel::toMessage() const
 {
     jobs::LearntPressures message;
-    for (const auto &[pair, known] : this->factors) {
-        jobs::PressureFactors &entry = *message.add_factors();
-        entry.set_serving(pair.first);
-        entry.set_filling(pair.second);
-        entry.set_calm(static_cast<float>(known.calm.mean));
-        entry.set_calm_variance(static_cast<float>(known.calm.variance));
-        entry.set_busy(static_cast<float>(known.busy.mean));
-        entry.set_busy_variance(static_cast<float>(known.busy.variance));
+    for (const auto &[serving, ofServing] : this->factors) {
+        for (const auto &[filling, known] : ofServing) {
+            jobs::PressureFactors &entry = *message.add_factors();
+            entry.set_serving(serving);
+            entry.set_filling(filling);
+            entry.set_calm(static_cast<float>(known.calm.mean));
+            entry.set_calm_variance(static_cast<float>(known.calm.variance));
+            entry.set_busy(static_cast<float>(known.busy.mean));
+            entry.set_busy_variance(static_cast<float>(known.busy.variance));
+        }
     }
     for (const auto &[image, base] : this->baseMs) {
         jobs::BaseLatency &entry = *message.add_bases();
@@ -153,7 +173,7 @@
     for (const jobs::PressureFactors &entry : learnt.factors()) {
         if (inRange(entry.calm(), entry.calm_variance()) &&
             inRange(entry.busy(), entry.busy_variance())) {
-            this->factors[{entry.serving(), entry.filling()}] = {
+            this->factors[entry.serving()][entry.filling()] = {
                 {entry.calm(), entry.calm_variance()}, {entry.busy(), entry.busy_variance()}};
         }
     }
--- a/src/libgodwitfall/jobs/interferencemodel.h
+++ b/src/libgodwitfall/jobs/interferencemodel.h
@@ -85,12 +85,18 @@
         Estimate busy;
     };
 
+    /** Of one serving image, by filling image. */
+    using FactorsByFilling = std::map<std::string, Factors>;
+
     static const Factors unseen;
 
     const Factors &factorsOf(const std::string &serving, const std::string &filling) const;
+    static const Factors &factorsOf(const FactorsByFilling *known, const std::string &filling);
+    /** Returns what is known of the serving image, or null. */
+    const FactorsByFilling *factorsOf(const std::string &serving) const;
 
     std::map<std::string, double> baseMs;
-    std::map<std::pair<std::string, std::string>, Factors> factors;
+    std::map<std::string, FactorsByFilling> factors; ///< By serving image.
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -75,6 +75,7 @@
         }
         ends.push_back(begin + step.estimated_ms());
         this->chain = std::max(this->chain, Duration(ends.back()));
+        this->shortWork = this->shortWork || (!step.long_running() && !step.fills());
         this->work += std::uint64_t(step.count()) * step.milli_cores() * step.estimated_ms();
     }
 }
@@ -129,15 +130,6 @@
     return found == this->runs.end() ? nullptr : &found->second;
 }
 
-Instant &Job::readySince(std::uint32_t occurrence, std::uint32_t step, Instant now)
-{
-    Instant &since = this->ready[{occurrence, step}];
-    if (since == Instant()) {
-        since = now;
-    }
-    return since;
-}
-
 Task *Job::task(const TaskRef &ref)
 {
     const auto found = this->runs.find({ref.occurrence, ref.step});
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -64,7 +64,8 @@
     std::string worker;                    ///< Where it is placed; empty when it runs nowhere.
     std::int64_t workerBornMs = 0; ///< Life of the worker that it was placed on; 0: not known.
     std::string checkpoint;
-    bool listed = false;    ///< A report of the life that it was placed on has listed it.
+    std::uint64_t listedIn = 0; ///< Number of the newest report that listed it.
+    bool listed = false;        ///< A report of the life that it was placed on has listed it.
     bool maybeLate = false; ///< A try of its start may still be carried out, by a later life too.
     std::vector<LateStart> lateStarts;
     std::uint32_t percent = 0;
@@ -82,6 +83,14 @@
     Instant progressAt;      ///< When percent or checkpoint last changed.
 };
 
+/** Since when tasks of a step could be placed; unset: they can't. */
+struct StepWait
+{
+    Instant readySince;
+    Instant roomySince; ///< Since when it has had room to spare.
+    Instant searchedAt; ///< When a worker was last searched for in vain.
+};
+
 /** One run through a step: its tasks within one occurrence. */
 struct StepRun
 {
@@ -123,13 +132,10 @@
     /** Returns the run of the step, or null when no task of it was ever placed. */
     const StepRun *findStepRun(std::uint32_t occurrence, std::uint32_t step) const;
 
-    /** Returns since when tasks of the step could be placed; begins at now. */
-    Instant &readySince(std::uint32_t occurrence, std::uint32_t step, Instant now);
-
-    /** Returns since when the step has had room to spare; unset: it has none. */
-    Instant &roomySince(std::uint32_t occurrence, std::uint32_t step)
+    /** Returns the wait of the step's tasks. */
+    StepWait &waitOf(std::uint32_t occurrence, std::uint32_t step)
     {
-        return this->roomy[{occurrence, step}];
+        return this->waits[{occurrence, step}];
     }
 
     /** Returns the task, or null when the job has no such task. */
@@ -176,6 +182,9 @@
      */
     Duration remainingChain() const;
 
+    /** Returns whether some step of it ends by itself and has room reserved for it. */
+    bool hasShortWork() const { return this->shortWork; }
+
     /** Returns the estimated work of all tasks of one occurrence, in milli-core ms. */
     std::uint64_t estimatedWork() const { return this->work; }
 
@@ -196,10 +205,10 @@
     JobId identity;
     jobs::JobSpec submitted;
     std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> runs;
-    std::map<std::pair<std::uint32_t, std::uint32_t>, Instant> ready;
-    std::map<std::pair<std::uint32_t, std::uint32_t>, Instant> roomy;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, StepWait> waits;
     Duration chain;
     std::uint64_t work = 0;
+    bool shortWork = false;
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/pacepolicy.h
+++ b/src/libgodwitfall/jobs/pacepolicy.h
@@ -5,6 +5,7 @@
 
 #include "interferencemodel.h"
 #include "job.h"
+#include "servingtask.h"
 
 namespace godwitfall {
 
@@ -19,14 +20,6 @@
     double pace = 1.0;  ///< Part of its speed, 0 to 1.
 };
 
-/** A serving task as those that fill beside it have to mind it. */
-struct ServingTask
-{
-    std::string image;
-    double room = 0.0;     ///< Load that it bears beyond its own before it misses its target.
-    double variance = 0.0; ///< Of the error of the room.
-};
-
 /**
  * Slows filling tasks where their work is worth less than the targets that it may make serving
  * tasks miss: marginal cost pricing, with the pressures that the interference model expects.
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -1,5 +1,7 @@
 #include "placementpolicy.h"
 
+#include "workersearch.h"
+
 #include <algorithm>
 
 namespace godwitfall {
@@ -47,7 +49,7 @@
 double otherFills(const WorkerState &worker, const std::string &image)
 {
     double others = 0.0;
-    for (const FillShare &fill : worker.fillShares(true)) {
+    for (const FillShare &fill : worker.fullFillShares()) {
         others += fill.image != image ? 1.0 : 0.0;
     }
     return others;
@@ -96,14 +98,17 @@
     if (known != worker.harms.end()) {
         return known->second;
     }
-    std::vector<FillShare> filling = worker.fillShares(true);
+    if (!worker.serving) {
+        worker.serving = this->servingOn(worker, now, caution);
+    }
     double harm = 0.0;
     if (step.fills()) {
+        std::vector<FillShare> filling = worker.fullFillShares();
         filling.push_back(FillShare{step.image(), worker.shareOf(step.milli_cores())});
-        harm = this->paces.cost(step.image(), Activity::Unknown,
-                                this->servingOn(worker, now, caution), filling);
+        harm = this->paces.cost(step.image(), Activity::Unknown, *worker.serving, filling);
     } else {
         const double bearable = this->interference.loadAtTarget(step.image(), step.target_ms());
+        const std::vector<FillShare> &filling = worker.fullFillShares();
         for (const FillShare &fill : filling) {
             harm = std::max(
                 harm, this->paces.cost(fill.image, fill.activity,
@@ -114,7 +119,7 @@
     return harm;
 }
 
-bool PlacementPolicy::usable(WorkerState &worker, const PlacementRequest &request,
+bool PlacementPolicy::admits(const WorkerState &worker, const PlacementRequest &request,
                              Instant now) const
 {
     const jobs::StepSpec &step = request.job.stepSpec(request.step);
@@ -123,40 +128,40 @@
         now - worker.heardAt > silenceLimit) {
         return false;
     }
-    if (!step.required_label().empty() && !entry.hasLabel(step.required_label())) {
-        return false;
-    }
-    if (!request.onlyRack.empty() && entry.rack != request.onlyRack) {
+    if (!worker.fits(step) ||
+        (step.fills() && loadWith(worker, step.milli_cores()) > fillCeiling)) {
         return false;
     }
-    if (step.max_per_worker() > 0 && worker.countOf(request.job.id(), request.occurrence,
-                                                    request.step) >= step.max_per_worker()) {
+    if (!step.required_label().empty() && !entry.hasLabel(step.required_label())) {
         return false;
     }
-    if (!worker.fits(step)) {
+    if (!request.onlyRack.empty() && entry.rack != request.onlyRack) {
         return false;
     }
-    if (step.fills()) {
-        return loadWith(worker, step.milli_cores()) <= fillCeiling &&
-               (request.insist || this->harmWith(worker, step, now) <= 1.0);
-    }
-    return true;
+    return step.max_per_worker() == 0 || worker.countOf(request.job.id(), request.occurrence,
+                                                        request.step) < step.max_per_worker();
 }
 
-double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const
+bool PlacementPolicy::bears(WorkerState &worker, const PlacementRequest &request, Instant now) const
+{
+    const jobs::StepSpec &step = request.job.stepSpec(request.step);
+    return !step.fills() || request.insist || this->harmWith(worker, step, now) <= 1.0;
+}
+
+bool PlacementPolicy::usable(WorkerState &worker, const PlacementRequest &request,
+                             Instant now) const
+{
+    return this->admits(worker, request, now) && this->bears(worker, request, now);
+}
+
+double PlacementPolicy::leastCost(const WorkerState &worker, const jobs::StepSpec &step) const
 {
     // Filling tasks go where most is left over; reserved room is packed tightly, so that wide tasks
     // still find some.
     double cost = step.fills()
                       ? loadWith(worker, step.milli_cores())
                       : 1.0 - worker.shareOf(static_cast<double>(worker.reserved.milliCores));
-    if (step.target_ms() > 0) {
-        cost -= likenessGain * likeness(worker, step.image());
-    }
-    if (step.fills()) {
-        cost += mixtureCost * otherFills(worker, step.image());
-    }
-    cost += harmCost * std::min(largestHarm, this->harmWith(worker, step, now));
+    cost -= step.target_ms() > 0 ? likenessGain : 0.0;
     cost += failureCost * static_cast<double>(worker.failedJobs.size());
     if (!step.rack_affinity().empty() && worker.entry.rack != step.rack_affinity()) {
         cost += farCost;
@@ -164,23 +169,22 @@
     return cost;
 }
 
+double PlacementPolicy::cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const
+{
+    double cost = this->leastCost(worker, step);
+    if (step.target_ms() > 0) {
+        cost += likenessGain * (1.0 - likeness(worker, step.image()));
+    }
+    if (step.fills()) {
+        cost += mixtureCost * otherFills(worker, step.image());
+    }
+    return cost + harmCost * std::min(largestHarm, this->harmWith(worker, step, now));
+}
+
 WorkerState *PlacementPolicy::choose(const std::vector<WorkerState *> &candidates,
                                      const PlacementRequest &request, Instant now) const
 {
-    const jobs::StepSpec &step = request.job.stepSpec(request.step);
-    WorkerState *best = nullptr;
-    double bestCost = 0.0;
-    for (WorkerState *worker : candidates) {
-        if (!this->usable(*worker, request, now)) {
-            continue;
-        }
-        const double cost = this->cost(*worker, step, now);
-        if (!best || cost < bestCost) {
-            best = worker;
-            bestCost = cost;
-        }
-    }
-    return best;
+    return WorkerSearch(*this, candidates, request, now).next();
 }
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -46,8 +46,26 @@
     /** Returns whether the worker may get new tasks of the step. */
     bool usable(WorkerState &worker, const PlacementRequest &request, Instant now) const;
 
-private:
+    /** Returns whether nothing but harm to serving tasks keeps new tasks of the step away; cheap.
+     */
+    bool admits(const WorkerState &worker, const PlacementRequest &request, Instant now) const;
+
+    /** Returns whether the serving tasks of the worker bear another task of the step. */
+    bool bears(WorkerState &worker, const PlacementRequest &request, Instant now) const;
+
+    /** Returns what a task of the step costs on the worker; the least is best. */
     double cost(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
+
+    /** Returns a bound that the cost does not fall below; cheap. */
+    double leastCost(const WorkerState &worker, const jobs::StepSpec &step) const;
+
+    /** Returns whether the least cost of steps like this one is their cost. */
+    static bool costIsCheap(const jobs::StepSpec &step)
+    {
+        return !step.fills() && step.target_ms() == 0;
+    }
+
+private:
     /** Returns what missed targets cost against the task's work, see PacePolicy. */
     double harmWith(WorkerState &worker, const jobs::StepSpec &step, Instant now) const;
     const InterferenceModel &interference;
--- /dev/null
+++ b/src/libgodwitfall/jobs/workersearch.cpp
@@ -0,0 +1,64 @@
+#include "workersearch.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace godwitfall {
+
+WorkerSearch::WorkerSearch(const PlacementPolicy &policy,
+                           const std::vector<WorkerState *> &candidates, PlacementRequest request,
+                           Instant now)
+    : policy(policy)
+    , request(std::move(request))
+    , step(this->request.job.stepSpec(this->request.step))
+    , now(now)
+    , cheap(PlacementPolicy::costIsCheap(this->step))
+{
+    for (std::size_t order = 0; order < candidates.size(); ++order) {
+        if (policy.admits(*candidates[order], this->request, now)) {
+            this->heap.push_back(Entry{policy.leastCost(*candidates[order], this->step),
+                                       this->cheap, order, candidates[order]});
+        }
+    }
+    std::make_heap(this->heap.begin(), this->heap.end(), comesLater);
+}
+
+bool WorkerSearch::comesLater(const Entry &left, const Entry &right)
+{
+    return std::tie(left.cost, left.order) > std::tie(right.cost, right.order);
+}
+
+void WorkerSearch::push(const Entry &entry)
+{
+    this->heap.push_back(entry);
+    std::push_heap(this->heap.begin(), this->heap.end(), comesLater);
+}
+
+WorkerState *WorkerSearch::next()
+{
+    if (WorkerState *before = std::exchange(this->last.worker, nullptr)) {
+        if (this->policy.admits(*before, this->request, this->now)) {
+            this->push(Entry{this->policy.leastCost(*before, this->step), this->cheap,
+                             this->last.order, before});
+        }
+    }
+    while (!this->heap.empty()) {
+        std::pop_heap(this->heap.begin(), this->heap.end(), comesLater);
+        Entry best = this->heap.back();
+        this->heap.pop_back();
+        if (best.exact) {
+            this->last = best;
+            return best.worker;
+        }
+        ++this->pricedWorkers;
+        if (this->policy.bears(*best.worker, this->request, this->now)) {
+            best.cost = this->policy.cost(*best.worker, this->step, this->now);
+            best.exact = true;
+            this->push(best);
+        }
+    }
+    return nullptr;
+}
+
+} // namespace godwitfall
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -105,6 +105,19 @@
         times(this->entry.capacity.memoryMb - this->reserved.memoryMb, step.memory_mb()));
 }
 
+std::vector<FillShare> WorkerState::pacedFillShares() const
+{
+    return this->fillShares(false);
+}
+
+const std::vector<FillShare> &WorkerState::fullFillShares() const
+{
+    if (!this->fullShares) {
+        this->fullShares = this->fillShares(true);
+    }
+    return *this->fullShares;
+}
+
 std::vector<FillShare> WorkerState::fillShares(bool atFullPace) const
 {
     constexpr double fullPace = 100.0;
@@ -133,6 +146,8 @@
 void WorkerState::forgetPlacementCosts()
 {
     this->harms.clear();
+    this->serving.reset();
+    this->fullShares.reset();
 }
 
 std::uint32_t WorkerState::countOf(const JobId &job, std::uint32_t occurrence,
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "interferencemodel.h"
 #include "job.h"
 #include "resources.h"
+#include "servingtask.h"
 
 namespace godwitfall {
 
@@ -131,10 +133,14 @@
      * while nothing is placed here. */
     std::int64_t places(const jobs::StepSpec &step) const;
 
-    /** Returns what running filling tasks use, by image; at full pace, or as they are paced. */
-    std::vector<FillShare> fillShares(bool atFullPace) const;
+    /** Returns what running filling tasks use, by image, as they are paced. */
+    std::vector<FillShare> pacedFillShares() const;
+
+    /** Returns what filling tasks placed here use at full pace, by image; valid until the next
+     * change. */
+    const std::vector<FillShare> &fullFillShares() const;
 
-    /** Drops what PlacementPolicy computed of the worker, after a change of what it is based on. */
+    /** Drops what was computed of the worker, after a change of what it is based on. */
     void forgetPlacementCosts();
 
     /** Returns the number of placed tasks of one occurrence of the step. */
@@ -161,12 +167,17 @@
     unsigned restCount = 0;
     std::set<std::string> failedJobs;    ///< Jobs that failed here since the last success.
     std::map<std::string, double> harms; ///< By image, as PlacementPolicy computed them.
-    Instant figuresAt;                   ///< When the figures of its tasks were last taken in.
+    /** As PlacementPolicy computed them; unset: not computed since the last change. */
+    std::optional<std::vector<ServingTask>> serving;
+    Instant figuresAt; ///< When the figures of its tasks were last taken in.
 
 private:
+    std::vector<FillShare> fillShares(bool atFullPace) const;
+
     std::int64_t sampleMs = 0;
     Instant sampledAt;
     std::int64_t longestEndMs = 0;
+    mutable std::optional<std::vector<FillShare>> fullShares;
 };
 
 } // namespace godwitfall
