--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -21,6 +21,7 @@
     MetricHelp{"godwitfall_cores", "Processors, by use; coordinator."},
     MetricHelp{"godwitfall_memory_mb", "Memory, by use; coordinator."},
     MetricHelp{"godwitfall_open_jobs", "Jobs that are not finished; coordinator."},
+    MetricHelp{"godwitfall_worker_searches", "Searches for workers in this coordination."},
     MetricHelp{"godwitfall_missed_targets", "Serving tasks over their target; coordinator."},
     MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator."},
 };
@@ -49,6 +50,7 @@
     gauge("godwitfall_memory_mb", "use", "all", static_cast<double>(figures.memoryMb));
     gauge("godwitfall_memory_mb", "use", "reserved", static_cast<double>(figures.reservedMemoryMb));
     page += sampleLine("godwitfall_open_jobs", figures.openJobs);
+    page += sampleLine("godwitfall_worker_searches", static_cast<double>(figures.workerSearches));
     page += sampleLine("godwitfall_missed_targets", figures.missedTargets);
     for (std::size_t kind = 0; kind < workKinds; ++kind) {
         const TaskFigures &tasks = figures.tasks.at(kind);
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -79,6 +79,7 @@
     this->acknowledgeDirty = false;
     this->fencedByWorker = false;
     this->startsHeld = false;
+    this->searches = 0;
 }
 
 void Coordinator::holdStarts(bool hold)
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -336,6 +336,7 @@
     Instant plannedAt;
     Instant preemptedAt; ///< When work was last looked for that might be stopped.
     Instant tickedAt{-1000000};
+    std::uint64_t searches = 0;
     std::uint64_t reports = 0;     ///< Counts the reports of workers.
     Instant shortWorkAt{-1000000}; ///< When work that ends was last open.
     bool acknowledgeDirty = false;
--- a/src/libgodwitfall/jobs/coordinatorfigures.cpp
+++ b/src/libgodwitfall/jobs/coordinatorfigures.cpp
@@ -62,6 +62,7 @@
         figures.memoryMb += worker->entry.capacity.memoryMb;
         figures.reservedMemoryMb += worker->reserved.memoryMb;
     }
+    figures.workerSearches = this->searches;
     figures.openJobs = static_cast<std::uint32_t>(this->open.size());
     for (const Job *job : this->open) {
         for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
--- a/src/libgodwitfall/jobs/coordinatorfigures.h
+++ b/src/libgodwitfall/jobs/coordinatorfigures.h
@@ -40,7 +40,8 @@
     std::int64_t memoryMb = 0;
     std::int64_t reservedMemoryMb = 0;
     std::uint32_t openJobs = 0;
-    std::uint32_t missedTargets = 0; ///< Serving tasks over their target.
+    std::uint64_t workerSearches = 0; ///< Searches for workers since it began to coordinate.
+    std::uint32_t missedTargets = 0;  ///< Serving tasks over their target.
     std::array<TaskFigures, workKinds> tasks;
 };
 
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -275,6 +275,7 @@
     const std::vector<WorkerState *> workersOfJob =
         this->allowed(job, run.occurrence, run.step, now);
     WorkerSearch search(this->policy, workersOfJob, request, now);
+    ++this->searches;
     std::int64_t places = -1;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         if (run.tasks[index].phase != TaskPhase::Waiting) {
--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -24,6 +24,7 @@
     this->batch.clear();
     this->busy = false;
     this->inFlight = false;
+    this->answer.reset();
     this->uncertain = false;
     this->failing = false;
     this->retryAt = Instant();
@@ -42,9 +43,17 @@
            at - this->failedAt < tryAgainAfter;
 }
 
-void GroupCommit::pump(Instant at)
+void GroupCommit::takeAnswer(Instant at)
 {
     this->now = std::max(this->now, at);
+    if (const auto reply = std::exchange(this->answer, std::nullopt)) {
+        this->answered(*reply);
+    }
+}
+
+void GroupCommit::pump(Instant at)
+{
+    this->takeAnswer(at);
     this->expire(at);
     if (this->inFlight || at < this->retryAt) {
         return;
@@ -76,17 +85,21 @@
         records.insert(records.end(), entry.records.begin(), entry.records.end());
     }
     this->inFlight = true;
+    this->sentAt = at;
     this->log.append(this->stream, records, this->identity, std::nullopt,
-                     [this, sent = this->generation, at](const AppendReply &reply) {
-                         this->answered(sent, reply, at);
+                     [this, sent = this->generation](const AppendReply &reply) {
+                         if (sent != this->generation) {
+                             return;
+                         }
+                         this->answer = reply;
+                         if (this->onAnswer) {
+                             this->onAnswer();
+                         }
                      });
 }
 
-void GroupCommit::answered(std::uint64_t sentGeneration, const AppendReply &reply, Instant sentAt)
+void GroupCommit::answered(const AppendReply &reply)
 {
-    if (sentGeneration != this->generation) {
-        return;
-    }
     this->inFlight = false;
     const bool stored = reply.outcome == AppendOutcome::Stored ||
                         (reply.outcome == AppendOutcome::OutOfOrder && this->uncertain &&
@@ -96,7 +109,7 @@
         this->failing = false;
         this->backoff.reset();
         if (this->onStored) {
-            this->onStored(sentAt);
+            this->onStored(this->sentAt);
         }
         this->finishBatch(CommitResult::Durable);
         return;
@@ -111,7 +124,7 @@
     this->uncertain = this->uncertain || reply.outcome == AppendOutcome::Unanswered;
     if (!this->failing) {
         this->failing = true;
-        this->failingSince = sentAt;
+        this->failingSince = this->sentAt;
     }
     this->failedAt = this->now;
     this->retryAt = this->now + firstRetry + this->backoff.next();
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -22,6 +22,9 @@
 /**
  * Appends records in batches, one at a time, and resolves lost answers.
  *
+ * Answers are taken in by the next pump(), so that what follows from them is decided at its time
+ * and not at that of a pump before a pause of the process.
+ *
  * An append whose answer is lost is repeated under the same sequence number until the store says
  * what became of it; its callers are told Unknown when their deadline passes first.
  */
@@ -57,7 +60,11 @@
     /** Queues the records; done is called once, from a later call into this object. */
     void add(std::vector<JobRecord> records, Instant deadline, Done done);
 
-    /** Sends what waits and gives up what is past its deadline. */
+    /** Takes in what the store has answered. */
+    void takeAnswer(Instant now);
+
+    /** Takes in what the store has answered, sends what waits, gives up what is past its deadline.
+     */
     void pump(Instant now);
 
     /** Returns the epoch that it writes as. */
@@ -68,6 +75,9 @@
     /** Returns whether the store has not taken an append for a while although one was tried. */
     bool outage(Instant now) const;
 
+    /** Called when an answer waits for the next pump. */
+    std::function<void()> onAnswer;
+
     /** Called with the time at which a stored append was sent. */
     std::function<void(Instant sentAt)> onStored;
 
@@ -80,7 +90,7 @@
     };
 
     void send(Instant now);
-    void answered(std::uint64_t generation, const AppendReply &reply, Instant sentAt);
+    void answered(const AppendReply &reply);
     void finishBatch(CommitResult result);
     void expire(Instant now);
 
@@ -98,6 +108,8 @@
     Instant failedAt; ///< When an append last failed.
     bool failing = false;
     std::uint64_t generation = 0;
+    std::optional<AppendReply> answer; ///< Not taken in yet.
+    Instant sentAt;                    ///< When the append was sent that is under way or answered.
     Instant now;
 };
 
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -37,6 +37,11 @@
 {
     const std::string producer = settings.instance + "/" + std::to_string(settings.incarnation);
     this->submissions.open(producer, 1, 1);
+    for (GroupCommit *commits : {&this->submissions, &this->records, &this->announcements}) {
+        commits->onAnswer = [this] {
+            this->host.workWaits();
+        };
+    }
     this->desk.onDurable = [this](const JobRecord &record, Instant at) {
         this->applyRecord(record, at);
     };
@@ -99,6 +104,9 @@
 
 void JobNode::work(Instant now, std::int64_t unixMs)
 {
+    for (GroupCommit *commits : {&this->submissions, &this->records, &this->announcements}) {
+        commits->takeAnswer(now);
+    }
     if (this->coordinator.fenced()) {
         this->stepDown("a worker has seen a higher fencing token");
     } else if (this->stepDownReason) {
@@ -297,6 +305,7 @@
                               this->stepDownReason = "a later epoch writes";
                               return;
                           }
+                          this->boundStartsByView(at);
                           this->coordinator.committed(at, this->lease.mayRenew(at));
                       });
 }
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -18,6 +18,9 @@
 class JobNodeHost : public CoordinatorObserver
 {
 public:
+    /** The store has answered, and work() is to be called soon. */
+    virtual void workWaits() = 0;
+
     /** The node has won the claim and needs the newest records of the progress stream; it is to be
      * told by progressLoaded(). */
     virtual void progressNeeded(std::uint64_t epoch) = 0;
--- a/tests/jobs/jobworld.cpp
+++ b/tests/jobs/jobworld.cpp
@@ -72,7 +72,11 @@
             this->world.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
         } else if (this->world.chance(this->world.rates.orderLate)) {
             const auto delay = 2000 + static_cast<std::int64_t>(this->world.random() % 10000);
-            this->world.after(delay, [carryOut] { carryOut(); });
+            this->world.after(delay, [this, carryOut] {
+                this->world.fleet.lateOrder = true;
+                carryOut();
+                this->world.fleet.lateOrder = false;
+            });
             this->world.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
         } else {
             const bool lost = this->world.chance(this->world.rates.answerLost);
@@ -143,13 +147,18 @@
     std::int64_t frozenUntil = 0;
     std::int64_t storeCutUntil = 0;
     std::int64_t readAt = 0;
+    std::int64_t readsStallUntil = 0;
     std::uint64_t cursor = 0;
 };
 
 JobWorld::JobWorld(std::uint64_t seed, const FaultRates &rates, Missing missing)
     : random(seed)
+    , stallRandom(seed + 1)
     , rates(rates)
 {
+    if (missing == Missing::ViewBound) {
+        this->bounds.cancelTime = Duration(INT32_MAX);
+    }
     this->config.version = 1;
     QueueConfig queue;
     queue.name = "plan";
@@ -200,7 +209,7 @@
     instance.chanceSource = std::make_unique<Random>(this->random());
     instance.node = std::make_unique<JobNode>(
         JobNodeSettings{
-            instance.name, ++this->incarnations, {}, 1.0, WorkerBounds(), Duration(120000)},
+            instance.name, ++this->incarnations, {}, 1.0, this->bounds, Duration(120000)},
         instance, instance, instance.host, *instance.chanceSource);
     instance.node->setConfig(this->config);
     instance.readAt = this->nowMs;
@@ -226,7 +235,8 @@
         }
         const Instant now(this->nowMs);
         JobNode &node = *instance->node;
-        if (this->nowMs >= instance->readAt && this->nowMs >= instance->storeCutUntil) {
+        if (this->nowMs >= instance->readAt && this->nowMs >= instance->storeCutUntil &&
+            this->nowMs >= instance->readsStallUntil) {
             instance->readAt = this->nowMs + readGapMs;
             if (instance->host.needsReload) {
                 instance->host.needsReload = false;
@@ -269,6 +279,9 @@
     if (this->chance(rate)) {
         this->cutOwnerFromStore(static_cast<std::int64_t>(1000 + this->random() % 9000));
     }
+    if (rate > 0 && static_cast<int>(this->stallRandom() % 1000) < rate) {
+        this->stallOwnerReads(static_cast<std::int64_t>(1000 + this->stallRandom() % 9000));
+    }
     if (this->chance(rate)) {
         this->rebirthWorker(this->random() % workerCount);
     }
@@ -296,6 +309,7 @@
     for (const auto &instance : this->instances) {
         instance->frozenUntil = 0;
         instance->storeCutUntil = 0;
+        instance->readsStallUntil = 0;
     }
     std::fill(this->workerCutUntil.begin(), this->workerCutUntil.end(), 0);
 }
@@ -329,13 +343,32 @@
 {
     for (const auto &instance : this->instances) {
         if (instance->node && this->nowMs >= instance->frozenUntil) {
-            instance->node->jobDesk().cancel(id, Instant(this->nowMs), Duration(3000),
-                                             [](const DeskReply &) {});
+            this->cancelAt(*instance, id);
+            return;
+        }
+    }
+}
+
+void JobWorld::cancelElsewhere(const JobId &id)
+{
+    for (const auto &instance : this->instances) {
+        if (instance->node && !instance->node->coordinates()) {
+            this->cancelAt(*instance, id);
             return;
         }
     }
 }
 
+void JobWorld::cancelAt(Instance &instance, const JobId &id)
+{
+    instance.node->jobDesk().cancel(id, Instant(this->nowMs), Duration(3000),
+                                    [this, id](const DeskReply &reply) {
+                                        if (reply.answer == DeskAnswer::Accepted) {
+                                            this->fleet.cancelledAt.emplace(id, this->nowMs);
+                                        }
+                                    });
+}
+
 jobs::JobState JobWorld::shown(const JobId &id)
 {
     std::map<jobs::JobState, int> counts;
@@ -397,6 +430,13 @@
     }
 }
 
+void JobWorld::stallOwnerReads(std::int64_t milliseconds)
+{
+    if (Instance *instance = this->owner()) {
+        instance->readsStallUntil = this->nowMs + milliseconds;
+    }
+}
+
 void JobWorld::rebirthWorker(std::size_t index)
 {
     this->workers[index]->rebirth(this->nowMs);
--- a/tests/jobs/jobworld.h
+++ b/tests/jobs/jobworld.h
@@ -24,6 +24,7 @@
     void workerRests(const WorkerId &, Duration) override {}
     void workerReborn(const WorkerId &) override {}
     void superseded(const WorkerId &) override {}
+    void workWaits() override {}
     void progressNeeded(std::uint64_t) override { this->needsProgress = true; }
     void ownershipGained(std::uint64_t) override { this->needsWorkers = true; }
     void ownershipLost(std::uint64_t, const char *) override { this->needsReload = true; }
@@ -50,6 +51,7 @@
     WorkerFence,
     WorkerLease,
     StoreFence,
+    ViewBound,
 };
 
 /**
@@ -74,6 +76,9 @@
     JobId submit(const std::vector<jobs::StepSpec> &steps);
     void cancel(const JobId &id);
 
+    /** Cancels at an instance that does not coordinate. */
+    void cancelElsewhere(const JobId &id);
+
     /** Returns the state that most instances show. */
     jobs::JobState shown(const JobId &id);
 
@@ -86,6 +91,9 @@
     /** Cuts the coordinating instance off from the store. */
     void cutOwnerFromStore(std::int64_t milliseconds);
 
+    /** Keeps the coordinating instance from reading the log of jobs, while its appends go on. */
+    void stallOwnerReads(std::int64_t milliseconds);
+
     void rebirthWorker(std::size_t index);
 
     /** Cuts a worker off from all instances. */
@@ -113,6 +121,7 @@
 
     void after(std::int64_t milliseconds, std::function<void()> action);
     bool chance(int perThousand);
+    void cancelAt(Instance &instance, const JobId &id);
     void bringUp(Instance &instance);
     void step();
     void breakThings();
@@ -121,6 +130,8 @@
     bool reaches(const Instance &instance, std::size_t worker) const;
 
     std::mt19937_64 random;
+    std::mt19937_64 stallRandom; ///< Apart, so that older seeds keep their schedules.
+    WorkerBounds bounds;
     FaultRates rates;
     SimStore store;
     SimStore progress; ///< The stream of progress.
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr std::int64_t stopMs = 200;
+/** From a cancel's acknowledgement until nothing of its job may start; from the platform. */
+constexpr std::int64_t cancelBindsMs = 3000;
 
 std::string taskText(const TaskRef &ref)
 {
@@ -103,6 +105,11 @@
     if (this->ledger.acknowledgedDone.contains(order.task) && !unreached) {
         this->ledger.broken.push_back("start after done of " + taskText(order.task));
     }
+    const auto cancelled = this->ledger.cancelledAt.find(order.task.job);
+    if (cancelled != this->ledger.cancelledAt.end() && !this->ledger.lateOrder &&
+        this->nowMs > cancelled->second + cancelBindsMs) {
+        this->ledger.broken.push_back("start of the cancelled " + taskText(order.task));
+    }
     live.insert({this->id, order.run});
     ++this->ledger.starts;
     this->runs[key] = Run{this->nowMs, this->nowMs + workMs, fails, false};
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -17,8 +17,10 @@
     /** Runs at work now, by task. */
     std::map<TaskRef, std::set<std::pair<std::string, std::uint32_t>>> running;
     std::set<TaskRef> acknowledgedDone;
-    std::set<TaskRef> everDone;      ///< Tasks of which some run has ended as done.
-    std::vector<std::string> broken; ///< What broke a promise, in words.
+    std::set<TaskRef> everDone;                ///< Tasks of which some run has ended as done.
+    std::vector<std::string> broken;           ///< What broke a promise, in words.
+    std::map<JobId, std::int64_t> cancelledAt; ///< When cancels were acknowledged.
+    bool lateOrder = false;                    ///< What is carried out now was sent long ago.
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
 };
--- a/tests/jobs/test_jobworld.cpp
+++ b/tests/jobs/test_jobworld.cpp
@@ -103,6 +103,32 @@
     EXPECT_EQ(world.ledger().starts, starts);
 }
 
+/** Cancels a job while its coordinator reads nothing; returns what broke. */
+std::vector<std::string> stalledDay(Missing missing)
+{
+    JobWorld world(9, FaultRates(), missing);
+    world.run(1000);
+    std::vector<jobs::StepSpec> chain = {stepOf(2, 400)};
+    for (std::uint32_t step = 1; step < 12; ++step) {
+        chain.push_back(stepOf(2, 400, {step - 1}));
+    }
+    const JobId cancelled = world.submit(chain);
+    const JobId other = world.submit(chain);
+    world.run(500);
+    world.stallOwnerReads(7000);
+    world.run(200);
+    world.cancelElsewhere(cancelled);
+    world.run(20000);
+    EXPECT_EQ(world.shown(other), jobs::COMPLETED);
+    return world.ledger().broken;
+}
+
+TEST(JobWorldTest, AnOwnerThatReadsNothingStartsNothingThatMayBeCancelled)
+{
+    EXPECT_EQ(stalledDay(Missing::Nothing), std::vector<std::string>());
+    EXPECT_NE(stalledDay(Missing::ViewBound), std::vector<std::string>());
+}
+
 TEST(JobWorldTest, JobCancelledWithoutAnOwnerIsKeptAsLongAsAnyOther)
 {
     JobWorld world(5, FaultRates());
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -386,6 +386,28 @@
     EXPECT_FALSE(commits.outage(Instant(now + 5000)));
 }
 
+TEST(GroupCommitTest, AnswersCountAtTheTimeAtWhichTheyAreTakenIn)
+{
+    HandLog log;
+    Random random(1);
+    GroupCommit commits(log, LogStream::Jobs, random);
+    commits.open("p", 1, 1);
+    unsigned hints = 0;
+    commits.onAnswer = [&] {
+        ++hints;
+    };
+    std::optional<Instant> told;
+    commits.add({record("a", "1", 0)}, GroupCommit::unbounded,
+                [&](CommitResult, Instant at) { told = at; });
+    commits.pump(Instant(10));
+    log.answer(AppendOutcome::Stored);
+    EXPECT_EQ(hints, 1U);
+    EXPECT_FALSE(told);
+    // The process was paused for seconds; what follows must not count on the time before.
+    commits.pump(Instant(5000));
+    EXPECT_EQ(told, Instant(5000));
+}
+
 TEST(GroupCommitTest, WhatComesMeanwhileSharesTheNextAppend)
 {
     HandLog log;
@@ -1002,6 +1024,76 @@
     EXPECT_EQ(task.worker, "");
 }
 
+TEST(CoordinatorTest, APlacementWithoutAnAnswerCountsAsRunningWhileALateStartMayCome)
+{
+    for (const bool confirmed : {true, false}) {
+        JobTable table;
+        Recorder orders;
+        QuietHost host;
+        Coordinator coordinator(table, WorkerBounds(), orders, host);
+        jobs::JobSpec spec;
+        spec.set_queue("plan");
+        *spec.add_steps() = stepOf(1, 5000);
+        Job *job = nullptr;
+        table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1),
+                    Instant(1000), job);
+        jobs::JobProgress progress;
+        progress.set_state(jobs::RUNNING);
+        jobs::StepProgress &step = *progress.add_steps();
+        step.add_runs(1);
+        jobs::Placement &placed = *step.add_placed();
+        placed.set_worker("w2");
+        placed.set_confirmed(confirmed);
+        table.apply(record(JobTable::progressKey(jobId), progress.SerializeAsString(), 2),
+                    Instant(1000), job);
+        const Instant formerLapse(10000);
+        coordinator.begin(2, Instant(1000), 1, formerLapse);
+        // Nobody reaches the worker.
+        const Task &task = *job->task(TaskRef{jobId, 0, 0, 0});
+        coordinator.tick(formerLapse + Duration(100), 1, true);
+        EXPECT_EQ(task.worker, confirmed ? "" : "w2");
+        coordinator.tick(formerLapse + WorkerState::lateOrders + Duration(100), 1, true);
+        EXPECT_EQ(task.worker, "");
+    }
+}
+
+TEST(CoordinatorTest, HeldStartsGoOutLater)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    spec.set_service("orchard");
+    *spec.add_steps() = stepOf(1, 5000);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    coordinator.setWorker(entryOf("w1"), Instant(1000));
+    coordinator.reported(WorkerId("w1"), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                         report);
+    const auto commit = [&](std::int64_t at, bool heldMeanwhile) {
+        coordinator.plan(Instant(at), 1);
+        coordinator.takeBatch();
+        coordinator.holdStarts(heldMeanwhile);
+        coordinator.committed(Instant(at), true);
+    };
+    coordinator.holdStarts(true);
+    commit(1020, true);
+    EXPECT_EQ(orders.starts.size(), 0U) << "nothing is placed";
+    coordinator.holdStarts(false);
+    commit(1040, true);
+    EXPECT_EQ(orders.starts.size(), 0U) << "what was placed before is not sent";
+    coordinator.holdStarts(false);
+    commit(1060, false);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts[0].run, 2U);
+}
+
 TEST(CoordinatorTest, TasksThatLastOnQueuesWithAdviceAreAskedForBesideShortWork)
 {
     JobTable table;
