--- a/tests/jobs/test_placement.cpp
+++ b/tests/jobs/test_placement.cpp
@@ -147,6 +147,7 @@
         spec.mutable_steps(0)->set_memory_mb(13000);
         given.shape(*spec.mutable_steps(0));
         Job job(JobId("00000000000000ff"), spec);
+        job.stepRun(0, 0);
         const PlacementRequest request{job, 0, 0, {}, given.insist};
         const Instant now(10100);
         WorkerSearch search(fleet.policy, fleet.candidates, request, now);
