Acknowledge ends only until they are forgotten; take hostile input without an end of the process

Cause 1: each hold named the last acknowledged end. Ruled out: the second stream (the successor's progress held the placement, as the predecessor had left it), late holds. Change: a hold names a cursor only until an answered one has carried it, so that a new life can lose ends only to a hold that acknowledges ends of the moments before. CoordinatorTest.EndsAreAcknowledgedUntilAnAnswerAndNotAgain, red before.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -163,6 +163,15 @@
     return {};
 }
 
+void EntryInstance::recover(const char *error)
+{
+    this->metrics.count("godwitfall_unexpected_errors_total");
+    logLine(LogLevel::Error, "unexpected_error", {{"what", error}});
+    this->node.abandon();
+    // The error may have cut off the chain of ticks.
+    this->scheduleTick();
+}
+
 // ---- following the store
 
 void EntryInstance::follow(Follower &follower, Instant at)
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -36,6 +36,9 @@
     /** Listens and begins to follow the store; metrics only where a port is given. */
     Result<void> start();
 
+    /** Goes on after an unexpected error: gives up coordination and reads the log anew. */
+    void recover(const char *error);
+
 private:
     /** Position in a topic that is followed by long reads. */
     struct Follower
--- a/src/godwitfall/instance.cpp
+++ b/src/godwitfall/instance.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <exception>
 #include <iostream>
 #include <random>
 
@@ -52,7 +53,13 @@
     }
     logLine(LogLevel::Info, "started",
             {{"zone", settings->zone}, {"entrance", settings->entranceAddress}});
-    context.run();
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception &error) {
+            instance.recover(error.what());
+        }
+    }
     return ExitOk;
 }
 
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -10,6 +10,7 @@
     MetricHelp{"godwitfall_answers_total", "Answers to clients, by status."},
     MetricHelp{"godwitfall_answer_ms", "From a client's whole request to its answer, ms."},
     MetricHelp{"godwitfall_forwards_total", "Requests passed to the coordinator."},
+    MetricHelp{"godwitfall_unexpected_errors_total", "Errors after which the process went on."},
     MetricHelp{"godwitfall_starts_held_total", "Times that starts were held back, and let go."},
     MetricHelp{"godwitfall_jobs_finished_total", "Finished jobs, by state; coordinator."},
     MetricHelp{"godwitfall_job_wait_ms", "From a job's submission to its first start, ms."},
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace godwitfall {
 
@@ -278,6 +279,7 @@
     if (report.bornMs != 0) {
         worker->entry.bornMs = std::max(worker->entry.bornMs, report.bornMs);
     }
+    worker->forgotten = std::max(worker->forgotten, std::exchange(worker->forgetting, 0));
     const bool first = !worker->heard;
     worker->heard = true;
     worker->heardAt = now;
@@ -502,6 +504,8 @@
     ++worker.life;
     worker.seen = 0;
     worker.acknowledged = 0;
+    worker.forgotten = 0;
+    worker.forgetting = 0;
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (!worker.tasks.contains(ref)) {
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -196,7 +196,9 @@
 {
     HoldOrder order;
     order.target = this->targetOf(worker);
-    order.acknowledged = worker.acknowledged;
+    // Naming again what it has forgotten would make a life that began since forget its own ends.
+    worker.forgetting = worker.acknowledged > worker.forgotten ? worker.acknowledged : 0;
+    order.acknowledged = worker.forgetting;
     // An unanswered renewal may have been taken, so a silent worker gets none and surely lapses.
     if (worker.heard && mayRenew && now - worker.heardAt < renewalSilence) {
         order.leaseEndMs = worker.leaseEnd(now, this->bounds.longestLease);
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -88,6 +88,9 @@
     /** Does what is due: claims, orders, commits, appends. */
     void work(Instant now, std::int64_t unixMs);
 
+    /** Gives up coordination, if it is this node's, after an error in its own state. */
+    void abandon() { this->stepDown("internal error"); }
+
     /** Begins a planned stop: hands ownership over and coordinates nothing new. */
     void beginShutdown() { this->stopping = true; }
 
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -1,5 +1,6 @@
 #include "jobtable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace godwitfall {
@@ -8,8 +9,18 @@
 
 constexpr std::size_t kindLength = 2;
 
+/** Most tasks of a job that is taken in, over all occurrences; submissions have fewer. */
+constexpr std::uint64_t maxTasks = 100000;
+
 bool wellFormed(const jobs::JobSpec &spec)
 {
+    std::uint64_t tasks = 0;
+    for (const jobs::StepSpec &step : spec.steps()) {
+        tasks += step.count();
+    }
+    if (tasks * std::max<std::uint64_t>(1, spec.repeat_count()) > maxTasks) {
+        return false;
+    }
     for (int step = 0; step < spec.steps_size(); ++step) {
         for (const std::uint32_t earlier : spec.steps(step).after()) {
             if (static_cast<int>(earlier) >= step) {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -157,6 +157,8 @@
     Instant holdDue;
     std::uint64_t life = 1;         ///< Counts the lives seen, as numbers of ends begin anew.
     std::uint64_t acknowledged = 0; ///< Ends up to here are durable.
+    std::uint64_t forgotten = 0;    ///< Ends up to here it was told to forget, and answered.
+    std::uint64_t forgetting = 0;   ///< What the hold under way tells it to forget.
     std::uint64_t seen = 0;         ///< Ends up to here are applied.
 
     std::vector<UnansweredStart> unanswered; ///< Of the last lateOrders.
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -664,12 +664,13 @@
 public:
     void start(StartOrder order) override { this->starts.push_back(std::move(order)); }
     void stop(StopOrder order) override { this->stops.push_back(std::move(order)); }
-    void hold(HoldOrder) override {}
+    void hold(HoldOrder order) override { this->holds.push_back(std::move(order)); }
     void pace(PaceOrder) override {}
     void advise(AdviceOrder order) override { this->questions.push_back(std::move(order)); }
 
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
+    std::vector<HoldOrder> holds;
     std::vector<AdviceOrder> questions;
 };
 
@@ -1057,6 +1058,42 @@
     }
 }
 
+TEST(CoordinatorTest, EndsAreAcknowledgedUntilAnAnswerAndNotAgain)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    coordinator.setWorker(entryOf("w1"), Instant(1000));
+    const WorkerId worker("w1");
+    WorkerReport report;
+    report.clockMs = 500;
+    report.bornMs = 7;
+    report.ended.push_back(EndedTask{25, TaskRef{jobId, 0, 0, 0}, 1, RunEnd::Done, {}});
+    std::int64_t at = 1000;
+    const auto held = [&](OrderOutcome outcome) {
+        coordinator.reported(worker, Instant(at), Instant(at), outcome, report);
+        coordinator.takeBatch();
+        coordinator.committed(Instant(at), true);
+        at += 1000;
+        orders.holds.clear();
+        coordinator.tick(Instant(at), 1, true);
+        return orders.holds.empty() ? 9999 : orders.holds[0].acknowledged;
+    };
+    coordinator.tick(Instant(at), 1, true);
+    EXPECT_EQ(held(OrderOutcome::Accepted), 25U);
+    EXPECT_EQ(held(OrderOutcome::Unanswered), 25U) << "it may not have come";
+    report.ended.clear();
+    EXPECT_EQ(held(OrderOutcome::Accepted), 0U) << "another life would forget ends of its own";
+    report.ended.push_back(EndedTask{26, TaskRef{jobId, 0, 0, 1}, 1, RunEnd::Done, {}});
+    EXPECT_EQ(held(OrderOutcome::Accepted), 26U);
+    // The hold went to another life: what that one lists is acknowledged by its own numbers.
+    report.bornMs = 8;
+    report.ended = {EndedTask{1, TaskRef{jobId, 0, 0, 2}, 1, RunEnd::Done, {}}};
+    EXPECT_EQ(held(OrderOutcome::Accepted), 1U);
+}
+
 TEST(CoordinatorTest, HeldStartsGoOutLater)
 {
     JobTable table;
