Write logs without waiting for their reader, and place nothing in a zone that has fallen silent

Cause 1: lines went to standard error and were written at once, so that a reader that stopped reading stopped the process, and one that went away ended it. Change: LineWriter polls before it writes, keeps 256 KB in a ring that drops its oldest lines and counts them; standard output; a closed pipe costs lines only. Tests: order, a reader that never reads, one that is gone, long lines.

Cause 2: in a zone cut tasks were placed on its workers for up to 1.8 s, until each one counted as silent; urgent tasks among them then waited for a lease of 10 s. Change: ZoneWatch, a failure detector over a zone's workers, measured against what is heard of other zones. Tests: ZoneWatchTest, CoordinatorLoadTest.NothingIsPlacedInAZoneThatHasFallenSilent.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -567,9 +567,9 @@
     const Coordinator &coordination = this->node.coordination();
     if (coordination.active()) {
         const CoordinatorFigures figures = coordination.figures(this->now());
-        response.body = this->metrics.page(&figures, heldBackLogLines());
+        response.body = this->metrics.page(&figures, heldBackLogLines(), droppedLogLines());
     } else {
-        response.body = this->metrics.page(nullptr, heldBackLogLines());
+        response.body = this->metrics.page(nullptr, heldBackLogLines(), droppedLogLines());
     }
     respond(std::move(response));
 }
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -18,6 +18,7 @@
     MetricHelp{"godwitfall_runs_returned_total", "Runs that ended other than done, by outcome."},
     MetricHelp{"godwitfall_ownership_changes_total", "Coordination gained and lost here."},
     MetricHelp{"godwitfall_log_lines_held_back_total", "Log lines left out by the rate limit."},
+    MetricHelp{"godwitfall_log_lines_dropped_total", "Log lines that nobody read in time."},
     MetricHelp{"godwitfall_workers", "Workers, by condition; coordinator."},
     MetricHelp{"godwitfall_cores", "Processors, by use; coordinator."},
     MetricHelp{"godwitfall_memory_mb", "Memory, by use; coordinator."},
@@ -84,14 +85,15 @@
     this->histograms.observe(name, milliseconds);
 }
 
-std::string InstanceMetrics::page(const CoordinatorFigures *figures,
-                                  std::uint64_t heldBackLines) const
+std::string InstanceMetrics::page(const CoordinatorFigures *figures, std::uint64_t heldBackLines,
+                                  std::uint64_t droppedLines) const
 {
     std::string page = this->histograms.text();
     for (const auto &[key, value] : this->counters) {
         page += sampleLine(key.first, static_cast<double>(value), key.second);
     }
     page += sampleLine("godwitfall_log_lines_held_back_total", static_cast<double>(heldBackLines));
+    page += sampleLine("godwitfall_log_lines_dropped_total", static_cast<double>(droppedLines));
     return figures ? page + coordinatorLines(*figures) : page;
 }
 
--- a/src/godwitfall/instancemetrics.h
+++ b/src/godwitfall/instancemetrics.h
@@ -31,7 +31,8 @@
     void observe(const std::string &name, double milliseconds);
 
     /** Returns the page in the text exposition format; figures only of a coordinator. */
-    std::string page(const CoordinatorFigures *figures, std::uint64_t heldBackLines) const;
+    std::string page(const CoordinatorFigures *figures, std::uint64_t heldBackLines,
+                     std::uint64_t droppedLines) const;
 
 private:
     std::map<std::pair<std::string, std::string>, std::uint64_t> counters;
--- a/src/godwitfall/logging.cpp
+++ b/src/godwitfall/logging.cpp
@@ -3,20 +3,22 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <iostream>
+#include <csignal>
 #include <mutex>
 
-#include <boost/core/null_deleter.hpp>
+#include <unistd.h>
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 
 #include "linebudget.h"
+#include "linewriter.h"
 
 namespace godwitfall {
 
@@ -54,6 +56,24 @@
     return name;
 }
 
+/** The writer of this process's log. */
+LineWriter &standardOutput()
+{
+    static LineWriter writer(STDOUT_FILENO);
+    return writer;
+}
+
+/** Passes formatted lines to the writer. */
+class LineBackend
+    : public logs::sinks::basic_formatted_sink_backend<char, logs::sinks::concurrent_feeding>
+{
+public:
+    void consume(const logs::record_view &, const string_type &line)
+    {
+        standardOutput().write(line);
+    }
+};
+
 /** Returns the value in quotes, when it has anything but plain characters. */
 std::string quotedValue(const std::string &value)
 {
@@ -84,11 +104,9 @@
         return false;
     }
     instanceName() = instance;
-    using Backend = logs::sinks::text_ostream_backend;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<logs::sinks::synchronous_sink<Backend>>(backend);
+    // A reader that goes away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    auto sink = boost::make_shared<logs::sinks::synchronous_sink<LineBackend>>();
     sink->set_formatter(logs::expressions::stream
                         << "time="
                         << logs::expressions::format_date_time<boost::posix_time::ptime>(
@@ -120,6 +138,11 @@
     BOOST_LOG_SEV(logger, severity) << line;
 }
 
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().dropped();
+}
+
 std::uint64_t heldBackLogLines()
 {
     std::lock_guard lock(budget().mutex);
--- a/src/godwitfall/logging.h
+++ b/src/godwitfall/logging.h
@@ -22,7 +22,7 @@
     Error,
 };
 
-/** Sends log lines of the level and above to standard error as key=value; false for no such level.
+/** Sends log lines of the level and above to standard output as key=value; false for no such level.
  */
 bool startLogging(const std::string &level, const std::string &instance);
 
@@ -35,4 +35,7 @@
 /** Returns the number of lines held back so far. */
 std::uint64_t heldBackLogLines();
 
+/** Returns how many lines were lost because nobody read them in time. */
+std::uint64_t droppedLogLines();
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -62,6 +62,7 @@
     this->epoch = 0;
     this->workers.clear();
     this->poolsStale = true;
+    this->zones.clear();
     this->open.clear();
     this->unplaced.clear();
     this->tickedAt = Instant(-1000000);
@@ -207,6 +208,7 @@
 {
     if (WorkerState *worker = this->findWorker(id)) {
         worker->listed = false;
+        this->poolsStale = true;
         worker->holdDue = std::min(worker->holdDue, now + silentHoldGap);
     }
 }
@@ -283,6 +285,7 @@
     const bool first = !worker->heard;
     worker->heard = true;
     worker->heardAt = now;
+    this->zones.heard(worker->entry.zone, now);
     worker->sampleClock(report.clockMs, now);
     if (first) {
         worker->noteLeaseEnd(report.clockMs + this->bounds.longestLease.count());
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -18,6 +18,7 @@
 #include "unmetneeds.h"
 #include "workersearch.h"
 #include "workerstate.h"
+#include "zonewatch.h"
 
 namespace godwitfall {
 
@@ -212,6 +213,10 @@
     WorkerState *findWorker(const WorkerId &id);
     /** Returns the workers of the job's service. */
     const std::vector<WorkerState *> &candidates(const Job &job);
+    /** Sorts the workers by service and counts them by zone, after a change. */
+    void sortWorkers();
+    /** Marks the workers of zones that have fallen silent. */
+    void markSilentZones();
     /** Returns the candidates that may run the step, by advice where the queue needs it. */
     std::vector<WorkerState *> allowed(const Job &job, std::uint32_t occurrence, std::uint32_t step,
                                        Instant now);
@@ -317,6 +322,7 @@
     /** Workers by service; rebuilt on use after a change. */
     std::map<std::string, std::vector<WorkerState *>> pools;
     bool poolsStale = true;
+    ZoneWatch zones{holdWait};
     std::unordered_map<std::string, const QueueConfig *> queues; ///< Of config, by name.
     JobSet open;
     JobSet unplaced; ///< Open jobs of which some task may have to be placed, now or later.
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -85,14 +85,32 @@
 
 const std::vector<WorkerState *> &Coordinator::candidates(const Job &job)
 {
-    if (this->poolsStale) {
-        this->poolsStale = false;
-        this->pools.clear();
-        for (const auto &[id, worker] : this->workers) {
-            this->pools[worker->entry.service.value()].push_back(worker.get());
+    this->sortWorkers();
+    return this->pools[this->rulesOf(job).service];
+}
+
+void Coordinator::sortWorkers()
+{
+    if (!this->poolsStale) {
+        return;
+    }
+    this->poolsStale = false;
+    this->pools.clear();
+    this->zones.forgetWorkers();
+    for (const auto &[id, worker] : this->workers) {
+        this->pools[worker->entry.service.value()].push_back(worker.get());
+        if (worker->listed) {
+            this->zones.addWorker(worker->entry.zone);
         }
     }
-    return this->pools[this->rulesOf(job).service];
+}
+
+void Coordinator::markSilentZones()
+{
+    this->sortWorkers();
+    for (const auto &[id, worker] : this->workers) {
+        worker->zoneSilent = this->zones.silent(worker->entry.zone);
+    }
 }
 
 std::vector<WorkerState *> Coordinator::allowed(const Job &job, std::uint32_t occurrence,
@@ -140,6 +158,7 @@
     if (!this->planNeeded && !lookAgain && newUnixMs < this->nextDueMs) {
         return;
     }
+    this->markSilentZones();
     this->planNeeded = false;
     this->someWait = false;
     this->lastingWait = 0;
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -124,8 +124,8 @@
 {
     const jobs::StepSpec &step = request.job.stepSpec(request.step);
     const WorkerEntry &entry = worker.entry;
-    if (!worker.listed || entry.draining || !worker.heard || now < worker.restUntil ||
-        now - worker.heardAt > silenceLimit) {
+    if (!worker.listed || entry.draining || !worker.heard || worker.zoneSilent ||
+        now < worker.restUntil || now - worker.heardAt > silenceLimit) {
         return false;
     }
     if (!worker.fits(step) ||
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -151,7 +151,8 @@
     bool listed = true; ///< The registry has its entry.
     bool heard = false; ///< It answered under the current epoch.
     Instant heardAt;
-    Instant unheardLapse; ///< When leases lapse that were granted before this epoch.
+    bool zoneSilent = false; ///< Its whole zone has fallen silent, see ZoneWatch.
+    Instant unheardLapse;    ///< When leases lapse that were granted before this epoch.
 
     bool holdInFlight = false;
     Instant holdDue;
--- a/tests/jobs/test_placement.cpp
+++ b/tests/jobs/test_placement.cpp
@@ -8,6 +8,7 @@
 #include "jobworld.h"
 #include "unmetneeds.h"
 #include "workersearch.h"
+#include "zonewatch.h"
 
 namespace godwitfall::jobtests {
 namespace {
@@ -194,6 +195,41 @@
     EXPECT_FALSE(unmet.covers(other)) << "another kind of need";
 }
 
+TEST(ZoneWatchTest, TellsAZoneThatIsCutOffFromWorkersThatAreSlow)
+{
+    struct Case
+    {
+        const char *name;
+        int workers;          ///< Of each of two zones.
+        std::int64_t silence; ///< Of the first one, in ms.
+        bool othersAreHeard;  ///< Else this process was paused.
+        bool silent;
+    };
+    for (const Case &given :
+         {Case{"answers as usual", 108, 200, true, false}, Case{"cut off", 108, 400, true, true},
+          Case{"paused", 108, 5000, false, false}, Case{"few workers", 12, 400, true, false},
+          Case{"few workers, cut off", 12, 800, true, true},
+          Case{"one worker", 1, 1400, true, false}}) {
+        ZoneWatch watch(Duration(1000));
+        const ZoneId quiet("quiet");
+        const ZoneId other("other");
+        for (int worker = 0; worker < given.workers; ++worker) {
+            watch.addWorker(quiet);
+            watch.addWorker(other);
+        }
+        EXPECT_FALSE(watch.silent(quiet)) << "never heard";
+        watch.heard(quiet, Instant(10000));
+        watch.heard(other, Instant(10000));
+        if (given.othersAreHeard) {
+            watch.heard(other, Instant(10000 + given.silence));
+        }
+        EXPECT_EQ(watch.silent(quiet), given.silent) << given.name;
+        EXPECT_FALSE(watch.silent(other)) << given.name;
+        watch.heard(quiet, Instant(20000));
+        EXPECT_FALSE(watch.silent(quiet)) << given.name;
+    }
+}
+
 /** Takes orders down by task. */
 class StartList : public OrderSender
 {
@@ -267,5 +303,54 @@
     EXPECT_LE(coordinator.figures(Instant(1040)).workerSearches, waitingJobs / 5);
 }
 
+TEST(CoordinatorLoadTest, NothingIsPlacedInAZoneThatHasFallenSilent)
+{
+    constexpr std::size_t zoneSize = 100;
+    JobTable table;
+    StartList orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    const auto answer = [&](std::size_t from, std::size_t to, std::int64_t at) {
+        for (std::size_t number = from; number < to; ++number) {
+            coordinator.reported(WorkerId("w" + std::to_string(number)), Instant(at), Instant(at),
+                                 OrderOutcome::Accepted, report);
+        }
+    };
+    for (std::size_t number = 0; number < 2 * zoneSize; ++number) {
+        WorkerEntry entry = entryOf(number);
+        entry.zone = ZoneId(number < zoneSize ? "cut" : "well");
+        coordinator.setWorker(entry, Instant(1000));
+    }
+    answer(0, 2 * zoneSize, 1010);
+    // Half a second later only one zone answers; one by one the others' workers are not silent yet.
+    answer(zoneSize, 2 * zoneSize, 1500);
+    jobs::JobSpec spec;
+    spec.set_service("orchard");
+    *spec.add_steps() = stepOf(150, 800);
+    spec.mutable_steps(0)->set_max_per_worker(1);
+    JobRecord record;
+    record.key = JobTable::submissionKey(JobId("00000000000000aa"));
+    record.value = spec.SerializeAsString();
+    Job *job = nullptr;
+    table.apply(record, Instant(1510), job);
+    coordinator.jobSubmitted(*job);
+    const auto commit = [&](std::int64_t at) {
+        coordinator.plan(Instant(at), 1);
+        coordinator.takeBatch();
+        coordinator.committed(Instant(at), true);
+    };
+    commit(1510);
+    EXPECT_EQ(orders.starts.size(), zoneSize);
+    for (const StartOrder &start : orders.starts) {
+        EXPECT_GE(std::stoul(start.target.worker.value().substr(1)), zoneSize);
+    }
+    answer(0, zoneSize, 1600);
+    commit(1800);
+    EXPECT_EQ(orders.starts.size(), 150U);
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
--- /dev/null
+++ b/tests/net/test_linewriter.cpp
@@ -0,0 +1,114 @@
+// A log whose reader is slow, stopped or gone.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "linewriter.h"
+
+namespace godwitfall {
+namespace {
+
+/** A pipe whose ends are closed at the end of the test. */
+class Pipe
+{
+public:
+    Pipe()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        EXPECT_EQ(pipe(this->ends.data()), 0);
+        fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+    }
+    ~Pipe()
+    {
+        this->closeReader();
+        close(this->ends[1]);
+    }
+
+    int writer() const { return this->ends[1]; }
+
+    void closeReader()
+    {
+        if (this->ends[0] >= 0) {
+            close(this->ends[0]);
+            this->ends[0] = -1;
+        }
+    }
+
+    /** Reads all that is there. */
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 65536> buffer{};
+        ssize_t count = 0;
+        while ((count = ::read(this->ends[0], buffer.data(), buffer.size())) > 0) {
+            text.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+private:
+    std::array<int, 2> ends{-1, -1};
+};
+
+TEST(LineWriterTest, LinesComeInTheirOrder)
+{
+    const Pipe pipe;
+    LineWriter writer(pipe.writer());
+    writer.write("a=1");
+    writer.write("b=2");
+    EXPECT_EQ(pipe.read(), "a=1\nb=2\n");
+    EXPECT_EQ(writer.dropped(), 0U);
+}
+
+TEST(LineWriterTest, NeverWaitsForAReaderAndDropsTheOldest)
+{
+    constexpr int lines = 20000;
+    const Pipe pipe;
+    LineWriter writer(pipe.writer());
+    const auto begin = std::chrono::steady_clock::now();
+    for (int number = 0; number < lines; ++number) {
+        writer.write("number=" + std::to_string(number) + std::string(90, ' ') + ".");
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(5));
+    EXPECT_GT(writer.dropped(), 0U);
+    const std::string first = pipe.read();
+    EXPECT_TRUE(first.starts_with("number=0 "));
+    writer.write("last");
+    // Each line that is written lets the reader have what fits into the pipe.
+    std::string rest = pipe.read();
+    for (int round = 0; round < 100; ++round) {
+        writer.write("more");
+        rest += pipe.read();
+    }
+    // What is left are whole lines, the newest ones among them.
+    EXPECT_NE(rest.find("number=" + std::to_string(lines - 1) + " "), std::string::npos);
+    EXPECT_NE(rest.find("\nlast\n"), std::string::npos);
+    EXPECT_EQ(rest.back(), '\n');
+}
+
+TEST(LineWriterTest, AReaderThatIsGoneCostsLinesAndNothingElse)
+{
+    Pipe pipe;
+    LineWriter writer(pipe.writer());
+    pipe.closeReader();
+    writer.write("nobody");
+    writer.write("reads");
+    EXPECT_EQ(writer.dropped(), 2U);
+}
+
+TEST(LineWriterTest, LongLinesAreCut)
+{
+    const Pipe pipe;
+    LineWriter writer(pipe.writer());
+    writer.write(std::string(3 * LineWriter::longestLine, 'x'));
+    EXPECT_EQ(pipe.read().size(), LineWriter::longestLine);
+}
+
+} // namespace
+} // namespace godwitfall
