--- a/src/godwitfall/coordinatorrelay.cpp
+++ b/src/godwitfall/coordinatorrelay.cpp
@@ -34,9 +34,7 @@
         return untouched ? RelayStep::ServeHere : RelayStep::ServeHereMaybeTaken;
     }
     switch (result->status) {
-    case notFound:
-        // Its configuration may be older than the one here, which has the queue.
-        return RelayStep::ServeHere;
+    case notFound: // Its configuration may be older than the one here, which has the queue.
     case unavailable:
         return RelayStep::ServeHere;
     case outcomeUnknown:
