Let tasks of workers that leave go on sooner, and before short work begins

Cause: a worker that drains renewed leases of hold_max_ms (10 s on the large site) to its end.

Change: leases of draining workers are renewed for 5 s at most. And, seen in the same trace, tasks that last and have run before come first within their priority: 600 waiting short tasks took every place that became free. Both with a test that is red without it. A step whose new tasks leave room to short work no longer keeps its older ones from going on.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -70,6 +70,9 @@
     /** Silence after which a worker's leases are no longer renewed; above a hold and its timeout,
      * so that one lost answer costs no lease. */
     static constexpr Duration renewalSilence{2000};
+    /** Longest lease of a worker that is draining: it may leave at any moment, and what it runs
+     * goes on elsewhere only after its lease; above a take-over. */
+    static constexpr Duration drainingLease{5000};
     /** Time between holds of a silent worker. */
     static constexpr Duration silentHoldGap{300};
     /** Time after which an unanswered start or stop is repeated. */
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -201,7 +201,9 @@
     order.acknowledged = worker.forgetting;
     // An unanswered renewal may have been taken, so a silent worker gets none and surely lapses.
     if (worker.heard && mayRenew && now - worker.heardAt < renewalSilence) {
-        order.leaseEndMs = worker.leaseEnd(now, this->bounds.longestLease);
+        const Duration longest = this->bounds.longestLease;
+        order.leaseEndMs = worker.leaseEnd(
+            now, worker.entry.draining ? std::min(longest, drainingLease) : longest);
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = worker.seen == worker.acknowledged;
         const bool shared = worker.fillMilliCores > 0 && worker.reserved.milliCores > 0;
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -13,11 +13,15 @@
 {
     Job *job = nullptr;
     unsigned priority = 0;
+    bool begins = true; ///< Nothing that lasts waits to go on after it has lost its worker.
     bool late = false;
     std::uint64_t work = 0; ///< Estimated, in milli-core ms; 0 for urgent jobs, which go by due.
     Instant due;
 
-    auto key() const { return std::tuple(this->priority, this->late, this->work, this->due); }
+    auto key() const
+    {
+        return std::tuple(this->priority, this->begins, this->late, this->work, this->due);
+    }
 };
 
 /** Time after which waiting work is looked at again; rests and silences end without an event. */
@@ -74,6 +78,18 @@
                        [](const Task &task) { return task.phase == TaskPhase::Waiting; });
 }
 
+/** Returns whether a task that lasts has run and runs nowhere now. */
+bool waitsToGoOn(const Job &job)
+{
+    return std::any_of(job.stepRuns().begin(), job.stepRuns().end(), [&](const auto &entry) {
+        const StepRun &run = entry.second;
+        return job.stepSpec(run.step).long_running() &&
+               std::any_of(run.tasks.begin(), run.tasks.end(), [](const Task &task) {
+                   return task.phase == TaskPhase::Waiting && task.run > 0;
+               });
+    });
+}
+
 /** Returns whether no task of the step was ever placed. */
 bool untouched(const StepRun &run)
 {
@@ -171,6 +187,8 @@
         Candidate candidate;
         candidate.job = job;
         candidate.priority = rules.priority;
+        // Short work would take every place that becomes free, for as long as it keeps coming.
+        candidate.begins = !waitsToGoOn(*job);
         const Duration chain = job->longestChain();
         candidate.due =
             job->knownSince + rules.targetLatency +
@@ -306,7 +324,8 @@
         if (step.long_running() && run.tasks[index].run == 0) {
             places = places < 0 ? this->placesFor(job, run) : places;
             if (this->leavesRoomToShortWork(job, run, places, now)) {
-                return;
+                // Tasks that have run before may go on all the same.
+                continue;
             }
             --places;
         }
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -1094,6 +1094,49 @@
     EXPECT_EQ(held(OrderOutcome::Accepted), 1U);
 }
 
+TEST(CoordinatorTest, WhatADrainingWorkerRanGoesOnSoonAfterItHasLeft)
+{
+    WorkerBounds bounds;
+    bounds.longestLease = Duration(10000);
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, bounds, orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    *spec.add_steps() = stepOf(1, 5000);
+    spec.mutable_steps(0)->set_long_running(true);
+    Job *job = nullptr;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), 1), Instant(1000),
+                job);
+    jobs::JobProgress progress;
+    progress.set_state(jobs::RUNNING);
+    jobs::StepProgress &step = *progress.add_steps();
+    step.add_runs(1);
+    step.add_placed()->set_worker("w1");
+    table.apply(record(JobTable::progressKey(jobId), progress.SerializeAsString(), 2),
+                Instant(1000), job);
+    coordinator.begin(2, Instant(1000), 1, Instant(1000));
+    WorkerEntry leaving = entryOf("w1");
+    leaving.draining = true;
+    coordinator.setWorker(leaving, Instant(1000));
+    const TaskRef ref{jobId, 0, 0, 0};
+    WorkerReport report;
+    report.running.push_back(RunningTask{ref, 1, {}, 100, 0});
+    std::int64_t at = 1000;
+    for (; at < 13000; at += 1000) {
+        report.clockMs = at;
+        coordinator.reported(WorkerId("w1"), Instant(at), Instant(at), OrderOutcome::Accepted,
+                             report);
+        coordinator.tick(Instant(at + 500), 1, true);
+    }
+    // It has left; the platform lets the task be away for nine seconds.
+    coordinator.removeWorker(WorkerId("w1"), Instant(at));
+    EXPECT_EQ(job->task(ref)->worker, "w1");
+    coordinator.tick(Instant(at + 6000), 1, true);
+    EXPECT_EQ(job->task(ref)->worker, "");
+}
+
 TEST(CoordinatorTest, HeldStartsGoOutLater)
 {
     JobTable table;
--- a/tests/jobs/test_placement.cpp
+++ b/tests/jobs/test_placement.cpp
@@ -352,5 +352,83 @@
     EXPECT_EQ(orders.starts.size(), 150U);
 }
 
+TEST(CoordinatorLoadTest, ATaskThatLastsAndLostItsWorkerGoesOnBeforeShortWork)
+{
+    constexpr std::uint32_t taskCores = 4000;
+    JobTable table;
+    StartList orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    report.bornMs = 7;
+    const auto join = [&](std::size_t number) {
+        WorkerEntry entry = entryOf(number);
+        entry.bornMs = 7;
+        entry.capacity.milliCores = 2 * taskCores;
+        coordinator.setWorker(entry, Instant(1000));
+        coordinator.reported(entry.id, Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                             report);
+    };
+    std::uint64_t offset = 0;
+    const auto submit = [&](const std::string &id, std::uint32_t count, bool lasts, Instant at) {
+        jobs::JobSpec spec;
+        spec.set_service("orchard");
+        spec.set_stretch(2.0);
+        *spec.add_steps() = stepOf(count, 800);
+        spec.mutable_steps(0)->set_milli_cores(taskCores);
+        spec.mutable_steps(0)->set_long_running(lasts);
+        JobRecord record;
+        record.key = JobTable::submissionKey(JobId(id));
+        record.value = spec.SerializeAsString();
+        record.offset = ++offset;
+        Job *job = nullptr;
+        table.apply(record, at, job);
+        coordinator.jobSubmitted(*job);
+    };
+    const auto commit = [&](std::int64_t at) {
+        coordinator.plan(Instant(at), 1);
+        coordinator.takeBatch();
+        coordinator.committed(Instant(at), true);
+        for (const StartOrder &start : orders.starts) {
+            coordinator.startAnswered(start.target.worker, start.task, start.run, Instant(at),
+                                      OrderOutcome::Accepted);
+        }
+    };
+    const std::string watch = "00000000000000aa";
+    join(0);
+    submit(watch, 2, true, Instant(1010));
+    commit(1020);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    // A minute later more short work has come than there is room for.
+    for (const std::uint32_t index : {0U, 1U}) {
+        report.running.push_back(RunningTask{TaskRef{JobId(watch), 0, 0, index}, 1, {}, 100, 0});
+    }
+    coordinator.reported(WorkerId("w0"), Instant(60000), Instant(60010), OrderOutcome::Accepted,
+                         report);
+    submit("00000000000000bb", 40, false, Instant(60030));
+    submit("00000000000000cc", 40, false, Instant(60031));
+    commit(60040);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    orders.starts.clear();
+    // The worker begins a new life; both of its places are free again.
+    report.running.clear();
+    report.bornMs = 8;
+    coordinator.reported(WorkerId("w0"), Instant(60100), Instant(60110), OrderOutcome::Accepted,
+                         report);
+    for (const std::uint32_t index : {0U, 1U}) {
+        coordinator.stopAnswered(WorkerId("w0"), TaskRef{JobId(watch), 0, 0, index}, 1,
+                                 Instant(60120), OrderOutcome::Accepted);
+    }
+    coordinator.reported(WorkerId("w0"), Instant(60130), Instant(60140), OrderOutcome::Accepted,
+                         report);
+    commit(60150);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    for (const StartOrder &start : orders.starts) {
+        EXPECT_EQ(start.task.job, JobId(watch));
+    }
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
