Let the last answers out before a planned stop ends

Change: a stop ends 250 ms after the last answer at the earliest. EntryInstanceTest.APlannedStopLetsTheLastAnswerOut, red without it; the store of that test now ends its long reads, as the platform's does.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -30,6 +30,9 @@
 constexpr Duration standbyTick{60};
 /** Time that the platform needs to send no new connections here: two misses a second apart. */
 constexpr Duration drainTime{2500};
+/** Time from an answer's end of the work on it until it has surely been sent; some turns of a weak
+ * processor. */
+constexpr Duration flushTime{250};
 /** Time before the platform kills the process at which it ends by itself. */
 constexpr Duration killMargin{700};
 /** Time between two lines on the coordinator's load. */
@@ -401,6 +404,7 @@
     ++this->openRequests;
     const Respond answer = [this, respond, since = this->now()](HttpResponse response) {
         --this->openRequests;
+        this->answeredAt = this->now();
         this->metrics.count("godwitfall_answers_total",
                             "status=\"" + std::to_string(response.status) + "\"");
         this->metrics.observe("godwitfall_answer_ms",
@@ -468,8 +472,8 @@
 
 void EntryInstance::finishShutdownWhenIdle(Instant at)
 {
-    const bool drained =
-        at >= this->stoppingSince + drainTime && this->openRequests == 0 && this->node.released();
+    const bool idle = this->openRequests == 0 && at >= this->answeredAt + flushTime;
+    const bool drained = at >= this->stoppingSince + drainTime && idle && this->node.released();
     const bool mustEnd = at >= this->stoppingSince + this->settings.grace - killMargin;
     if (drained || mustEnd) {
         logLine(LogLevel::Info, "shutdown_done",
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -124,6 +124,7 @@
     bool stopping = false;
     Instant stoppingSince;
     std::size_t openRequests = 0;
+    Instant answeredAt; ///< When a request was last answered.
 };
 
 } // namespace godwitfall
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <random>
 #include <string>
@@ -55,12 +56,26 @@
         , instance(this->context, settingsOf(), 1, 0)
         , client(this->context)
         , timer(this->context)
+        , storeTimer(this->context)
     {
         EXPECT_TRUE(this->store.listen(storeAddress));
         this->store.put(platform::names::configTopic, platform::names::configKey,
                         R"({"version":1,"routes":[{"name":"plan","host":"a.example",)"
                         R"("path_prefix":"/plan/","service":"orchard"}],"services":[]})");
         EXPECT_TRUE(this->instance.start());
+        this->tickStore();
+    }
+
+    /** Answers reads of the store whose wait is over. */
+    void tickStore()
+    {
+        this->store.tick(Clock::now());
+        this->storeTimer.expires_after(std::chrono::milliseconds(20));
+        this->storeTimer.async_wait([this](const boost::system::error_code &failure) {
+            if (!failure) {
+                this->tickStore();
+            }
+        });
     }
 
     /** Asks for the job until the callback, given the status, returns true. */
@@ -88,6 +103,7 @@
     EntryInstance instance;
     HttpClient client;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer storeTimer;
 };
 
 TEST_F(EntryInstanceTest, DoesNotDenyAJobWhileItsViewIsBehind)
@@ -130,6 +146,44 @@
     EXPECT_EQ(shown, 1U);
 }
 
+TEST_F(EntryInstanceTest, APlannedStopLetsTheLastAnswerOut)
+{
+    // The answer is ready only when the stop waits for nothing else.
+    constexpr std::chrono::milliseconds afterTheSignal(2200);
+    unsigned answered = 0;
+    std::string said;
+    const auto submit = [&] {
+        HttpCall call;
+        call.step = "submit";
+        call.address = entranceAddress;
+        call.target = std::string("/plan/") + lastJob;
+        call.headers["Host"] = "a.example";
+        call.body = R"({"spec":"","steps":[{"count":1,"cpu":1,"estimated_ms":1}]})";
+        this->client.call(std::move(call), [&](const Result<HttpResponse> &result) {
+            answered = result ? result->status : 0;
+            said = result ? result->body : result.error().text();
+        });
+    };
+    this->ask(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        // By then it coordinates, and the log has a record.
+        this->timer.expires_after(std::chrono::milliseconds(700));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            std::raise(SIGTERM);
+            this->timer.expires_after(afterTheSignal);
+            this->timer.async_wait([&](const boost::system::error_code &) {
+                this->store.latency = Duration(600);
+                submit();
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(answered, 200U) << said;
+}
+
 } // namespace
 
 } // namespace godwitfall
