--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -268,6 +268,8 @@
     void stopTask(const TaskRef &ref, Task &task, Instant now);
     void detach(const TaskRef &ref, Task &task);
     void markDirty(Job &job);
+    /** Records that the tasks of a step that lasts were taken, once all of them were. */
+    void recordTaken(Job &job, const TaskRef &ref);
     /** Lets clients be told of the job's state, where it has changed. */
     void tellState(Job &job);
     void noteFenced(const WorkerId &id);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -74,6 +74,7 @@
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
+        this->recordTaken(*job, ref);
         return;
     case OrderOutcome::Fenced:
         this->noteFenced(id);
@@ -110,6 +111,21 @@
     }
 }
 
+void Coordinator::recordTaken(Job &job, const TaskRef &ref)
+{
+    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
+    // Steps that end write records often enough by themselves.
+    if (!run || !job.stepSpec(ref.step).long_running()) {
+        return;
+    }
+    const bool starting = std::any_of(run->tasks.begin(), run->tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Recording || task.phase == TaskPhase::Starting;
+    });
+    if (!starting) {
+        this->markDirty(job);
+    }
+}
+
 void Coordinator::noteUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                                  bool sameLife, Instant now)
 {
