Keep what an earlier record confirmed until its worker is heard

A successor's records were written while placements were unconfirmed, and unsaid that the starts had been taken; the next take-over then waited for late orders again (LOST, docs/findings).

--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -37,7 +37,10 @@
             placed.set_index(index);
             placed.set_worker(task.worker);
             placed.set_worker_born_ms(task.workerBornMs);
-            placed.set_confirmed(task.phase == TaskPhase::Running && !task.maybeLate);
+            // What an earlier record confirmed stays so until its worker is heard.
+            const bool taken =
+                task.phase == TaskPhase::Running || task.phase == TaskPhase::Unconfirmed;
+            placed.set_confirmed(taken && !task.maybeLate);
         }
         for (const LateStart &start : task.lateStarts) {
             jobs::LateStart &late = *message.add_late();
