Keep each state of the take-over, the waits and early records in one place

No change of behaviour. Records that come before their submission stood in three maps with three copies of the same loop: one map by key, replayed through apply(). Whether a node owns the log was asked in four ways: JobNode::ownsLog(). Whether starts are held was kept by the node and by the coordinator: by the coordinator only. StepRun::readySince repeated StepWait's. Job::started(), JobConfig::queue() and CircuitBreaker::isOpen() had no caller left.

--- a/src/libgodwitfall/jobs/circuitbreaker.h
+++ b/src/libgodwitfall/jobs/circuitbreaker.h
@@ -25,8 +25,6 @@
     /** Begins anew, as another peer has taken the place. */
     void reset() { this->open = false; }
 
-    bool isOpen() const { return this->open; }
-
 private:
     bool open = false;
     Instant tryAt; ///< When the next trial is let through.
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -130,6 +130,7 @@
 
     /** Keeps starts back, or lets them go again. */
     void holdStarts(bool hold);
+    bool holdsStarts() const { return this->startsHeld; }
 
     /** Places waiting tasks whose turn has come. */
     void plan(Instant now, std::int64_t unixMs);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -234,7 +234,6 @@
             std::int64_t waiting = known ? countWaiting(*known) : job.stepSpec(step).count();
             if (!this->roomIsOut(job, occurrence, step, round)) {
                 StepRun &run = job.stepRun(occurrence, step);
-                run.readySince = wait.readySince;
                 this->planStep(job, run, round);
                 waiting = countWaiting(run);
                 if (untouched(run)) {
@@ -363,10 +362,11 @@
 bool Coordinator::leavesRoomToShortWork(Job &job, const StepRun &run, std::int64_t places,
                                         Instant now)
 {
-    if (now - this->shortWorkAt > shortWorkSpan || now - run.readySince > longWorkPatience) {
+    StepWait &wait = job.waitOf(run.occurrence, run.step);
+    if (now - this->shortWorkAt > shortWorkSpan || now - wait.readySince > longWorkPatience) {
         return false;
     }
-    Instant &since = job.waitOf(run.occurrence, run.step).roomySince;
+    Instant &since = wait.roomySince;
     if (places < placesForLongWork) {
         since = Instant();
         return true;
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -98,7 +98,6 @@
     std::uint32_t step = 0;
     std::vector<Task> tasks;
     std::uint32_t done = 0;
-    Instant readySince;    ///< When its tasks could first be placed.
     double peakLoad = 0.0; ///< Highest load of its own of a serving step in the recent past.
     Instant peakAt;
 
@@ -156,9 +155,6 @@
     /** Returns whether the job will never start another task. */
     bool closed() const { return this->state >= State::COMPLETED; }
 
-    /** Returns whether any task was ever placed. */
-    bool started() const { return !this->runs.empty() || this->state != State::QUEUED; }
-
     /** Returns the progress as a record. */
     jobs::JobProgress toProgress() const;
 
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -59,8 +59,8 @@
     if (change == JobTable::Change::Malformed) {
         this->host.recordUnreadable(record);
     }
-    const bool owner = this->coordinator.active() || this->takeOver != TakeOver::None;
-    if (owner && change == JobTable::Change::Owner && !this->lease.owns(this->table.owner())) {
+    if (this->ownsLog() && change == JobTable::Change::Owner &&
+        !this->lease.owns(this->table.owner())) {
         this->stopCoordinating("another instance claimed");
     }
     if (!this->coordinator.active()) {
@@ -116,19 +116,15 @@
     if (this->coordinator.active()) {
         this->boundStartsByView(now);
         this->coordinator.tick(now, unixMs, this->lease.mayRenew(now));
-        if (this->stopping) {
-            this->release(now);
-        } else {
-            this->commit(now, unixMs);
-            this->announce(now);
-            this->trimFinished(now, unixMs);
-        }
-    } else if (this->takeOver != TakeOver::None) {
-        if (this->stopping) {
-            this->release(now);
-        } else {
-            this->announce(now);
-        }
+    }
+    if (this->ownsLog() && this->stopping) {
+        this->release(now);
+    } else if (this->coordinator.active()) {
+        this->commit(now, unixMs);
+        this->announce(now);
+        this->trimFinished(now, unixMs);
+    } else if (this->ownsLog()) {
+        this->announce(now);
     }
     this->submissions.pump(now);
     this->records.pump(now);
@@ -139,11 +135,10 @@
 {
     const Duration age = now - this->desk.viewed();
     const bool held = age > this->settings.worker.cancelTime / viewAgeDivisor;
-    if (held != this->startsAreHeld) {
-        this->startsAreHeld = held;
+    if (held != this->coordinator.holdsStarts()) {
+        this->coordinator.holdStarts(held);
         this->host.startsHeld(held, age);
     }
-    this->coordinator.holdStarts(held);
 }
 
 std::string JobNode::coordinatorAddress() const
@@ -217,7 +212,6 @@
 void JobNode::becomeOwner(Instant now, std::int64_t unixMs)
 {
     this->takeOver = TakeOver::None;
-    this->startsAreHeld = false;
     const std::uint64_t epoch = this->table.owner().epoch;
     Instant formerLapse = now;
     if (epoch > 1) {
@@ -237,7 +231,7 @@
 
 void JobNode::stopCoordinating(const char *reason)
 {
-    if (!this->coordinator.active() && this->takeOver == TakeOver::None) {
+    if (!this->ownsLog()) {
         return;
     }
     this->lostEpoch = this->announcements.epoch();
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -95,11 +95,7 @@
     void beginShutdown() { this->stopping = true; }
 
     /** Returns whether nothing of the node is under way any more. */
-    bool released() const
-    {
-        return !this->coordinator.active() && this->takeOver == TakeOver::None &&
-               this->submissions.idle();
-    }
+    bool released() const { return !this->ownsLog() && this->submissions.idle(); }
 
     /** Returns whether clients are served well here. */
     bool ready(Instant now) const;
@@ -128,6 +124,9 @@
         Loaded,
     };
 
+    /** Returns whether the node coordinates or is taking over. */
+    bool ownsLog() const { return this->coordinator.active() || this->takeOver != TakeOver::None; }
+
     void considerClaim(Instant now, std::int64_t unixMs);
     void claim(Instant now);
     /** Keeps former owners from writing progress, so that what is read then is all. */
@@ -174,7 +173,6 @@
     const char *stepDownReason = nullptr;
     std::uint64_t lostEpoch = 0; ///< Ownership that has ended and is not reported yet.
     bool stopping = false;
-    bool startsAreHeld = false;
     Instant pressuresAt;
     Instant trimmedAt;
 };
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -1,6 +1,7 @@
 #include "jobtable.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace godwitfall {
@@ -31,6 +32,12 @@
     return spec.steps_size() > 0;
 }
 
+/** Returns the keys of records that follow a submission, in the order in which they are applied. */
+std::array<std::string, 3> laterKeys(const JobId &id)
+{
+    return {JobTable::progressKey(id), JobTable::cancelKey(id), JobTable::statusKey(id)};
+}
+
 } // namespace
 
 JobTable::Change JobTable::apply(const JobRecord &record, Instant now, Job *&job)
@@ -83,17 +90,11 @@
     made->knownSince = now;
     job = made.get();
     this->jobsById.emplace(id.value(), std::move(made));
-    if (auto early = this->earlyProgress.extract(id.value())) {
-        Job *same = nullptr;
-        this->applyProgress(id, early.mapped(), now, same);
-    }
-    if (auto early = this->earlyCancels.extract(id.value())) {
-        Job *same = nullptr;
-        this->applyCancel(id, early.mapped(), same);
-    }
-    if (auto early = this->earlyStatuses.extract(id.value())) {
-        Job *same = nullptr;
-        this->applyStatus(id, early.mapped(), same);
+    for (const std::string &key : laterKeys(id)) {
+        if (const auto waiting = this->early.extract(key)) {
+            Job *same = nullptr;
+            this->apply(waiting.mapped(), now, same);
+        }
     }
     return Change::Submitted;
 }
@@ -105,7 +106,7 @@
     }
     job = this->find(id);
     if (!job) {
-        this->earlyCancels[id.value()] = record;
+        this->early[record.key] = record;
         return Change::None;
     }
     if (job->cancelled || job->closed()) {
@@ -122,7 +123,7 @@
     }
     job = this->find(id);
     if (!job) {
-        this->earlyStatuses[id.value()] = record;
+        this->early[record.key] = record;
         return Change::None;
     }
     jobs::JobStatus status;
@@ -141,7 +142,7 @@
     }
     job = this->find(id);
     if (!job) {
-        this->earlyProgress[id.value()] = record;
+        this->early[record.key] = record;
         return Change::None;
     }
     jobs::JobProgress progress;
@@ -203,17 +204,15 @@
 void JobTable::erase(const JobId &id)
 {
     this->jobsById.erase(id.value());
-    this->earlyProgress.erase(id.value());
-    this->earlyCancels.erase(id.value());
-    this->earlyStatuses.erase(id.value());
+    for (const std::string &key : laterKeys(id)) {
+        this->early.erase(key);
+    }
 }
 
 void JobTable::clear()
 {
     this->jobsById.clear();
-    this->earlyProgress.clear();
-    this->earlyCancels.clear();
-    this->earlyStatuses.clear();
+    this->early.clear();
     this->ownership = OwnerView();
     this->learnt.Clear();
 }
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -91,9 +91,7 @@
 
     std::unordered_map<std::string, std::unique_ptr<Job>> jobsById;
     /** Records read before the submission they belong to. */
-    std::unordered_map<std::string, JobRecord> earlyProgress;
-    std::unordered_map<std::string, JobRecord> earlyCancels;
-    std::unordered_map<std::string, JobRecord> earlyStatuses;
+    std::unordered_map<std::string, JobRecord> early; ///< By key.
     OwnerView ownership;
     jobs::LearntPressures learnt;
 };
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -1,9 +1,9 @@
 #include "placementpolicy.h"
 
-#include "workersearch.h"
-
 #include <algorithm>
 
+#include "workersearch.h"
+
 namespace godwitfall {
 
 namespace {
--- a/src/libgodwitfall/jobs/queueconfig.cpp
+++ b/src/libgodwitfall/jobs/queueconfig.cpp
@@ -4,13 +4,6 @@
 
 namespace godwitfall {
 
-const QueueConfig *JobConfig::queue(const std::string &name) const
-{
-    const auto found = std::find_if(this->queues.begin(), this->queues.end(),
-                                    [&](const QueueConfig &queue) { return queue.name == name; });
-    return found == this->queues.end() ? nullptr : &*found;
-}
-
 const QueueConfig *JobConfig::route(const std::string &host, const std::string &path) const
 {
     const QueueConfig *best = nullptr;
--- a/src/libgodwitfall/jobs/queueconfig.h
+++ b/src/libgodwitfall/jobs/queueconfig.h
@@ -51,9 +51,6 @@
     std::vector<ServiceConfig> services;
     std::size_t maxBodyBytes = 262144;
 
-    /** Returns the queue of that name, or null. */
-    const QueueConfig *queue(const std::string &name) const;
-
     /** Returns the queue with the host and the longest prefix that the path begins with, or null.
      */
     const QueueConfig *route(const std::string &host, const std::string &path) const;
