Test the record of taken starts, and close the finding of LOST after a take-over

The test is red with either of them off: without the record it is never written; without what a successor keeps, both placements come out as not confirmed.

--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -1094,6 +1094,62 @@
     EXPECT_EQ(held(OrderOutcome::Accepted), 1U);
 }
 
+TEST(CoordinatorTest, RecordsTellThatTasksThatLastWereTakenAlsoThoseOfASuccessor)
+{
+    JobTable table;
+    Recorder orders;
+    QuietHost host;
+    Coordinator coordinator(table, WorkerBounds(), orders, host);
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    spec.set_service("orchard");
+    *spec.add_steps() = stepOf(2, 5000);
+    spec.mutable_steps(0)->set_long_running(true);
+    Job *job = nullptr;
+    std::uint64_t offset = 0;
+    table.apply(record(JobTable::submissionKey(jobId), spec.SerializeAsString(), ++offset),
+                Instant(1000), job);
+    coordinator.begin(1, Instant(1000), 1, Instant(1000));
+    WorkerReport report;
+    report.clockMs = 500;
+    coordinator.setWorker(entryOf("w1"), Instant(1000));
+    coordinator.reported(WorkerId("w1"), Instant(1000), Instant(1010), OrderOutcome::Accepted,
+                         report);
+    JobRecord newest;
+    /** Returns how many placements the record of the batch confirms; nothing without a record. */
+    const auto confirmed = [&](std::int64_t at) -> std::optional<int> {
+        const std::vector<JobRecord> batch = coordinator.takeBatch();
+        coordinator.committed(Instant(at), true);
+        if (batch.empty()) {
+            return std::nullopt;
+        }
+        newest = batch[0];
+        jobs::JobProgress progress;
+        EXPECT_TRUE(progress.ParseFromString(batch[0].value));
+        int count = 0;
+        for (const jobs::Placement &placed : progress.steps(0).placed()) {
+            count += placed.confirmed() ? 1 : 0;
+        }
+        return count;
+    };
+    coordinator.plan(Instant(1020), 1);
+    EXPECT_EQ(confirmed(1021), 0);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    const auto take = [&](const StartOrder &start) {
+        coordinator.startAnswered(WorkerId("w1"), start.task, start.run, Instant(1030),
+                                  OrderOutcome::Accepted);
+    };
+    take(orders.starts[0]);
+    EXPECT_FALSE(coordinator.wantsCommit()) << "one record for all of the step";
+    take(orders.starts[1]);
+    EXPECT_EQ(confirmed(1040), 2);
+    // The successor writes of the job before it has heard of the worker.
+    table.apply(record(newest.key, newest.value, ++offset), Instant(2000), job);
+    coordinator.begin(2, Instant(2000), 1, Instant(10000));
+    EXPECT_EQ(job->toProgress().steps(0).placed(0).confirmed(), true);
+    EXPECT_EQ(job->toProgress().steps(0).placed(1).confirmed(), true);
+}
+
 TEST(CoordinatorTest, WhatADrainingWorkerRanGoesOnSoonAfterItHasLeft)
 {
     WorkerBounds bounds;
