--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -37,6 +37,9 @@
 constexpr Duration killMargin{700};
 /** Interval of the log line on the coordinator's load. */
 constexpr Duration loadReportGap{5000};
+/** Interval of the log lines on delayed tasks; below the time that the platform lets a long-running
+ * task wait for free capacity. */
+constexpr Duration delayReportGap{2000};
 
 Instant boottime()
 {
@@ -386,6 +389,7 @@
     }
     this->node.work(at, this->unixMs());
     this->reportLoad(at);
+    this->reportDelays(at);
     if (this->stopping) {
         this->finishShutdownWhenIdle(at);
     }
@@ -568,6 +572,22 @@
              {"filling_tasks", tasks(WorkKind::BestEffort)}});
 }
 
+void EntryInstance::reportDelays(Instant at)
+{
+    if (!this->node.coordinates() || at < this->delaysReportedAt + delayReportGap) {
+        return;
+    }
+    this->delaysReportedAt = at;
+    for (const DelayedTask &delayed : this->node.coordination().delayedTasks(at)) {
+        logLine(LogLevel::Info, "task_delayed",
+                {{"task", platform::taskName(delayed.task)},
+                 {"reason", toText(delayed.reason)},
+                 {"worker", delayed.worker.empty() ? "none" : delayed.worker},
+                 {"waited_ms", std::to_string(delayed.waited.count())},
+                 {"left_ms", std::to_string(delayed.left.count())}});
+    }
+}
+
 void EntryInstance::serveMetrics(const Respond &respond) const
 {
     HttpResponse response;
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -74,6 +74,8 @@
     void process();
     void wake();
     void reportLoad(Instant at);
+    /** Logs the long-running tasks that do not run, and why. */
+    void reportDelays(Instant at);
     void serveMetrics(const Respond &respond) const;
 
     void follow(Follower &follower, Instant at);
@@ -122,6 +124,7 @@
     Follower workerFollower;
     bool wakePosted = false;
     Instant loadReportedAt;
+    Instant delaysReportedAt;
     bool stopping = false;
     Instant stoppingSince;
     std::size_t openRequests = 0;
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -29,6 +29,8 @@
     MetricHelp{"godwitfall_worker_searches", "Worker searches since it began to coordinate."},
     MetricHelp{"godwitfall_missed_targets", "Serving tasks above their target; coordinator only."},
     MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator only."},
+    MetricHelp{"godwitfall_delayed_tasks",
+               "Long-running tasks that do not run for 3 s, by reason; coordinator only."},
 };
 
 std::string label(const std::string &name, const std::string &value)
@@ -71,6 +73,10 @@
         phase("running", tasks.running);
         phase("stopping", tasks.stopping);
     }
+    for (std::size_t reason = 0; reason < delayReasons; ++reason) {
+        gauge("godwitfall_delayed_tasks", "reason", toText(static_cast<DelayReason>(reason)),
+              statistics.delayed.at(reason));
+    }
     return page;
 }
 
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -97,6 +98,10 @@
      * time is added. */
     static constexpr Duration stallTime{2500};
 
+    /** Delay of a long-running task from which it is reported; above a usual move to another
+     * worker, half of what the platform allows. */
+    static constexpr Duration delayToReport{3000};
+
     Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                 CoordinatorObserver &observer);
 
@@ -150,6 +155,10 @@
     /** Returns the current statistics; walks all open jobs. */
     CoordinatorStatistics statistics(Instant now) const;
 
+    /** Returns the long-running tasks that have been delayed for delayToReport or longer; walks all
+     * open jobs. */
+    std::vector<DelayedTask> delayedTasks(Instant now) const;
+
     bool wantsCommit() const { return !this->dirty.empty() || this->acknowledgeDirty; }
 
     /** Returns the progress records to append next; committed() reports them durable. */
@@ -243,6 +252,10 @@
     void adopt(Job &job, Instant now);
     OrderTarget targetOf(const WorkerState &worker) const;
 
+    /** Returns why the long-running task does not run; nothing if it does. */
+    std::optional<DelayedTask> delayOf(const Job &job, const StepRun &run, std::uint32_t index,
+                                       Instant now) const;
+
     /** Stops starts without a reply that the worker's current incarnation may still carry out. */
     void stopUnanswered(WorkerState &worker, Instant now);
     void applyRunning(WorkerState &worker, const RunningTask &running, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -320,6 +320,7 @@
     WorkerSearch search(this->policy, workersOfJob, request, now);
     ++this->searches;
     std::int64_t freeSlots = -1;
+    job.waitOf(run.occurrence, run.step).yields = false;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         if (run.tasks[index].phase != TaskPhase::Waiting) {
             continue;
@@ -331,6 +332,7 @@
             freeSlots = freeSlots < 0 ? this->countFreeSlots(job, run) : freeSlots;
             if (this->yieldsToShortLived(job, run, freeSlots, now)) {
                 // Tasks that have run before do not wait for this.
+                job.waitOf(run.occurrence, run.step).yields = true;
                 continue;
             }
             --freeSlots;
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -1,6 +1,8 @@
 // Statistics of the coordinator for logs and metrics.
 #include "coordinatorstatistics.h"
 
+#include <algorithm>
+
 #include "coordinator.h"
 
 namespace godwitfall {
@@ -8,6 +10,9 @@
 namespace {
 
 constexpr std::array<const char *, workKinds> kindNames = {"plain", "serving", "filling"};
+constexpr std::array<const char *, delayReasons> reasonNames = {
+    "former_lease", "delayed_start", "lease",       "start",
+    "stop",         "orphan_run",    "short_lived", "no_worker"};
 
 WorkKind kindOf(const jobs::StepSpec &step)
 {
@@ -16,11 +21,11 @@
                                  : WorkKind::Plain;
 }
 
-void count(const Task &task, TaskCounts &counts)
+void count(const Task &task, bool jobClosed, TaskCounts &counts)
 {
     switch (task.phase) {
     case TaskPhase::Waiting:
-        ++counts.waiting;
+        counts.waiting += jobClosed ? 0 : 1;
         break;
     case TaskPhase::Recording:
     case TaskPhase::Starting:
@@ -45,6 +50,11 @@
     return kindNames.at(static_cast<std::size_t>(kind));
 }
 
+const char *toText(DelayReason reason)
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
 CoordinatorStatistics Coordinator::statistics(Instant now) const
 {
     constexpr double fullPace = 100.0;
@@ -81,7 +91,7 @@
                     continue;
                 }
                 for (const Task &task : run->tasks) {
-                    count(task, tasks);
+                    count(task, job->closed(), tasks);
                     if (step.fills() && task.phase == TaskPhase::Running) {
                         statistics.bestEffortMilliCores +=
                             static_cast<std::int64_t>(step.milli_cores() * task.pace / fullPace);
@@ -91,7 +101,70 @@
             }
         }
     }
+    for (const DelayedTask &task : this->delayedTasks(now)) {
+        ++statistics.delayed.at(static_cast<std::size_t>(task.reason));
+    }
     return statistics;
 }
 
+std::optional<DelayedTask> Coordinator::delayOf(const Job &job, const StepRun &run,
+                                                std::uint32_t index, Instant now) const
+{
+    const Task &task = run.tasks[index];
+    DelayedTask delayed;
+    delayed.task = TaskRef{job.id(), run.occurrence, run.step, index};
+    delayed.worker = task.worker;
+    Instant since = task.since;
+    if (task.phase == TaskPhase::Waiting) {
+        const StepWait *wait = job.findWait(run.occurrence, run.step);
+        delayed.reason = this->hasOrphanRun(delayed.task, now)   ? DelayReason::OrphanRun
+                         : task.run == 0 && wait && wait->yields ? DelayReason::ShortLivedFirst
+                                                                 : DelayReason::NoWorker;
+        since = since == Instant() && wait ? wait->readySince : since;
+    } else {
+        const auto worker = this->workers.find(task.worker);
+        if (worker == this->workers.end()) {
+            return std::nullopt;
+        }
+        const bool replies = now - worker->second->lastSeenAt <= PlacementPolicy::responseTimeout;
+        if (!worker->second->responded) {
+            delayed.reason =
+                task.startMayArriveLate ? DelayReason::DelayedStart : DelayReason::FormerLease;
+        } else if (!replies) {
+            delayed.reason = DelayReason::Lease;
+            since = std::max(since, worker->second->lastSeenAt);
+        } else if (task.phase == TaskPhase::Running) {
+            return std::nullopt;
+        } else {
+            delayed.reason =
+                task.phase == TaskPhase::Stopping ? DelayReason::Stop : DelayReason::Start;
+        }
+        delayed.left = std::max(Duration(0), worker->second->lapsesAt(this->bounds) - now);
+    }
+    delayed.waited = since == Instant() ? Duration(0) : now - since;
+    return delayed;
+}
+
+std::vector<DelayedTask> Coordinator::delayedTasks(Instant now) const
+{
+    std::vector<DelayedTask> result;
+    for (const Job *job : this->open) {
+        if (job->closed()) {
+            continue;
+        }
+        for (const auto &[key, run] : job->stepRuns()) {
+            if (!job->stepSpec(run.step).long_running()) {
+                continue;
+            }
+            for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+                const auto delayed = this->delayOf(*job, run, index, now);
+                if (delayed && delayed->waited >= delayToReport) {
+                    result.push_back(*delayed);
+                }
+            }
+        }
+    }
+    return result;
+}
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -3,6 +3,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string>
+
+#include "job.h"
 
 namespace godwitfall {
 
@@ -27,6 +30,33 @@
     std::uint32_t stopping = 0;
 };
 
+/** What keeps a long-running task from running; a closed list in logs and metrics. */
+enum class DelayReason : std::uint8_t {
+    FormerLease,     ///< Its worker has not replied since a takeover; a former lease may last.
+    DelayedStart,    ///< The same, and its start may still be carried out.
+    Lease,           ///< Its worker does not reply; its lease may last.
+    Start,           ///< The order that starts it is not confirmed.
+    Stop,            ///< The order that stops its last run is not confirmed.
+    OrphanRun,       ///< A worker may still run it, though no record places it there.
+    ShortLivedFirst, ///< Short-lived tasks take precedence.
+    NoWorker,        ///< No worker can take it.
+};
+
+constexpr std::size_t delayReasons = 8;
+
+/** Returns the reason's name in logs and metrics. */
+const char *toText(DelayReason reason);
+
+/** A long-running task that does not run, or whose worker does not reply. */
+struct DelayedTask
+{
+    TaskRef task;
+    std::string worker; ///< Where it is placed; empty when not placed.
+    DelayReason reason = DelayReason::NoWorker;
+    Duration waited{0};
+    Duration left{0}; ///< Until its last run has ended for certain; 0 when not placed.
+};
+
 /** State of a coordinator at one moment; for logs and metrics. */
 struct CoordinatorStatistics
 {
@@ -43,6 +73,7 @@
     std::uint64_t workerSearches = 0; ///< Since this coordinator became active.
     std::uint32_t missedTargets = 0;  ///< Serving tasks over their latency target.
     std::array<TaskCounts, workKinds> tasks;
+    std::array<std::uint32_t, delayReasons> delayed{}; ///< Long-running tasks, by DelayReason.
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -134,6 +134,12 @@
     return found == this->runs.end() ? nullptr : &found->second;
 }
 
+const StepWait *Job::findWait(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto found = this->waits.find({occurrence, step});
+    return found == this->waits.end() ? nullptr : &found->second;
+}
+
 Task *Job::task(const TaskRef &ref)
 {
     const auto found = this->runs.find({ref.occurrence, ref.step});
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -92,6 +92,7 @@
     Instant readySince;         ///< Since when its tasks may be placed.
     Instant spareCapacitySince; ///< Since when workers have capacity to spare for it.
     Instant searchFailedAt;     ///< When the last search found no worker.
+    bool yields = false;        ///< The last plan left them waiting for short-lived tasks.
 };
 
 /** The tasks of a step within one occurrence of the job. */
@@ -140,6 +141,9 @@
         return this->waits[{occurrence, step}];
     }
 
+    /** Returns since when the step's tasks wait, or null when they never did. */
+    const StepWait *findWait(std::uint32_t occurrence, std::uint32_t step) const;
+
     /** Returns the task, or null when the job has no such task. */
     Task *task(const TaskRef &ref);
 
--- /dev/null
+++ b/tests/jobs/test_longrunning.cpp
@@ -0,0 +1,144 @@
+// Long-running tasks run again within bounded time after their worker or their coordinator is lost.
+#include <gtest/gtest.h>
+
+#include "coordinatorfixture.h"
+
+namespace godwitfall::jobtests {
+namespace {
+
+const WorkerId lostWorker("w1");
+
+/** A job of one step with one task that reserves one core. */
+jobs::JobSpec oneTask(bool longRunning)
+{
+    jobs::JobSpec spec;
+    spec.set_queue("plan");
+    spec.set_service("orchard");
+    *spec.add_steps() = stepOf(1, 60000);
+    spec.mutable_steps(0)->set_long_running(longRunning);
+    return spec;
+}
+
+/** A coordinator whose jobs and workers a test sets up; time is in ms. */
+class CoordinatorWorld
+{
+public:
+    explicit CoordinatorWorld(const WorkerBounds &bounds = WorkerBounds())
+        : coordinator(this->table, bounds, this->orders, this->host)
+    {}
+
+    /** Adds a job as its submission record; returns its id. */
+    JobId submit(const jobs::JobSpec &spec, std::int64_t at)
+    {
+        char text[17];
+        std::snprintf(text, sizeof text, "%016x", ++this->submitted);
+        const JobId id(text);
+        Job *job = nullptr;
+        this->table.apply(
+            record(JobTable::submissionKey(id), spec.SerializeAsString(), ++this->offset),
+            Instant(at), job);
+        if (this->coordinator.active()) {
+            this->coordinator.jobSubmitted(*job);
+        }
+        return id;
+    }
+
+    /** Adds the record of a former coordinator that has placed the job's task on the worker. */
+    void placedBefore(const JobId &id, const WorkerId &worker, bool confirmed, std::int64_t at)
+    {
+        jobs::JobProgress progress;
+        progress.set_state(jobs::RUNNING);
+        jobs::StepProgress &step = *progress.add_steps();
+        step.add_runs(1);
+        step.add_placed()->set_worker(worker.value());
+        step.mutable_placed(0)->set_confirmed(confirmed);
+        Job *job = nullptr;
+        this->table.apply(
+            record(JobTable::progressKey(id), progress.SerializeAsString(), ++this->offset),
+            Instant(at), job);
+    }
+
+    /** Reports that the worker runs what is placed there, or nothing. */
+    void reply(const WorkerId &worker, std::int64_t at, std::int64_t clockMs,
+               const std::vector<TaskRef> &running = {}, std::int64_t startedMs = 0)
+    {
+        WorkerReport report;
+        report.clockMs = clockMs;
+        report.incarnationStartMs = startedMs;
+        for (const TaskRef &task : running) {
+            report.running.push_back(RunningTask{task, this->task(task.job).run, {}, 100, 0});
+        }
+        this->coordinator.holdAnswered(worker, Instant(at), Instant(at), OrderOutcome::Accepted,
+                                       report);
+    }
+
+    /** Plans and makes the batch durable at once. */
+    void commit(std::int64_t at)
+    {
+        this->coordinator.plan(Instant(at), at);
+        this->coordinator.takeBatch();
+        this->coordinator.committed(Instant(at), true);
+    }
+
+    void tick(std::int64_t at) { this->coordinator.tick(Instant(at), at, true); }
+
+    Task &task(const JobId &id) { return *this->table.find(id)->task(TaskRef{id, 0, 0, 0}); }
+
+    JobTable table;
+    OrderRecorder orders;
+    RecordingHost host;
+    Coordinator coordinator;
+
+private:
+    std::uint64_t offset = 0;
+    unsigned submitted = 0;
+};
+
+TEST(CoordinatorDelayTest, NamesWhatKeepsALongRunningTaskFromRunning)
+{
+    struct Case
+    {
+        const char *name;
+        bool confirmed;
+        bool replies; ///< The worker replies once under the new epoch, then no more.
+        DelayReason reason;
+    };
+    for (const Case &given :
+         {Case{"confirmed, worker lost before the takeover", true, false, DelayReason::FormerLease},
+          Case{"not confirmed", false, false, DelayReason::DelayedStart},
+          Case{"worker lost later", true, true, DelayReason::Lease}}) {
+        CoordinatorWorld world;
+        const JobId id = world.submit(oneTask(true), 1000);
+        world.placedBefore(id, lostWorker, given.confirmed, 1000);
+        world.coordinator.begin(2, Instant(1000), 1000, Instant(8000));
+        world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+        if (given.replies) {
+            world.reply(lostWorker, 1500, 500, {TaskRef{id, 0, 0, 0}});
+        }
+        EXPECT_TRUE(world.coordinator.delayedTasks(Instant(3900)).empty()) << given.name;
+        const std::vector<DelayedTask> delayed = world.coordinator.delayedTasks(Instant(5000));
+        ASSERT_EQ(delayed.size(), 1U) << given.name;
+        EXPECT_EQ(delayed[0].reason, given.reason) << given.name;
+        EXPECT_EQ(delayed[0].worker, lostWorker.value()) << given.name;
+        EXPECT_GT(delayed[0].left, Duration(0)) << given.name;
+    }
+}
+
+TEST(CoordinatorDelayTest, CountsNoWaitingTasksOfCancelledJobs)
+{
+    CoordinatorWorld world;
+    jobs::JobSpec spec = oneTask(true);
+    spec.mutable_steps(0)->set_count(2);
+    const JobId id = world.submit(spec, 1000);
+    world.placedBefore(id, lostWorker, true, 1000);
+    world.coordinator.begin(2, Instant(1000), 1000, Instant(8000));
+    world.coordinator.jobCancelled(*world.table.find(id), Instant(1000));
+    EXPECT_TRUE(world.coordinator.delayedTasks(Instant(6000)).empty());
+    const CoordinatorStatistics statistics = world.coordinator.statistics(Instant(6000));
+    const TaskCounts &serving = statistics.tasks.at(static_cast<std::size_t>(WorkKind::Serving));
+    EXPECT_EQ(serving.stopping, 1U);
+    EXPECT_EQ(serving.waiting, 0U);
+}
+
+} // namespace
+} // namespace godwitfall::jobtests
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "advicecache.h"
+#include "coordinatorfixture.h"
 #include "groupcommit.h"
 #include "interferencemodel.h"
 #include "jobsimulation.h"
@@ -13,8 +14,6 @@
 namespace godwitfall::jobtests {
 namespace {
 
-const JobId jobId("00000000000000aa");
-
 jobs::JobSpec twoSteps()
 {
     jobs::JobSpec spec;
@@ -31,11 +30,6 @@
     return status.SerializeAsString();
 }
 
-JobRecord record(const std::string &key, const std::string &value, std::uint64_t offset)
-{
-    return JobRecord{key, value, offset};
-}
-
 TEST(JobTest, RestoresProgressFromRecord)
 {
     Job job(jobId, twoSteps());
@@ -430,19 +424,6 @@
     EXPECT_EQ(log.sequences, (std::vector<std::uint64_t>{1, 2}));
 }
 
-WorkerEntry entryOf(const std::string &id)
-{
-    WorkerEntry entry;
-    entry.id = WorkerId(id);
-    entry.service = ServiceId("orchard");
-    entry.address = "127.0.0.1:1";
-    entry.capacity.milliCores = 64000;
-    entry.capacity.memoryMb = 256000;
-    entry.kind = "a";
-    entry.rack = "r-" + id;
-    return entry;
-}
-
 TEST(InterferenceModelTest, IdentifiesTheInterferingImage)
 {
     constexpr double harmful = 0.5;
@@ -662,22 +643,6 @@
               &worker);
 }
 
-/** Records the orders that are sent. */
-class OrderRecorder : public OrderSender
-{
-public:
-    void start(StartOrder order) override { this->starts.push_back(std::move(order)); }
-    void stop(StopOrder order) override { this->stops.push_back(std::move(order)); }
-    void hold(HoldOrder order) override { this->holds.push_back(std::move(order)); }
-    void pace(PaceOrder) override {}
-    void advise(AdviceOrder order) override { this->adviceRequests.push_back(std::move(order)); }
-
-    std::vector<StartOrder> starts;
-    std::vector<StopOrder> stops;
-    std::vector<HoldOrder> holds;
-    std::vector<AdviceOrder> adviceRequests;
-};
-
 const AdviceRules rules{Duration(50), Duration(2), Duration(3000)};
 
 TEST(AdviceCacheTest, AsksOncePerWorkerIncarnationAndKeepsValidTickets)
