Wait for a delayed start only with the task that it may start

Callers saw long-running tasks stand still after a takeover though workers had capacity: the coordinator was lost and, about the same time, workers that ran them.

Cause: the successor waits 12 s more where no record confirms a placement, as a delayed order may still start it. It kept that time in the worker (earlierLeasesLapse), so one short task placed just before the takeover held back every confirmed task of its worker: 18.7 s with a released or restarted owner, 21.2 s otherwise, where the platform allows nine.

The new test fails on the former code: the confirmed task is still on w1 at its lapse.

Why it works: a delayed start can begin only its own run; it carries a lease end computed when it was sent, so it prolongs nothing else on the incarnation it was meant for, and a later incarnation runs none of the other tasks. The time therefore belongs to the task (delayedRunLapses).

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -121,9 +121,7 @@
             if (task.startMayArriveLate) {
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
-                worker->earlierLeasesLapse =
-                    std::max(worker->earlierLeasesLapse,
-                             this->formerLeasesLapse + WorkerState::longestOrderDelay);
+                task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay;
             }
             worker->entry.incarnationStartMs =
                 std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
@@ -507,6 +505,26 @@
     }
 }
 
+Instant Coordinator::runLapsesAt(const WorkerState &worker, const Task &task) const
+{
+    const Instant leases = worker.lapsesAt(this->bounds);
+    return worker.responded ? leases : std::max(leases, task.delayedRunLapses);
+}
+
+void Coordinator::returnLapsedTasks(WorkerState &worker, Instant now)
+{
+    if (worker.tasks.empty() || now <= worker.lapsesAt(this->bounds)) {
+        return;
+    }
+    const std::map<TaskRef, Job *> placed = worker.tasks;
+    for (const auto &[ref, job] : placed) {
+        Task &task = *job->task(ref);
+        if (worker.tasks.contains(ref) && now > this->runLapsesAt(worker, task)) {
+            this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
+        }
+    }
+}
+
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
 {
     this->observer.workerRestarted(worker.entry.id);
@@ -530,13 +548,13 @@
         const bool maybeAccepted = task.phase != TaskPhase::Recording && !task.listed;
         // A start that the new incarnation may still carry out has to be stopped there first.
         if (startInFlight || task.startMayArriveLate || maybeAccepted) {
-            this->stopTask(ref, task, now);
+            this->stopDelayedRun(ref, task, now);
         } else if (task.phase != TaskPhase::Recording) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
     worker.responded = false;
-    worker.earlierLeasesLapse = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
+    worker.earlierLeasesLapse = now;
     worker.holdDue = now;
 }
 
@@ -547,13 +565,17 @@
         Task &task = *job->task(ref);
         if (task.workerIncarnationStartMs != 0 &&
             task.workerIncarnationStartMs < worker.entry.incarnationStartMs) {
-            this->stopTask(ref, task, now);
-            worker.earlierLeasesLapse =
-                now + WorkerState::longestOrderDelay + this->bounds.longestLease;
+            this->stopDelayedRun(ref, task, now);
         }
     }
 }
 
+void Coordinator::stopDelayedRun(const TaskRef &ref, Task &task, Instant now)
+{
+    task.delayedRunLapses = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
+    this->stopTask(ref, task, now);
+}
+
 void Coordinator::recordFailure(WorkerState &worker, const JobId &job, Instant now)
 {
     worker.failedJobs.insert(job.value());
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -282,11 +282,17 @@
                  Instant now);
     /** Sets all tasks of a worker whose incarnation is gone back to waiting. */
     void returnTasksOf(WorkerState &worker, Instant now);
+    /** Returns when the task's run has certainly ended if no order reaches the worker any more. */
+    Instant runLapsesAt(const WorkerState &worker, const Task &task) const;
+    /** Sets the tasks whose runs on the worker have certainly ended back to waiting. */
+    void returnLapsedTasks(WorkerState &worker, Instant now);
     /** Discards a worker that is not listed and runs nothing. */
     void discardWorker(const std::string &id);
     /** Applies a restart of the worker: sets its tasks back to waiting, or stops those that the new
      * incarnation may still start. */
     void applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now);
+    /** Stops a run that a delayed order may start on a later incarnation of its worker. */
+    void stopDelayedRun(const TaskRef &ref, Task &task, Instant now);
     /** Stops tasks that were placed on an earlier incarnation than the newest one in records. */
     void stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now);
     /** Counts a job's failure on the worker; ejects the worker after failuresToEject jobs. */
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -277,9 +277,7 @@
     }
     std::vector<std::string> idle;
     for (const auto &[id, worker] : this->workers) {
-        if (!worker->tasks.empty() && now > worker->lapsesAt(this->bounds)) {
-            this->returnTasksOf(*worker, now);
-        }
+        this->returnLapsedTasks(*worker, now);
         if (!worker->listed && worker->tasks.empty() && !worker->holdInFlight) {
             idle.push_back(id);
             continue;
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -531,6 +531,7 @@
     Task &task = run.tasks[index];
     task.phase = TaskPhase::Recording;
     task.startMayArriveLate = false;
+    task.delayedRunLapses = Instant();
     task.listed = false;
     std::erase_if(task.lateStarts, [&](const LateStart &start) {
         return now - start.at > WorkerState::longestOrderDelay;
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -139,7 +139,7 @@
             delayed.reason =
                 task.phase == TaskPhase::Stopping ? DelayReason::Stop : DelayReason::Start;
         }
-        delayed.left = std::max(Duration(0), worker->second->lapsesAt(this->bounds) - now);
+        delayed.left = std::max(Duration(0), this->runLapsesAt(*worker->second, task) - now);
     }
     delayed.waited = since == Instant() ? Duration(0) : now - since;
     return delayed;
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -70,6 +70,9 @@
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
     std::vector<LateStart> lateStarts;
+    /** When a run that a delayed order starts has certainly ended, if its worker is never reached;
+     * unset: no order may still start one. */
+    Instant delayedRunLapses;
     std::uint32_t percent = 0;
     std::uint32_t pace = 100;  ///< Percent of full speed that a best-effort task may use.
     bool paceConfirmed = true; ///< The worker has accepted the pace.
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -140,5 +140,28 @@
     EXPECT_EQ(serving.waiting, 0U);
 }
 
+// Guards against: a takeover kept the long-running tasks of a lost worker from running for 12 s
+// more because of another task there whose start no record confirmed.
+TEST(CoordinatorDelayTest, UnconfirmedTaskOfALostWorkerDelaysOnlyItself)
+{
+    constexpr std::int64_t lapse = 8000;
+    CoordinatorWorld world;
+    const JobId confirmed = world.submit(oneTask(true), 1000);
+    const JobId unconfirmed = world.submit(oneTask(false), 1000);
+    world.placedBefore(confirmed, lostWorker, true, 1000);
+    world.placedBefore(unconfirmed, lostWorker, false, 1000);
+    world.coordinator.begin(2, Instant(1000), 1000, Instant(lapse));
+    world.tick(lapse - 10);
+    EXPECT_EQ(world.task(confirmed).worker, lostWorker.value());
+    world.tick(lapse + 10);
+    EXPECT_EQ(world.task(confirmed).worker, "");
+    EXPECT_EQ(world.task(unconfirmed).worker, lostWorker.value());
+    const std::int64_t delayed = lapse + WorkerState::longestOrderDelay.count();
+    world.tick(delayed - 10);
+    EXPECT_EQ(world.task(unconfirmed).worker, lostWorker.value());
+    world.tick(delayed + 10);
+    EXPECT_EQ(world.task(unconfirmed).worker, "");
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
