Send no starts to a worker whose leases are no longer renewed

Callers saw long-running tasks of a lost worker stand still for up to 11.7 s, without any takeover; the platform allows nine.

Cause: after 2 s without a reply a worker's leases are not renewed, so that they certainly lapse. Starts were not bound by that: a worker gets new ones up to 1.8 s after its last reply, and each was tried four times within 2.6 s with six more seconds of lease. The assumed end of the leases moved with every try, for all tasks of the worker.

The test fails on the former code for starts 10, 900 and 1700 ms after the last reply.

Why it works: starts and renewals now have the same bound, so nothing moves the lease end later than 2 s after the last reply. A start whose worker is past it is given up: stopped if a try had no reply, else placed again at once. The latter also covers a start that was never sent since its worker had restarted; it used to stay there for 18 s (second test).

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -73,8 +73,8 @@
     static constexpr Duration sharedHoldWait{500};
     /** Pause between the holds of a worker that has no ends to acknowledge. */
     static constexpr Duration holdGap{25};
-    /** Time without a report after which a worker's leases are no longer renewed; above a hold and
-     * its timeout, so that one lost reply costs no lease. */
+    /** Time without a report after which a worker gets no more starts and its leases are no longer
+     * renewed; above a hold and its timeout, so that one lost reply costs no lease. */
     static constexpr Duration renewalTimeout{2000};
     /** Longest lease of a draining worker: it may leave at any moment, and its tasks resume on
      * another worker only after its lease; above the duration of a takeover. */
@@ -351,7 +351,14 @@
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
 
+    /** Sends the start, or abandons it if the worker no longer replies. */
     void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
+    /** Returns whether the worker may get orders with a lease end. An order without a reply may
+     * have been applied, so an unresponsive worker gets none and its leases certainly lapse. */
+    static bool mayProlongLeases(const WorkerState &worker, Instant now);
+    /** Sets a task that was not confirmed to run back to waiting, or stops its run if some try may
+     * still be carried out. */
+    void abandonStart(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Remembers a start without a reply, which the worker may still carry out. */
     void recordUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                           bool sameIncarnation, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -29,7 +29,8 @@
     open.run = task.run;
     open.worker = WorkerId(task.worker);
     open.retryAt = now + orderRetry;
-    if (!worker || worker->entry.address.empty() || !worker->responded) {
+    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now)) {
+        this->abandonStart(job, ref, task, now);
         return;
     }
     open.inFlight = true;
@@ -49,6 +50,22 @@
     this->orders.start(std::move(order));
 }
 
+bool Coordinator::mayProlongLeases(const WorkerState &worker, Instant now)
+{
+    return worker.responded && now - worker.lastSeenAt < renewalTimeout;
+}
+
+void Coordinator::abandonStart(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    // While a try may still be carried out, only a stop makes sure that the run never starts.
+    const auto open = this->starts.find(ref);
+    if (open != this->starts.end() && open->second.unanswered) {
+        this->stopTask(ref, task, now);
+    } else {
+        this->returnTask(job, ref, task, RunOutcome::Refused, now);
+    }
+}
+
 void Coordinator::startAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                                 Instant now, OrderOutcome outcome)
 {
@@ -105,11 +122,10 @@
         this->eject(*worker, refusalEjection, now);
         break;
     }
-    // While a try may still be carried out, only a stop makes sure that the run never starts.
-    if (open.unanswered || outcome == OrderOutcome::Superseded) {
+    if (outcome == OrderOutcome::Superseded) {
         this->stopTask(ref, *task, now);
     } else {
-        this->returnTask(*job, ref, *task, RunOutcome::Refused, now);
+        this->abandonStart(*job, ref, *task, now);
     }
 }
 
@@ -220,9 +236,7 @@
     // its own ends.
     worker.discarding = worker.acknowledged > worker.discarded ? worker.acknowledged : 0;
     order.acknowledged = worker.discarding;
-    // A renewal without a reply may have been applied; an unresponsive worker gets none, so that
-    // its lease certainly lapses.
-    if (worker.responded && mayRenew && now - worker.lastSeenAt < renewalTimeout) {
+    if (mayRenew && mayProlongLeases(worker, now)) {
         const Duration longest = this->bounds.longestLease;
         order.leaseEndMs = worker.leaseEnd(
             now, worker.entry.draining ? std::min(longest, drainingLease) : longest);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -1,4 +1,7 @@
 // Long-running tasks run again within bounded time after their worker or their coordinator is lost.
+#include <map>
+#include <utility>
+
 #include <gtest/gtest.h>
 
 #include "coordinatorfixture.h"
@@ -7,6 +10,11 @@
 namespace {
 
 const WorkerId lostWorker("w1");
+/** Time after its last run within which a long-running task has to run again, if a worker can take
+ * it; set by the platform. */
+constexpr std::int64_t longestDelayMs = 9000;
+/** Time after which an order that gets no reply counts as unanswered. */
+constexpr std::int64_t orderTimeoutMs = 600;
 
 /** A job of one step with one task that reserves one core. */
 jobs::JobSpec oneTask(bool longRunning)
@@ -82,6 +90,28 @@
 
     void tick(std::int64_t at) { this->coordinator.tick(Instant(at), at, true); }
 
+    /** Advances to the time; no worker replies to any order. */
+    void runWithoutReplies(std::int64_t from, std::int64_t to)
+    {
+        for (std::int64_t at = from; at <= to; at += 10) {
+            this->tick(at);
+            this->commit(at);
+            for (StartOrder &order : std::exchange(this->orders.starts, {})) {
+                this->sentStarts.emplace(at + orderTimeoutMs, std::move(order));
+            }
+            for (const HoldOrder &order : std::exchange(this->orders.holds, {})) {
+                this->coordinator.holdAnswered(order.target.worker, Instant(at), Instant(at),
+                                               OrderOutcome::Unanswered, {});
+            }
+            while (!this->sentStarts.empty() && this->sentStarts.begin()->first <= at) {
+                const StartOrder order = std::move(this->sentStarts.begin()->second);
+                this->sentStarts.erase(this->sentStarts.begin());
+                this->coordinator.startAnswered(order.target.worker, order.task, order.run,
+                                                Instant(at), OrderOutcome::Unanswered);
+            }
+        }
+    }
+
     Task &task(const JobId &id) { return *this->table.find(id)->task(TaskRef{id, 0, 0, 0}); }
 
     JobTable table;
@@ -90,6 +120,8 @@
     Coordinator coordinator;
 
 private:
+    /** Starts without a reply so far, by the time at which they count as unanswered. */
+    std::multimap<std::int64_t, StartOrder> sentStarts;
     std::uint64_t offset = 0;
     unsigned submitted = 0;
 };
@@ -140,6 +172,48 @@
     EXPECT_EQ(serving.waiting, 0U);
 }
 
+// Guards against: starts sent to a worker after it had stopped replying moved the end of its
+// leases, so the long-running tasks on it were placed elsewhere only after eleven seconds.
+TEST(CoordinatorDelayTest, StartsDoNotProlongTheLeasesOfASilentWorker)
+{
+    constexpr std::int64_t lastReply = 1000;
+    for (const std::int64_t submittedAfter : {10, 900, 1700}) {
+        CoordinatorWorld world;
+        const JobId lasting = world.submit(oneTask(true), lastReply);
+        world.placedBefore(lasting, lostWorker, true, lastReply);
+        world.coordinator.begin(2, Instant(lastReply), lastReply, Instant(lastReply));
+        world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(lastReply));
+        world.reply(lostWorker, lastReply, 500, {TaskRef{lasting, 0, 0, 0}});
+        const std::int64_t submittedAt = lastReply + submittedAfter;
+        world.runWithoutReplies(lastReply + 10, submittedAt);
+        const JobId shortLived = world.submit(oneTask(false), submittedAt);
+        world.runWithoutReplies(submittedAt + 10, submittedAt + 20);
+        EXPECT_EQ(world.task(shortLived).worker, lostWorker.value());
+        world.runWithoutReplies(submittedAt + 30, lastReply + longestDelayMs - 100);
+        EXPECT_EQ(world.task(lasting).worker, "") << submittedAfter;
+    }
+}
+
+// Guards against: a start that was never sent, as its worker had stopped replying by the time its
+// record was durable, kept its task on that worker until all leases had lapsed.
+TEST(CoordinatorDelayTest, TaskWhoseStartWasNotSentIsPlacedAgain)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 500, {}, 7);
+    const JobId id = world.submit(oneTask(true), 1010);
+    world.coordinator.plan(Instant(1010), 1010);
+    world.coordinator.takeBatch();
+    WorkerEntry restarted = entryOf(lostWorker.value());
+    restarted.incarnationStartMs = 900;
+    world.coordinator.setWorker(restarted, Instant(1020));
+    world.coordinator.committed(Instant(1030), true);
+    EXPECT_EQ(world.orders.starts.size(), 0U);
+    EXPECT_EQ(world.task(id).worker, "");
+    EXPECT_EQ(world.task(id).phase, TaskPhase::Waiting);
+}
+
 // Guards against: a takeover kept the long-running tasks of a lost worker from running for 12 s
 // more because of another task there whose start no record confirmed.
 TEST(CoordinatorDelayTest, UnconfirmedTaskOfALostWorkerDelaysOnlyItself)
