Do not stop a run that its worker lists when the reply to its start is lost

Callers saw nothing lost, but work thrown away: a run that had been listed before its start timed out was stopped on its worker and started anew.

Cause: a start without a reply is remembered for later incarnations, and stopped on them. Whether the present incarnation has taken it was read off the open order, which is gone once a report has listed the run.

Evidence: the test, red on the former code. A task whose run is listed on the worker's present incarnation now counts as taken by it, as one whose order is still open did.

--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -72,15 +72,17 @@
     const auto found = this->starts.find(ref);
     const bool awaited =
         found != this->starts.end() && found->second.run == run && found->second.worker == id;
+    Job *job = this->table.find(ref.job);
+    Task *task = job ? job->task(ref) : nullptr;
     if (outcome == OrderOutcome::Unanswered) {
-        this->recordUnanswered(id, ref, run, awaited, now);
+        const bool listed = task && task->phase == TaskPhase::Running && task->listed &&
+                            task->run == run && task->worker == id.value();
+        this->recordUnanswered(id, ref, run, awaited || listed, now);
     }
     if (!awaited) {
         return;
     }
     OpenOrder &open = found->second;
-    Job *job = this->table.find(ref.job);
-    Task *task = job ? job->task(ref) : nullptr;
     WorkerState *worker = this->findWorker(id);
     if (!task || !worker) {
         this->starts.erase(found);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -214,6 +214,25 @@
     EXPECT_EQ(world.task(id).phase, TaskPhase::Waiting);
 }
 
+// Guards against: when the reply to a start was lost and a report had listed the run meanwhile, the
+// run was stopped on its worker.
+TEST(CoordinatorDelayTest, LostReplyDoesNotStopAListedRun)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 0);
+    const JobId id = world.submit(oneTask(true), 1000);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(1010);
+    ASSERT_EQ(world.orders.starts.size(), 1U);
+    world.reply(lostWorker, 1100, 100, {ref});
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(1610), OrderOutcome::Unanswered);
+    world.reply(lostWorker, 1700, 700, {ref});
+    EXPECT_TRUE(world.orders.stops.empty());
+    EXPECT_EQ(world.task(id).phase, TaskPhase::Running);
+}
+
 // Guards against: a takeover kept the long-running tasks of a lost worker from running for 12 s
 // more because of another task there whose start no record confirmed.
 TEST(CoordinatorDelayTest, UnconfirmedTaskOfALostWorkerDelaysOnlyItself)
