Record that a start was taken soon after it was

Callers saw a long-running task stand still for 18.7 s after a takeover, though no other task of its worker held it back any more: it had started 11 s before the takeover.

Cause: a placement that no record confirms counts as one that a delayed order may still begin, for 12 s more. A start of which one try had no reply was never confirmed, however long it ran; a long-running task not while another one of its step was starting; a short-lived one only when some other task of its job ended.

Why it works: a record confirms a start at most 0.5 s after the worker took it; one with an unanswered try, once the report that lists it proves that its only try was carried out, or 12 s after the last unanswered one. Until then the wait is right, as the order may still arrive.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -72,6 +72,7 @@
     this->unansweredOfUnlisted.clear();
     this->advice.clear();
     this->dirty.clear();
+    this->confirmations.clear();
     this->recording.clear();
     this->inBatch.clear();
     this->inRecords.clear();
@@ -121,6 +122,7 @@
             if (task.startMayArriveLate) {
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
+                task.startMayArriveUntil = now + WorkerState::longestOrderDelay;
                 task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay;
             }
             worker->entry.incarnationStartMs =
@@ -356,11 +358,20 @@
         // A former coordinator may have lowered its pace.
         this->setPace(worker, running.task, *task, 100, now);
     }
+    if (task->phase == TaskPhase::Running && task->startMayArriveLate &&
+        now >= task->startMayArriveUntil) {
+        this->clearDelayedStart(*job, running.task, *task, now);
+    }
     if (task->phase == TaskPhase::Unconfirmed || task->phase == TaskPhase::Starting) {
         task->phase = TaskPhase::Running;
         task->since = now;
         task->progressAt = now;
+        const auto start = this->starts.find(running.task);
+        const bool onlyTry = start != this->starts.end() && start->second.tries == 1;
         this->starts.erase(running.task);
+        if (onlyTry) {
+            this->clearDelayedStart(*job, running.task, *task, now);
+        }
         if (job->closed()) {
             this->stopTask(running.task, *task, now);
         }
@@ -606,6 +617,7 @@
         record.value = job->toProgress().SerializeAsString();
         records.push_back(std::move(record));
         this->inRecords.push_back(job);
+        this->confirmations.erase(job);
     }
     this->dirty.clear();
     this->inBatch = std::move(this->recording);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -83,6 +83,9 @@
     static constexpr Duration unresponsiveHoldGap{300};
     /** Time after which a start or stop without a reply is sent again. */
     static constexpr Duration orderRetry{250};
+    /** Longest time from a worker's taking of a start until a record says so; bounds the time in
+     * which the loss of coordinator and worker makes a task wait for a delayed start. */
+    static constexpr Duration confirmationDelay{500};
     /** Tries of one start without a reply after which the run is abandoned. */
     static constexpr unsigned startTries = 4;
     /** Ejection of a worker that refused a start or did not reply to it. */
@@ -316,8 +319,13 @@
     void detach(const TaskRef &ref, Task &task);
     /** Adds the job's progress to the next batch. */
     void markDirty(Job &job);
-    /** Records the accepted starts of a long-running step, once none of its starts is open. */
-    void recordAccepted(Job &job, const TaskRef &ref);
+    /** Has a record say that the task's worker took its start: for a long-running step with the
+     * next batch, once none of its starts is open, otherwise after confirmationDelay. */
+    void confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now);
+    /** Adds the jobs with confirmations that are due to the next batch. */
+    void recordConfirmations(Instant now);
+    /** Notes that no order may start the task's run any more, and confirms its start. */
+    void clearDelayedStart(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Publishes the job's state to clients if it has changed. */
     void publishState(Job &job);
     void noteFenced(const WorkerId &id);
@@ -416,7 +424,9 @@
     std::uint64_t searches = 0;
     std::uint64_t reports = 0;          ///< Number of reports applied.
     Instant shortLivedOpenAt{-1000000}; ///< When a job with short-lived tasks was last open.
-    bool acknowledgeDirty = false;      ///< Some applied end is not acknowledged to its worker.
+    JobSet confirmations;               ///< Jobs with taken starts that no record confirms yet.
+    Instant confirmationsDue;
+    bool acknowledgeDirty = false; ///< Some applied end is not acknowledged to its worker.
     bool fencedByWorker = false;
     std::vector<RecordedStart> recording; ///< Starts that the next batch makes durable.
     std::vector<RecordedStart> inBatch;   ///< Starts that the batch in flight makes durable.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -95,7 +95,7 @@
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
-        this->recordAccepted(*job, ref);
+        this->confirmStart(*job, ref, *task, now);
         return;
     case OrderOutcome::Fenced:
         this->noteFenced(id);
@@ -103,6 +103,7 @@
     case OrderOutcome::Unanswered:
         open.unanswered = true;
         task->startMayArriveLate = true;
+        task->startMayArriveUntil = now + WorkerState::longestOrderDelay;
         [[fallthrough]];
     case OrderOutcome::NotSent:
         if (open.tries < startTries) {
@@ -131,19 +132,41 @@
     }
 }
 
-void Coordinator::recordAccepted(Job &job, const TaskRef &ref)
+void Coordinator::confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now)
 {
-    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
-    // Other steps write records often enough as their tasks end.
-    if (!run || !job.stepSpec(ref.step).long_running()) {
+    if (task.startMayArriveLate || job.closed()) {
         return;
     }
-    const bool starting = std::any_of(run->tasks.begin(), run->tasks.end(), [](const Task &task) {
-        return task.phase == TaskPhase::Recording || task.phase == TaskPhase::Starting;
-    });
-    if (!starting) {
+    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
+    const bool starting =
+        run && std::any_of(run->tasks.begin(), run->tasks.end(), [](const Task &other) {
+            return other.phase == TaskPhase::Recording || other.phase == TaskPhase::Starting;
+        });
+    if (job.stepSpec(ref.step).long_running() && !starting) {
         this->markDirty(job);
+        return;
+    }
+    if (this->confirmations.empty()) {
+        this->confirmationsDue = now + confirmationDelay;
     }
+    this->confirmations.insert(&job);
+}
+
+void Coordinator::recordConfirmations(Instant now)
+{
+    if (now >= this->confirmationsDue) {
+        this->dirty.merge(this->confirmations);
+        this->confirmations.clear();
+    }
+}
+
+void Coordinator::clearDelayedStart(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    task.startMayArriveLate = false;
+    std::erase_if(task.lateStarts, [&](const LateStart &start) {
+        return start.worker == task.worker && start.run == task.run;
+    });
+    this->confirmStart(job, ref, task, now);
 }
 
 void Coordinator::recordUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
@@ -166,6 +189,9 @@
             return start.worker == id.value() && start.run == run;
         });
         task->lateStarts.push_back(LateStart{id.value(), run, now});
+        if (task->run == run) {
+            task->startMayArriveUntil = now + WorkerState::longestOrderDelay;
+        }
     }
 }
 
@@ -287,6 +313,7 @@
     }
     this->tickedAt = now;
     this->retryOrders(now, mayRenew);
+    this->recordConfirmations(now);
     if (now >= this->movedAt + moveGap) {
         this->movedAt = now;
         this->moveFromDraining(now);
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -69,6 +69,7 @@
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
+    Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
     std::vector<LateStart> lateStarts;
     /** When a run that a delayed order starts has certainly ended, if its worker is never reached;
      * unset: no order may still start one. */
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -74,7 +74,9 @@
         report.clockMs = clockMs;
         report.incarnationStartMs = startedMs;
         for (const TaskRef &task : running) {
-            report.running.push_back(RunningTask{task, this->task(task.job).run, {}, 100, 0});
+            // Progresses with every report.
+            const auto percent = static_cast<std::uint32_t>(clockMs / 100 % 100);
+            report.running.push_back(RunningTask{task, this->task(task.job).run, {}, percent, 0});
         }
         this->coordinator.holdAnswered(worker, Instant(at), Instant(at), OrderOutcome::Accepted,
                                        report);
@@ -214,6 +216,88 @@
     EXPECT_EQ(world.task(id).phase, TaskPhase::Waiting);
 }
 
+/** What the coordinator records of a start's replies, and when. */
+struct ConfirmationCase
+{
+    const char *name;
+    bool longRunning;
+    std::vector<OrderOutcome> replies; ///< To one try after the other.
+    std::int64_t listedAfter;          ///< From the last reply until a report lists the run.
+    std::int64_t confirmedAfter;       ///< From the last reply until a record confirms the start.
+};
+
+/** From the reply to the second try until the first one may no longer be carried out. */
+constexpr std::int64_t secondTryConfirmedMs =
+    WorkerState::longestOrderDelay.count() - Coordinator::orderRetry.count() - orderTimeoutMs;
+
+class StartConfirmationTest : public testing::TestWithParam<ConfirmationCase>
+{};
+
+// Guards against: no record ever confirmed a start of which one try had no reply, or one of a
+// short-lived task, so that a successor waited 12 s more for a lost worker, however old the run
+// was.
+TEST_P(StartConfirmationTest, IsRecordedSoonAfterNoDelayedStartIsLeft)
+{
+    const ConfirmationCase &given = GetParam();
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 0);
+    const JobId id = world.submit(oneTask(given.longRunning), 1000);
+    const TaskRef ref{id, 0, 0, 0};
+    std::int64_t at = 1000;
+    for (const OrderOutcome reply : given.replies) {
+        while (world.orders.starts.empty()) {
+            at += 10;
+            world.tick(at);
+            world.commit(at);
+        }
+        world.orders.starts.clear();
+        at += orderTimeoutMs;
+        world.coordinator.startAnswered(lostWorker, ref, 1, Instant(at), reply);
+    }
+    const std::int64_t lastReply = at;
+    std::int64_t confirmedAt = 0;
+    bool recordConfirms = false;
+    for (; at <= lastReply + 20000 && !recordConfirms; at += 10) {
+        const bool holdEnds = (at - lastReply) % 100 == given.listedAfter;
+        if (at >= lastReply + given.listedAfter && holdEnds) {
+            world.reply(lostWorker, at, at - 1000, {ref});
+        }
+        world.tick(at);
+        world.coordinator.plan(Instant(at), at);
+        for (const JobRecord &entry : world.coordinator.takeBatch()) {
+            jobs::JobProgress progress;
+            ASSERT_TRUE(progress.ParseFromString(entry.value));
+            recordConfirms = progress.steps(0).placed(0).confirmed();
+            confirmedAt = at;
+        }
+        world.coordinator.committed(Instant(at), true);
+    }
+    EXPECT_TRUE(recordConfirms);
+    EXPECT_GE(confirmedAt, lastReply + given.confirmedAfter);
+    EXPECT_LE(confirmedAt, lastReply + given.confirmedAfter + 600);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, StartConfirmationTest,
+    testing::Values(ConfirmationCase{"LongRunningAccepted", true, {OrderOutcome::Accepted}, 10, 0},
+                    ConfirmationCase{"ShortLivedAccepted", false, {OrderOutcome::Accepted}, 10, 0},
+                    // The only try was carried out, so none is left.
+                    ConfirmationCase{"OnlyTryListed", true, {OrderOutcome::Unanswered}, 10, 10},
+                    // The first try may still be carried out.
+                    ConfirmationCase{"SecondTryAccepted",
+                                     true,
+                                     {OrderOutcome::Unanswered, OrderOutcome::Accepted},
+                                     10,
+                                     secondTryConfirmedMs},
+                    ConfirmationCase{"ShortLivedSecondTryAccepted",
+                                     false,
+                                     {OrderOutcome::Unanswered, OrderOutcome::Accepted},
+                                     10,
+                                     secondTryConfirmedMs}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against: when the reply to a start was lost and a report had listed the run meanwhile, the
 // run was stopped on its worker.
 TEST(CoordinatorDelayTest, LostReplyDoesNotStopAListedRun)
