Forget a worker's lease end when its next incarnation begins

Callers would see the tasks of a worker stand still for as long as its former life had lasted, when it started again under its id and was lost later.

Cause: the end of all leases is kept on the worker's clock, as a maximum, and the clock starts anew with each incarnation. The former incarnation's end, minutes ahead on the new clock, stayed the maximum.

Evidence: LeaseEndOfAFormerIncarnationDoesNotCount, red on the former code (still placed 9 s after the last reply; with 400 s of former life, for 400 s).

Why it works: WorkerState::beginIncarnation() drops what belongs to the former incarnation in one place.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -270,6 +270,9 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        if (outcome == OrderOutcome::Unanswered) {
+            worker->noteUnanswered(sentAt, now);
+        }
         worker->holdDue = now + unresponsiveHoldGap;
         return;
     }
@@ -541,11 +544,7 @@
     this->observer.workerRestarted(worker.entry.id);
     worker.entry.incarnationStartMs = incarnationStartMs;
     this->removeUnlistedOrphans(worker, {});
-    ++worker.incarnation;
-    worker.applied = 0;
-    worker.acknowledged = 0;
-    worker.discarded = 0;
-    worker.discarding = 0;
+    worker.beginIncarnation(now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (!worker.tasks.contains(ref)) {
@@ -564,9 +563,6 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
-    worker.responded = false;
-    worker.earlierLeasesLapse = now;
-    worker.holdDue = now;
 }
 
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -179,6 +179,7 @@
     std::erase_if(worker->unanswered, [&](const UnansweredStart &start) {
         return now - start.at > WorkerState::longestOrderDelay;
     });
+    worker->noteUnanswered(sameIncarnation ? now : Instant(), now);
     // The incarnation that the start was sent to recognises a repeated start; a later one has to be
     // sent a stop.
     worker->unanswered.push_back(
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -23,6 +23,29 @@
     : entry(std::move(entry))
 {}
 
+void WorkerState::beginIncarnation(Instant now)
+{
+    ++this->incarnation;
+    this->applied = 0;
+    this->acknowledged = 0;
+    this->discarded = 0;
+    this->discarding = 0;
+    this->responded = false;
+    this->holdDue = now;
+    this->earlierLeasesLapse = now;
+    this->latestLeaseEndMs = 0;
+    this->incarnationKnownSince = now;
+    this->formerOrdersUntil = this->unansweredUntil;
+}
+
+void WorkerState::noteUnanswered(Instant sentAt, Instant now)
+{
+    this->unansweredUntil = now + longestOrderDelay;
+    if (sentAt < this->incarnationKnownSince) {
+        this->formerOrdersUntil = this->unansweredUntil;
+    }
+}
+
 void WorkerState::sampleClock(std::int64_t clockMs, Instant receivedAt)
 {
     this->clockSampleMs = clockMs;
@@ -47,9 +70,16 @@
     if (!this->responded) {
         return this->earlierLeasesLapse;
     }
-    const double left = static_cast<double>(this->latestLeaseEndMs - this->clockSampleMs);
-    return this->sampledAt + Duration(static_cast<std::int64_t>(left / (1.0 - clockDrift))) +
-           bounds.stopTime + lapseMargin;
+    const auto onSlowClock = [](std::int64_t milliseconds) {
+        return Duration(
+            static_cast<std::int64_t>(static_cast<double>(milliseconds) / (1.0 - clockDrift)));
+    };
+    Instant lapse = this->sampledAt + onSlowClock(this->latestLeaseEndMs - this->clockSampleMs);
+    if (this->formerOrdersUntil > this->sampledAt) {
+        // The worker shortens a lease end that is beyond the longest lease on its clock.
+        lapse = std::max(lapse, this->formerOrdersUntil + onSlowClock(bounds.longestLease.count()));
+    }
+    return lapse + bounds.stopTime + lapseMargin;
 }
 
 void WorkerState::assign(const TaskRef &ref, Job &job)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -109,6 +109,13 @@
 
     explicit WorkerState(WorkerEntry entry);
 
+    /** Starts the next incarnation, which has its own clock, leases and numbers of ends. */
+    void beginIncarnation(Instant now);
+
+    /** Records that an order with a lease end, sent at the given time, got no reply; a later
+     * incarnation may still carry it out. */
+    void noteUnanswered(Instant sentAt, Instant now);
+
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
@@ -186,6 +193,11 @@
     std::int64_t clockSampleMs = 0; ///< The worker's clock at sampledAt.
     Instant sampledAt;
     std::int64_t latestLeaseEndMs = 0; ///< Of all orders, on the worker's clock.
+    Instant incarnationKnownSince;
+    Instant unansweredUntil; ///< Until when orders without a reply may be carried out.
+    /** The same of orders that were sent to a former incarnation; their lease ends are on its
+     * clock. */
+    Instant formerOrdersUntil;
     mutable std::optional<std::vector<BestEffortShare>> cachedFullPaceShares;
 };
 
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -216,6 +216,60 @@
     EXPECT_EQ(world.task(id).phase, TaskPhase::Waiting);
 }
 
+// Guards against: the lease end of a worker's former incarnation, on a clock that had run for
+// longer, counted for the next one as well, so that its tasks were placed elsewhere only after the
+// age of the former one had passed.
+TEST(CoordinatorDelayTest, LeaseEndOfAFormerIncarnationDoesNotCount)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    WorkerEntry entry = entryOf(lostWorker.value());
+    entry.incarnationStartMs = 900;
+    world.coordinator.setWorker(entry, Instant(1000));
+    world.reply(lostWorker, 1000, 400000, {}, 900);
+    entry.incarnationStartMs = 2000;
+    world.coordinator.setWorker(entry, Instant(2010));
+    world.reply(lostWorker, 2100, 100, {}, 2000);
+    const JobId id = world.submit(oneTask(true), 2100);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(2110);
+    ASSERT_EQ(world.orders.starts.size(), 1U);
+    world.orders.starts.clear();
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(2120), OrderOutcome::Accepted);
+    world.reply(lostWorker, 2200, 200, {ref}, 2000);
+    world.runWithoutReplies(2210, 2200 + longestDelayMs - 100);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
+// A hold of which the reply is missing may be carried out by a worker's next incarnation, and its
+// lease end is on the former one's clock.
+TEST(CoordinatorDelayTest, DelayedHoldMayProlongTheLeaseOfTheNextIncarnation)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    WorkerEntry entry = entryOf(lostWorker.value());
+    entry.incarnationStartMs = 900;
+    world.coordinator.setWorker(entry, Instant(1000));
+    world.reply(lostWorker, 1000, 400000, {}, 900);
+    world.coordinator.holdAnswered(lostWorker, Instant(1010), Instant(2000),
+                                   OrderOutcome::Unanswered, {});
+    entry.incarnationStartMs = 2000;
+    world.coordinator.setWorker(entry, Instant(2010));
+    world.reply(lostWorker, 2100, 100, {}, 2000);
+    const JobId id = world.submit(oneTask(true), 2100);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(2110);
+    world.orders.starts.clear();
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(2120), OrderOutcome::Accepted);
+    world.reply(lostWorker, 2200, 200, {ref}, 2000);
+    const std::int64_t lastArrival = 2000 + WorkerState::longestOrderDelay.count();
+    const std::int64_t lastLapse = lastArrival + WorkerBounds().longestLease.count();
+    world.runWithoutReplies(2210, lastLapse);
+    EXPECT_EQ(world.task(id).worker, lostWorker.value());
+    world.runWithoutReplies(lastLapse + 10, lastLapse + 1000);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
 /** What the coordinator records of a start's replies, and when. */
 struct ConfirmationCase
 {
