Count the owner's permission from the first try of an append

Callers could see a task run twice: a successor takes the former owner's leases for lapsed too early.

Cause: when the reply to an announcement was lost, the append was repeated, and its success counted from the repeat. The record had been in the log since the first try, and others count the owner's silence from it, so the owner renewed leases for the length of the retries longer than a successor assumes.

Evidence: the test, red on the former code.

--- a/src/libgodwitfall/jobs/groupcommit.cpp
+++ b/src/libgodwitfall/jobs/groupcommit.cpp
@@ -85,7 +85,9 @@
         records.insert(records.end(), entry.records.begin(), entry.records.end());
     }
     this->inFlight = true;
-    this->sentAt = at;
+    if (!this->uncertain) {
+        this->sentAt = at;
+    }
     this->log.append(this->stream, records, this->identity, std::nullopt,
                      [this, sent = this->generation](const AppendReply &reply) {
                          if (sent != this->generation) {
--- a/src/libgodwitfall/jobs/groupcommit.h
+++ b/src/libgodwitfall/jobs/groupcommit.h
@@ -79,7 +79,8 @@
     /** Called when a reply has arrived for the next process(). */
     std::function<void()> onReply;
 
-    /** Called with the time at which a stored append was sent. */
+    /** Called with the time at which the first try of an append that may have been stored was sent.
+     */
     std::function<void(Instant sentAt)> onStored;
 
 private:
@@ -110,7 +111,7 @@
     bool failing = false;
     std::uint64_t generation = 0; ///< Counts resets; a reply to an earlier one is ignored.
     std::optional<AppendReply> pendingReply; ///< Not processed yet.
-    Instant sentAt;                          ///< When the last append was sent.
+    Instant sentAt;                          ///< When the first try that may be stored was sent.
     Instant now;
 };
 
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -406,6 +406,39 @@
     EXPECT_EQ(completedAt, Instant(5000));
 }
 
+// Guards against: the owner counted its permission from a repeated append, though the first try may
+// have been stored earlier, and renewed leases for longer than its successor assumed.
+TEST(GroupCommitTest, StoredCountsFromTheFirstTryThatMayHaveBeenStored)
+{
+    struct Case
+    {
+        const char *name;
+        AppendOutcome first;
+        bool countsFromFirst;
+    };
+    for (const Case &given : {Case{"reply lost", AppendOutcome::Unanswered, true},
+                              Case{"refused", AppendOutcome::Refused, false}}) {
+        ManualLog log;
+        Random random(1);
+        GroupCommit commits(log, LogStream::Jobs, random);
+        commits.open("p", 1, 1);
+        std::optional<Instant> sentAt;
+        commits.onStored = [&](Instant at) {
+            sentAt = at;
+        };
+        commits.add({record("a", "1", 0)}, GroupCommit::noDeadline, nullptr);
+        std::int64_t now = 10;
+        commits.process(Instant(now));
+        log.reply(given.first);
+        while (log.callbacks.size() < 2 && now < 5000) {
+            commits.process(Instant(now += 10));
+        }
+        log.reply(AppendOutcome::Stored);
+        commits.process(Instant(now + 10));
+        EXPECT_EQ(sentAt, given.countsFromFirst ? Instant(10) : Instant(now)) << given.name;
+    }
+}
+
 TEST(GroupCommitTest, BatchesRecordsAddedDuringAnAppend)
 {
     ManualLog log;
