Bound a former owner's renewals by its last record

Callers see a long-running task stand still for 11.8 s when its worker is lost together with the coordinator; where the coordinator was away for 2.6 s, the platform allows 9.6.

Cause: a successor assumed that the former owner renews leases for 2.5 s after the claim has been loaded (renewWithoutStore less ownerTimeout), on top of the 2.9 s that the takeover had taken. That outlives its reason: the owner's permission counts from its last announcement, which the successor has read.

Why it works: the bound counts from the former owner's last record before the claim, and the owner renews for 2.8 s after announcing, just above the silence after which another may claim, instead of 5. A replaced live owner (twice as strong an instance claims) is now covered as well: its last record may be as new as the claim. A takeover gives workers a second to reply before it takes any lease for lapsed.

--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -1,5 +1,6 @@
 #include "jobnode.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,8 @@
 constexpr Duration readinessAge{2500};
 /** A lease may outlast its length by this fraction (1/n); above the bound on clock drift. */
 constexpr std::int64_t driftDivisor = 40;
+/** Time in which workers reply to a successor's first holds; before, it takes no run for ended. */
+constexpr Duration firstReplies{1000};
 constexpr Instant longAgo(-1000000);
 /** Fraction (1/n) of the time limit for a cancel that the age of the view may use up; the rest is
  * for an order in transit. */
@@ -175,6 +178,7 @@
     const OwnerView &owner = this->table.owner();
     this->claimInFlight = true;
     this->claimSentAt = now;
+    this->formerOwnerSeenAt = owner.lastSeenAt;
     this->claimSequence = 1 + this->random.below(sequenceRange);
     this->formerOwnerGone =
         owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
@@ -218,12 +222,13 @@
     // When the last lease that the former owner may have renewed lapses.
     Instant formerLapse = now;
     if (epoch > 1) {
-        const Duration renewed = this->formerOwnerGone
-                                     ? Duration(0)
-                                     : OwnerLease::renewWithoutStore - OwnerLease::ownerTimeout;
         const WorkerBounds &bounds = this->settings.worker;
-        formerLapse = now + renewed + bounds.longestLease + bounds.longestLease / driftDivisor +
-                      bounds.stopTime + WorkerState::lapseMargin;
+        const Instant renewedUntil = this->formerOwnerGone
+                                         ? this->claimSentAt
+                                         : this->formerOwnerSeenAt + OwnerLease::renewWithoutStore;
+        formerLapse = std::max(now + firstReplies, renewedUntil + bounds.longestLease +
+                                                       bounds.longestLease / driftDivisor +
+                                                       bounds.stopTime + WorkerState::lapseMargin);
     }
     if (this->currentConfig) {
         this->coordinator.setConfig(*this->currentConfig);
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -175,6 +175,7 @@
     std::uint64_t claimSequence = 0;
     Instant claimSentAt;
     bool formerOwnerGone = false; ///< No former owner could renew leases at the last claim.
+    Instant formerOwnerSeenAt;    ///< When its last record before the claim was read.
     Instant ownershipWrittenAt;
     Instant committedAt;
     bool commitInFlight = false;
--- a/src/libgodwitfall/jobs/ownerlease.h
+++ b/src/libgodwitfall/jobs/ownerlease.h
@@ -22,7 +22,7 @@
     static constexpr Duration ownerTimeout{2500};
     /** Time after sending its last stored append for which an owner renews leases; see
      * docs/PLATFORM.md. */
-    static constexpr Duration renewWithoutStore{5000};
+    static constexpr Duration renewWithoutStore{2800};
     /** Age of the newest read of the log above which an instance must not claim. */
     static constexpr Duration readFreshness{1500};
     /** Time after the log can be read again in which its owner may write before others claim; two
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "coordinatorfixture.h"
+#include "jobnode.h"
 
 namespace godwitfall::jobtests {
 namespace {
@@ -394,5 +395,75 @@
     EXPECT_EQ(world.task(unconfirmed).worker, "");
 }
 
+/** Stores every append of a node at once. */
+class ImmediateLog : public JobLog
+{
+public:
+    void append(LogStream stream, const std::vector<JobRecord> &records, const AppendIdentity &,
+                std::optional<std::uint64_t>, Done done) override
+    {
+        if (stream == LogStream::Jobs) {
+            this->stored.insert(this->stored.end(), records.begin(), records.end());
+        }
+        AppendReply reply;
+        reply.outcome = AppendOutcome::Stored;
+        done(reply);
+    }
+
+    std::vector<JobRecord> stored; ///< Records of the jobs stream that the node has not read yet.
+};
+
+// Guards against: a successor counted the former owner's renewals from its own takeover, so a
+// long-running task of a worker that was lost with the owner ran again only after twelve seconds.
+TEST(JobNodeTest, TaskLostTogetherWithTheOwnerRunsWithinTheBound)
+{
+    constexpr std::int64_t lostAt = 1000;
+    // The shortest outage of an owner that makes another instance claim; then the platform counts
+    // four calm seconds and three without a run.
+    constexpr std::int64_t outageMs = OwnerLease::ownerTimeout.count() + 100;
+    constexpr std::int64_t longestMs = outageMs + 4000 + 3000;
+    ImmediateLog log;
+    OrderRecorder orders;
+    RecordingHost host;
+    Random random(1);
+    JobNode node(JobNodeSettings{"b", 1, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
+                 host, random);
+    const JobId id("0000000000000001");
+    const auto read = [&](const std::string &key, const std::string &value, std::int64_t at) {
+        node.applyRecord(record(key, value, 1), Instant(at));
+    };
+    jobs::Ownership former;
+    former.set_epoch(1);
+    former.set_instance("a");
+    former.set_incarnation(9);
+    former.set_processors(1.0F);
+    read(JobTable::submissionKey(id), oneTask(true).SerializeAsString(), lostAt);
+    jobs::JobProgress progress;
+    progress.set_state(jobs::RUNNING);
+    jobs::StepProgress &step = *progress.add_steps();
+    step.add_runs(1);
+    step.add_placed()->set_worker(lostWorker.value());
+    step.mutable_placed(0)->set_confirmed(true);
+    read(JobTable::progressKey(id), progress.SerializeAsString(), lostAt);
+    read(JobTable::ownerKey, former.SerializeAsString(), lostAt);
+    const Task &task = *node.jobs().find(id)->task(TaskRef{id, 0, 0, 0});
+    std::int64_t returnedAt = 0;
+    for (std::int64_t at = lostAt; at < lostAt + 20000 && returnedAt == 0; at += 10) {
+        for (const JobRecord &entry : std::exchange(log.stored, {})) {
+            read(entry.key, entry.value, at);
+        }
+        node.logReadTo(1, Instant(at));
+        if (std::exchange(host.needsProgress, false)) {
+            node.progressLoaded();
+        }
+        node.work(Instant(at), at);
+        returnedAt = task.worker.empty() ? at : 0;
+    }
+    EXPECT_TRUE(node.coordinates());
+    const Duration renewed = OwnerLease::renewWithoutStore;
+    EXPECT_GT(returnedAt, lostAt + renewed.count() + WorkerBounds().longestLease.count());
+    EXPECT_LT(returnedAt, lostAt + longestMs);
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
