Derive the length of leases from how long a task may stand still

LongestDelayTest: five of eight cases fail on the former code.

Why it works: the lease is the longest with which the whole chain stays within WorkerBounds::longestDelay. hold_max_ms stays the bound for what a later incarnation makes of a delayed order.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -123,7 +123,8 @@
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
                 task.startMayArriveUntil = now + WorkerState::longestOrderDelay;
-                task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay;
+                task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay +
+                                        this->bounds.longestLease - this->leaseLength();
             }
             worker->entry.incarnationStartMs =
                 std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
@@ -297,7 +298,7 @@
     this->zones.responded(worker->entry.zone, now);
     worker->sampleClock(report.clockMs, now);
     if (first) {
-        worker->noteLeaseEnd(report.clockMs + this->bounds.longestLease.count());
+        worker->noteLeaseEnd(report.clockMs + this->leaseLength().count());
         this->planNeeded = true;
     }
     ++this->reports;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -76,6 +76,8 @@
     /** Time without a report after which a worker gets no more starts and its leases are no longer
      * renewed; above a hold and its timeout, so that one lost reply costs no lease. */
     static constexpr Duration renewalTimeout{2000};
+    /** Time from the lapse of all leases on a worker until its tasks have started on others. */
+    static constexpr Duration replacementTime{250};
     /** Longest lease of a draining worker: it may leave at any moment, and its tasks resume on
      * another worker only after its lease; above the duration of a takeover. */
     static constexpr Duration drainingLease{5000};
@@ -108,6 +110,10 @@
     Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                 CoordinatorObserver &observer);
 
+    /** Returns the length of the leases on workers that take tasks: the longest with which the
+     * tasks of a worker that is lost run again within WorkerBounds::longestDelay. */
+    Duration leaseLength() const;
+
     /** Takes over under the epoch; leases that a former coordinator granted lapse at the given
      * time. */
     void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -22,6 +22,14 @@
     return OrderTarget{worker.entry.id, worker.entry.address, this->epoch};
 }
 
+Duration Coordinator::leaseLength() const
+{
+    const Duration left = this->bounds.longestDelay - renewalTimeout - this->bounds.stopTime -
+                          WorkerState::lapseMargin - replacementTime;
+    const double onSlowClock = static_cast<double>(left.count()) * (1.0 - WorkerState::clockDrift);
+    return std::min(this->bounds.longestLease, Duration(static_cast<std::int64_t>(onSlowClock)));
+}
+
 void Coordinator::sendStart(Job &job, const TaskRef &ref, Task &task, Instant now)
 {
     WorkerState *worker = this->findWorker(WorkerId(task.worker));
@@ -40,7 +48,7 @@
     order.task = ref;
     order.run = task.run;
     order.payload = job.spec().payload();
-    order.leaseEndMs = worker->leaseEnd(now, this->bounds.longestLease);
+    order.leaseEndMs = worker->leaseEnd(now, this->leaseLength());
     order.checkpoint = task.checkpoint;
     const StepRef step{ref.job, ref.occurrence, ref.step};
     if (const std::string *ticket = this->advice.ticket(step, *worker, now)) {
@@ -266,9 +274,9 @@
     worker.discarding = worker.acknowledged > worker.discarded ? worker.acknowledged : 0;
     order.acknowledged = worker.discarding;
     if (mayRenew && mayProlongLeases(worker, now)) {
-        const Duration longest = this->bounds.longestLease;
-        order.leaseEndMs = worker.leaseEnd(
-            now, worker.entry.draining ? std::min(longest, drainingLease) : longest);
+        const Duration length = this->leaseLength();
+        order.leaseEndMs =
+            worker.leaseEnd(now, worker.entry.draining ? std::min(length, drainingLease) : length);
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = worker.applied == worker.acknowledged;
         const bool shared = worker.bestEffortMilliCores > 0 && worker.reserved.milliCores > 0;
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -223,11 +223,11 @@
     Instant formerLapse = now;
     if (epoch > 1) {
         const WorkerBounds &bounds = this->settings.worker;
+        const Duration lease = this->coordinator.leaseLength();
         const Instant renewedUntil = this->formerOwnerGone
                                          ? this->claimSentAt
                                          : this->formerOwnerSeenAt + OwnerLease::renewWithoutStore;
-        formerLapse = std::max(now + firstReplies, renewedUntil + bounds.longestLease +
-                                                       bounds.longestLease / driftDivisor +
+        formerLapse = std::max(now + firstReplies, renewedUntil + lease + lease / driftDivisor +
                                                        bounds.stopTime + WorkerState::lapseMargin);
     }
     if (this->currentConfig) {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -79,7 +79,9 @@
 /** Bounds on leases and orders that the platform guarantees. */
 struct WorkerBounds
 {
-    Duration longestLease{6000};
+    Duration longestLease{6000}; ///< To which a worker shortens leases that are longer.
+    /** Longest time without a run of a long-running task that some worker can take. */
+    Duration longestDelay{9000};
     Duration stopTime{400};    ///< From the lapse of a lease until its runs have ended.
     Duration cancelTime{3000}; ///< From a cancel's acknowledgement until nothing of its job starts.
     /** How long best-effort tasks may make a serving task miss its latency target. */
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -175,6 +175,47 @@
     EXPECT_EQ(serving.waiting, 0U);
 }
 
+/** Bounds of deployments whose longest lease and stop time differ. */
+struct BoundsCase
+{
+    const char *name;
+    std::int64_t longestLeaseMs;
+    std::int64_t stopMs;
+
+    WorkerBounds bounds() const
+    {
+        WorkerBounds bounds;
+        bounds.longestLease = Duration(this->longestLeaseMs);
+        bounds.stopTime = Duration(this->stopMs);
+        return bounds;
+    }
+};
+
+class LongestDelayTest : public testing::TestWithParam<BoundsCase>
+{};
+
+// Guards against: leases were as long as the platform allows them to be, ten seconds on some
+// deployments, so tasks of a lost worker were placed elsewhere only after 12.8 seconds.
+TEST_P(LongestDelayTest, TasksOfALostWorkerArePlacedAgainWithinTheBound)
+{
+    constexpr std::int64_t lastReply = 1000;
+    CoordinatorWorld world(GetParam().bounds());
+    const JobId id = world.submit(oneTask(true), lastReply);
+    world.placedBefore(id, lostWorker, true, lastReply);
+    world.coordinator.begin(2, Instant(lastReply), lastReply, Instant(lastReply));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(lastReply));
+    world.reply(lostWorker, lastReply, 500, {TaskRef{id, 0, 0, 0}});
+    world.runWithoutReplies(lastReply + 10, lastReply + longestDelayMs - 100);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Deployments, LongestDelayTest,
+                         testing::Values(BoundsCase{"Usual", 6000, 400},
+                                         BoundsCase{"LongLeases", 10000, 400},
+                                         BoundsCase{"LongLeasesAndStops", 10000, 900},
+                                         BoundsCase{"LongStops", 6000, 900}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against: starts sent to a worker after it had stopped replying moved the end of its
 // leases, so the long-running tasks on it were placed elsewhere only after eleven seconds.
 TEST(CoordinatorDelayTest, StartsDoNotProlongTheLeasesOfASilentWorker)
@@ -415,7 +456,7 @@
 
 // Guards against: a successor counted the former owner's renewals from its own takeover, so a
 // long-running task of a worker that was lost with the owner ran again only after twelve seconds.
-TEST(JobNodeTest, TaskLostTogetherWithTheOwnerRunsWithinTheBound)
+TEST_P(LongestDelayTest, TaskLostTogetherWithTheOwnerRunsWithinTheBound)
 {
     constexpr std::int64_t lostAt = 1000;
     // The shortest outage of an owner that makes another instance claim; then the platform counts
@@ -426,8 +467,8 @@
     OrderRecorder orders;
     RecordingHost host;
     Random random(1);
-    JobNode node(JobNodeSettings{"b", 1, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
-                 host, random);
+    JobNode node(JobNodeSettings{"b", 1, {}, 1.0, GetParam().bounds(), Duration(120000)}, log,
+                 orders, host, random);
     const JobId id("0000000000000001");
     const auto read = [&](const std::string &key, const std::string &value, std::int64_t at) {
         node.applyRecord(record(key, value, 1), Instant(at));
@@ -460,8 +501,8 @@
         returnedAt = task.worker.empty() ? at : 0;
     }
     EXPECT_TRUE(node.coordinates());
-    const Duration renewed = OwnerLease::renewWithoutStore;
-    EXPECT_GT(returnedAt, lostAt + renewed.count() + WorkerBounds().longestLease.count());
+    const Duration leases = OwnerLease::renewWithoutStore + node.coordination().leaseLength();
+    EXPECT_GT(returnedAt, lostAt + leases.count());
     EXPECT_LT(returnedAt, lostAt + longestMs);
 }
 
