--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -1,6 +1,7 @@
 #include "jobsimulation.h"
 
 #include <algorithm>
+#include <array>
 
 namespace godwitfall::jobtests {
 
@@ -12,7 +13,8 @@
 constexpr std::int64_t readGapMs = 40;
 constexpr std::int64_t orderTimeoutMs = 600;
 constexpr std::int64_t appendTimeoutMs = 800;
-constexpr std::int64_t restartMs = 1000;
+/** From a worker's last heartbeat until the registry removes it; set by the platform. */
+constexpr std::int64_t silenceUntilUnlistedMs = 4500;
 
 } // namespace
 
@@ -70,9 +72,11 @@
             return target.up ? execute(target) : OrderOutcome::Unanswered;
         };
         if (!this->simulation.reaches(*this, index) ||
-            this->simulation.chance(this->simulation.rates.orderLost)) {
+            this->simulation.chance(this->simulation.rates.orderLost) ||
+            this->simulation.disturbs(index, OrderDisturbance::Lost)) {
             this->simulation.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
-        } else if (this->simulation.chance(this->simulation.rates.orderDelayed)) {
+        } else if (this->simulation.chance(this->simulation.rates.orderDelayed) ||
+                   this->simulation.disturbs(index, OrderDisturbance::Delayed)) {
             const auto delay = 2000 + static_cast<std::int64_t>(this->simulation.random() % 10000);
             this->simulation.after(delay, [this, carryOut] {
                 this->simulation.fleet.delayedOrder = true;
@@ -81,7 +85,8 @@
             });
             this->simulation.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
         } else {
-            const bool lost = this->simulation.chance(this->simulation.rates.replyLost);
+            const bool lost = this->simulation.chance(this->simulation.rates.replyLost) ||
+                              this->simulation.disturbs(index, OrderDisturbance::Lost);
             this->simulation.after(2, [this, carryOut, reply, lost] {
                 const OrderOutcome outcome = carryOut();
                 const bool noReply = lost || outcome == OrderOutcome::Unanswered;
@@ -154,12 +159,14 @@
     std::int64_t readAt = 0;
     std::int64_t readsStallUntil = 0;
     std::uint64_t cursor = 0;
+    std::size_t registryCursor = 0;
 };
 
 JobSimulation::JobSimulation(std::uint64_t seed, const FaultRates &rates,
                              DisabledMechanism disabled)
     : random(seed)
     , stallRandom(seed + 1)
+    , disturbanceRandom(seed + 2)
     , rates(rates)
 {
     if (disabled == DisabledMechanism::ViewBound) {
@@ -266,13 +273,44 @@
         node.work(now, this->nowMs);
         if (instance->host.needsWorkers) {
             instance->host.needsWorkers = false;
-            for (const auto &worker : this->workers) {
-                node.coordination().setWorker(worker->entry(), now);
+            instance->registryCursor = this->registryChanges.size();
+            for (std::size_t index = 0; index < this->workers.size(); ++index) {
+                if (!this->unlisted.contains(index)) {
+                    node.coordination().setWorker(this->workers[index]->entry(), now);
+                }
             }
         }
+        this->readRegistry(*instance);
     }
 }
 
+void JobSimulation::readRegistry(Instance &instance)
+{
+    if (!instance.node->coordinates() || this->nowMs < instance.storeCutUntil) {
+        return;
+    }
+    const Instant now(this->nowMs);
+    while (instance.registryCursor < this->registryChanges.size()) {
+        const std::size_t index = this->registryChanges[instance.registryCursor++];
+        const WorkerEntry entry = this->workers[index]->entry();
+        if (this->unlisted.contains(index)) {
+            instance.node->coordination().removeWorker(entry.id, now);
+        } else {
+            instance.node->coordination().setWorker(entry, now);
+        }
+    }
+}
+
+void JobSimulation::setListed(std::size_t worker, bool listed)
+{
+    if (listed) {
+        this->unlisted.erase(worker);
+    } else {
+        this->unlisted.insert(worker);
+    }
+    this->registryChanges.push_back(worker);
+}
+
 void JobSimulation::injectFaults()
 {
     const int rate = this->rates.perSecondKill;
@@ -338,6 +376,7 @@
                                             [this, id](const JobServiceReply &reply) {
                                                 if (reply.answer == JobServiceResult::Accepted) {
                                                     this->acceptedJobs.push_back(id);
+                                                    this->acceptedAtMs.emplace(id, this->nowMs);
                                                 }
                                             });
         break;
@@ -413,12 +452,50 @@
         }));
 }
 
-void JobSimulation::killOwner()
+std::size_t JobSimulation::instancesUp() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->instances.begin(), this->instances.end(),
+                      [](const auto &instance) { return instance->node != nullptr; }));
+}
+
+std::optional<std::int64_t> JobSimulation::acceptedAt(const JobId &id) const
+{
+    const auto found = this->acceptedAtMs.find(id);
+    return found == this->acceptedAtMs.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::string JobSimulation::ownerView(const TaskRef &task)
+{
+    constexpr std::array<const char *, 7> phases = {
+        "waiting", "recording", "starting", "running", "stopping", "unconfirmed", "done"};
+    const Instance *instance = this->owner();
+    if (!instance) {
+        return "no coordinator";
+    }
+    std::string text = instance->name + ": ";
+    Job *job = instance->node->jobs().find(task.job);
+    const Task *state = job ? job->task(task) : nullptr;
+    if (!state) {
+        return text + "not known";
+    }
+    text += phases.at(static_cast<std::size_t>(state->phase));
+    if (!state->worker.empty()) {
+        text += " on " + state->worker;
+    }
+    const std::vector<DelayedTask> delayed =
+        instance->node->coordination().delayedTasks(Instant(this->nowMs));
+    const auto found = std::find_if(delayed.begin(), delayed.end(),
+                                    [&](const DelayedTask &entry) { return entry.task == task; });
+    return found == delayed.end() ? text : text + ", " + toText(found->reason);
+}
+
+void JobSimulation::killOwner(std::int64_t downMs)
 {
     if (Instance *instance = this->owner()) {
         ++instance->incarnation;
         instance->node.reset();
-        instance->downUntil = this->nowMs + restartMs;
+        instance->downUntil = this->nowMs + downMs;
     }
 }
 
@@ -454,6 +531,65 @@
     }
 }
 
+void JobSimulation::addWorker()
+{
+    const std::size_t index = this->workers.size();
+    Resources capacity;
+    capacity.milliCores = 6000;
+    capacity.memoryMb = 100000;
+    this->workers.push_back(std::make_unique<SimWorker>("w" + std::to_string(index), capacity,
+                                                        static_cast<std::int64_t>(index) * 77777,
+                                                        this->fleet));
+    this->workers.back()->restart(this->nowMs);
+    this->workerCutUntil.push_back(0);
+    this->setListed(index, true);
+}
+
+void JobSimulation::unlistAfterSilence(std::size_t worker)
+{
+    const std::int64_t incarnation = this->workers[worker]->entry().incarnationStartMs;
+    this->after(silenceUntilUnlistedMs, [this, worker, incarnation] {
+        const SimWorker &silent = *this->workers[worker];
+        if (!silent.up && silent.entry().incarnationStartMs == incarnation) {
+            this->setListed(worker, false);
+        }
+    });
+}
+
+void JobSimulation::loseWorker(std::size_t index)
+{
+    this->workers[index]->crash();
+    this->unlistAfterSilence(index);
+}
+
+void JobSimulation::crashWorker(std::size_t index, std::int64_t downMs)
+{
+    this->loseWorker(index);
+    this->after(downMs, [this, index] {
+        this->workers[index]->restart(this->nowMs);
+        this->setListed(index, true);
+    });
+}
+
+void JobSimulation::replaceWorker(std::size_t index, std::int64_t afterMs)
+{
+    this->loseWorker(index);
+    this->after(afterMs, [this] { this->addWorker(); });
+}
+
+void JobSimulation::disturbOrders(std::size_t index, OrderDisturbance kind,
+                                  std::int64_t milliseconds)
+{
+    this->disturbances[index] = Disturbance{kind, this->nowMs + milliseconds};
+}
+
+bool JobSimulation::disturbs(std::size_t worker, OrderDisturbance kind)
+{
+    const auto found = this->disturbances.find(worker);
+    return found != this->disturbances.end() && found->second.kind == kind &&
+           this->nowMs < found->second.untilMs && this->disturbanceRandom() % 2 == 0;
+}
+
 void JobSimulation::cutWorker(std::size_t index, std::int64_t milliseconds)
 {
     this->workerCutUntil[index] = this->nowMs + milliseconds;
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -4,8 +4,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,13 @@
     int perSecondKill = 0;  ///< Per second and kind of failure: owner killed, worker restarted...
 };
 
+/** How orders to one worker are disturbed. */
+enum class OrderDisturbance {
+    None,
+    Lost,    ///< The order is not carried out, or its reply is lost.
+    Delayed, ///< The order gets no reply and is carried out 2 to 12 s later.
+};
+
 /** A mechanism that a simulation disables to show that the checks detect its absence. */
 enum class DisabledMechanism {
     None,
@@ -84,8 +93,8 @@
     /** Returns the state of the job that most instances show. */
     jobs::JobState shown(const JobId &id);
 
-    /** Kills the coordinating instance, if any; it starts again after a second. */
-    void killOwner();
+    /** Kills the coordinating instance, if any; it starts again after the time. */
+    void killOwner(std::int64_t downMs = 1000);
 
     /** Freezes the coordinating instance for the time. */
     void freezeOwner(std::int64_t milliseconds);
@@ -98,9 +107,37 @@
 
     void restartWorker(std::size_t index);
 
+    /** Adds a worker that the registry lists at once. */
+    void addWorker();
+
+    /** Ends a worker for good; the registry removes it after its usual time of silence. */
+    void loseWorker(std::size_t index);
+
+    /** Ends a worker, whose next incarnation starts after the time. */
+    void crashWorker(std::size_t index, std::int64_t downMs);
+
+    /** Ends a worker for good and adds one with another id after the time. */
+    void replaceWorker(std::size_t index, std::int64_t afterMs);
+
+    /** Loses or delays about half of the orders to a worker and of their replies, for the time. */
+    void disturbOrders(std::size_t index, OrderDisturbance kind, std::int64_t milliseconds);
+
     /** Disconnects a worker from all instances. */
     void cutWorker(std::size_t index, std::int64_t milliseconds);
 
+    /** Returns the number of workers, with those that were lost. */
+    std::size_t workersEver() const { return this->workers.size(); }
+    bool workerUp(std::size_t index) const { return this->workers[index]->up; }
+    std::size_t instancesUp() const;
+    std::int64_t now() const { return this->nowMs; }
+
+    /** Returns when the job was accepted, in ms; nothing if it was not. */
+    std::optional<std::int64_t> acceptedAt(const JobId &id) const;
+
+    /** Describes how the coordinating instance sees a long-running task: phase, worker and reason
+     * of its delay; for traces. */
+    std::string ownerView(const TaskRef &task);
+
     const FleetLedger &ledger() const { return this->fleet; }
     std::size_t ownersNow() const;
     const std::vector<JobId> &accepted() const { return this->acceptedJobs; }
@@ -130,9 +167,17 @@
     Instance *owner();
     std::int64_t incarnationOf(const WorkerId &worker) const;
     bool reaches(const Instance &instance, std::size_t worker) const;
+    /** Returns whether a disturbance of the kind affects the next order to the worker. */
+    bool disturbs(std::size_t worker, OrderDisturbance kind);
+    /** Lists the worker in the registry, or removes it. */
+    void setListed(std::size_t worker, bool listed);
+    void unlistAfterSilence(std::size_t worker);
+    /** Passes what the instance has not read of the registry to its coordinator. */
+    void readRegistry(Instance &instance);
 
     std::mt19937_64 random;
     std::mt19937_64 stallRandom; ///< Separate, so that stalls do not change existing schedules.
+    std::mt19937_64 disturbanceRandom; ///< Separate for the same reason.
     WorkerBounds bounds;
     FaultRates rates;
     SimStore store;
@@ -140,6 +185,14 @@
     FleetLedger fleet;
     std::vector<std::unique_ptr<SimWorker>> workers;
     std::vector<std::int64_t> workerCutUntil;
+    struct Disturbance
+    {
+        OrderDisturbance kind = OrderDisturbance::None;
+        std::int64_t untilMs = 0;
+    };
+    std::map<std::size_t, Disturbance> disturbances; ///< By worker.
+    std::set<std::size_t> unlisted;                  ///< Workers that the registry does not list.
+    std::vector<std::size_t> registryChanges;        ///< Workers, in the order of their changes.
     std::vector<std::unique_ptr<Instance>> instances;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
     std::int64_t nowMs = 1000000;
@@ -147,6 +200,7 @@
     std::uint64_t incarnations = 0;
     std::uint64_t submitted = 0;
     std::vector<JobId> acceptedJobs;
+    std::map<JobId, std::int64_t> acceptedAtMs;
     JobConfig config;
 };
 
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -36,12 +36,18 @@
     return false;
 }
 
+void SimWorker::noteEnd(const RunKey &key, const Run &run)
+{
+    this->ledger.running[key.first].erase({this->id, key.second});
+    this->ledger.lastEnds[key.first] = FleetLedger::EndOfRun{this->nowMs, run.startedLate};
+}
+
 void SimWorker::end(const RunKey &key, RunEnd how)
 {
+    this->noteEnd(key, this->runs.at(key));
     this->runs.erase(key);
     auto &highest = this->highestEndedRun[key.first];
     highest = std::max(highest, key.second);
-    this->ledger.running[key.first].erase({this->id, key.second});
     this->ended.push_back(EndedTask{++this->lastEnd, key.first, key.second, how, {}});
     this->ledger.done += how == RunEnd::Done ? 1 : 0;
     if (how == RunEnd::Done) {
@@ -113,7 +119,8 @@
     }
     live.insert({this->id, order.run});
     ++this->ledger.starts;
-    this->runs[key] = Run{this->nowMs, this->nowMs + workMs, fails, false};
+    this->runs[key] =
+        Run{this->nowMs, this->nowMs + workMs, fails, false, this->ledger.delayedOrder};
     return OrderOutcome::Accepted;
 }
 
@@ -168,12 +175,18 @@
                        [&](const EndedTask &end) { return end.number > number; });
 }
 
-void SimWorker::restart(std::int64_t atMs)
+void SimWorker::crash()
 {
     for (const auto &[key, run] : this->runs) {
-        this->ledger.running[key.first].erase({this->id, key.second});
+        this->noteEnd(key, run);
     }
     this->runs.clear();
+    this->up = false;
+}
+
+void SimWorker::restart(std::int64_t atMs)
+{
+    this->crash();
     this->highestEndedRun.clear();
     this->ended.clear();
     this->lastEnd = 0;
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -14,8 +14,16 @@
 /** What the checks observe of all workers, over all their incarnations. */
 struct FleetLedger
 {
+    /** The end of a run, in ms. */
+    struct EndOfRun
+    {
+        std::int64_t atMs = 0;
+        bool startedLate = false; ///< A delayed order had started the run.
+    };
+
     /** Runs in progress, by task. */
     std::map<TaskRef, std::set<std::pair<std::string, std::uint32_t>>> running;
+    std::map<TaskRef, EndOfRun> lastEnds; ///< Of the run that ended last, by task.
     std::set<TaskRef> acknowledgedDone;
     std::set<TaskRef> everDone;                ///< Tasks with a run that has ended as done.
     std::vector<std::string> broken;           ///< Descriptions of the violated guarantees.
@@ -41,6 +49,9 @@
     /** Returns whether it lists an end above the number, so that a waiting hold is replied to. */
     bool hasEndsAfter(std::uint64_t number) const;
 
+    /** Ends all runs and replies to nothing until it restarts. */
+    void crash();
+
     /** Loses all state and starts its next incarnation at the time. */
     void restart(std::int64_t nowMs);
 
@@ -63,11 +74,14 @@
         std::int64_t endsAtMs = 0;
         bool fails = false;
         bool stopping = false;
+        bool startedLate = false;
     };
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
     bool refusesToken(std::uint64_t token);
     void end(const RunKey &key, RunEnd how);
+    /** Removes the run from the ledger and notes its end there. */
+    void noteEnd(const RunKey &key, const Run &run);
 
     const std::string id;
     const Resources capacity;
