Let holds wait in random schedules, and keep the schedules that were found

Workers answered each hold at once, so a coordinator noticed a lost worker sooner than the platform lets it.

--- a/tests/jobs/faultschedule.cpp
+++ b/tests/jobs/faultschedule.cpp
@@ -61,6 +61,7 @@
 
     std::vector<std::string> play()
     {
+        this->simulation.makeHoldsWait();
         for (std::size_t count = 0; count < addedWorkers; ++count) {
             this->simulation.addWorker();
         }
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t readGapMs = 40;
 constexpr std::int64_t orderTimeoutMs = 600;
 constexpr std::int64_t appendTimeoutMs = 800;
+/** Time between two checks of a waiting hold for ends. */
+constexpr std::int64_t holdCheckMs = 20;
 /** From a worker's last heartbeat until the registry removes it; set by the platform. */
 constexpr std::int64_t silenceUntilUnlistedMs = 4500;
 
@@ -139,11 +141,59 @@
                            : OrderOutcome::Unanswered;
             },
             [this, order, report, sentAt](OrderOutcome outcome) {
-                this->node->coordination().holdAnswered(
-                    order.target.worker, sentAt, Instant(this->simulation.nowMs), outcome, *report);
+                if (!this->simulation.holdsWait || order.wait.count() == 0) {
+                    this->node->coordination().holdAnswered(order.target.worker, sentAt,
+                                                            Instant(this->simulation.nowMs),
+                                                            outcome, *report);
+                } else if (outcome == OrderOutcome::Accepted) {
+                    this->answerAfterWait(order, sentAt, report->incarnationStartMs);
+                } else {
+                    this->answerHold(order, sentAt, order.wait.count(), outcome, WorkerReport());
+                }
             });
     }
 
+    /** Replies to the hold once its worker lists an end or the wait is over. */
+    void answerAfterWait(const HoldOrder &order, Instant sentAt, std::int64_t workerStartMs)
+    {
+        const std::int64_t leftMs = (sentAt + order.wait - Instant(this->simulation.nowMs)).count();
+        const std::size_t index = std::stoul(order.target.worker.value().substr(1));
+        SimWorker &worker = *this->simulation.workers[index];
+        const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
+        if (!sameLife || !this->simulation.reaches(*this, index)) {
+            this->answerHold(order, sentAt, std::max<std::int64_t>(0, leftMs) + orderTimeoutMs,
+                             OrderOutcome::Unanswered, WorkerReport());
+            return;
+        }
+        if (leftMs > 0 && !worker.hasEndsAfter(order.acknowledged)) {
+            const std::uint64_t sentIncarnation = this->incarnation;
+            this->simulation.after(holdCheckMs,
+                                   [this, order, sentAt, workerStartMs, sentIncarnation] {
+                                       if (sentIncarnation == this->incarnation && this->node) {
+                                           this->answerAfterWait(order, sentAt, workerStartMs);
+                                       }
+                                   });
+            return;
+        }
+        HoldOrder listing = order;
+        listing.leaseEndMs = 0;
+        WorkerReport report;
+        const OrderOutcome outcome = worker.hold(listing, report);
+        this->answerHold(order, sentAt, 2, outcome, report);
+    }
+
+    void answerHold(const HoldOrder &order, Instant sentAt, std::int64_t delayMs,
+                    OrderOutcome outcome, const WorkerReport &report)
+    {
+        const std::uint64_t sentIncarnation = this->incarnation;
+        this->simulation.after(delayMs, [this, order, sentAt, outcome, report, sentIncarnation] {
+            if (sentIncarnation == this->incarnation && this->node) {
+                this->node->coordination().holdAnswered(
+                    order.target.worker, sentAt, Instant(this->simulation.nowMs), outcome, report);
+            }
+        });
+    }
+
     void pace(PaceOrder) override {}
     void advise(AdviceOrder) override {}
 
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -107,6 +107,9 @@
 
     void restartWorker(std::size_t index);
 
+    /** From now on workers reply to a hold only when a run ends or its wait is over. */
+    void makeHoldsWait() { this->holdsWait = true; }
+
     /** Adds a worker that the registry lists at once. */
     void addWorker();
 
@@ -197,6 +200,7 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
     std::int64_t nowMs = 1000000;
     std::uint64_t eventOrder = 0;
+    bool holdsWait = false; ///< Off: existing schedules have holds that are answered at once.
     std::uint64_t incarnations = 0;
     std::uint64_t submitted = 0;
     std::vector<JobId> acceptedJobs;
--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -37,6 +37,89 @@
         mostFaults, rc::gen::container<std::vector<Fault>>(rc::gen::resize(rc::kNominalSize, one)));
 }
 
+/** A short schedule on which a long-running task ran too late, by what the coordinator waited for.
+ */
+struct FoundSchedule
+{
+    const char *name;
+    std::vector<Fault> faults;
+};
+
+std::ostream &operator<<(std::ostream &stream, const FoundSchedule &found)
+{
+    stream << found.name;
+    for (const Fault &fault : found.faults) {
+        stream << ' ' << fault;
+    }
+    return stream;
+}
+
+class FoundScheduleTest : public testing::TestWithParam<FoundSchedule>
+{};
+
+TEST_P(FoundScheduleTest, LongRunningTasksRunAgainWithinBound)
+{
+    EXPECT_EQ(play(FaultSchedule{0, GetParam().faults}), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, FoundScheduleTest,
+    testing::Values(
+        // Starts to the lost worker extend its assumed lease.
+        FoundSchedule{"RunOnLostWorkerThatIsSentStarts",
+                      {Fault{FaultKind::WorkerLost, 4000, 0, 0}}},
+        // A task is placed on a worker that was lost just before.
+        FoundSchedule{"StartOnLostWorker", {Fault{FaultKind::WorkerLost, 4800, 0, 0}}},
+        // The same, with a task that returns from a worker lost earlier.
+        FoundSchedule{"RestartOnLostWorker",
+                      {Fault{FaultKind::WorkerLost, 0, 0, 0},
+                       Fault{FaultKind::WorkerCut, 2545, 2000, 0},
+                       Fault{FaultKind::WorkerLost, 6500, 0, 0}}},
+        // The start had no reply, and a successor or the restarted owner assumes that it may still
+        // be carried out.
+        FoundSchedule{
+            "UnansweredStartThenSuccessor",
+            {Fault{FaultKind::WorkerLost, 3000, 0, 0}, Fault{FaultKind::OwnerLost, 7000, 0, 0}}},
+        FoundSchedule{"UnansweredStartThenOwnerRestarted",
+                      {Fault{FaultKind::WorkerReplaced, 3000, 200, 0},
+                       Fault{FaultKind::OwnerKilled, 7000, 200, 0}}},
+        FoundSchedule{"UnansweredStartThenOwnerCutFromStore",
+                      {Fault{FaultKind::WorkerReplaced, 3000, 200, 0},
+                       Fault{FaultKind::OwnerCutFromStore, 4000, 3000, 0}}},
+        FoundSchedule{"UnansweredStartThenOwnerFrozen",
+                      {Fault{FaultKind::WorkerReplaced, 1000, 200, 0},
+                       Fault{FaultKind::OwnerFrozen, 3000, 3000, 0}}},
+        // A restarted worker is lost while orders to its former incarnation may still arrive.
+        FoundSchedule{"WorkerRestartedThenLost",
+                      {Fault{FaultKind::WorkerRestarted, 0, 2500, 0},
+                       Fault{FaultKind::WorkerReplaced, 2000, 3000, 0},
+                       Fault{FaultKind::WorkerLost, 4000, 0, 0}}},
+        FoundSchedule{"StartOnWorkerRestartedThenLost",
+                      {Fault{FaultKind::WorkerRestarted, 500, 1500, 0},
+                       Fault{FaultKind::WorkerReplaced, 3000, 200, 2}}},
+        FoundSchedule{"StopOnWorkerRestartedThenLost",
+                      {Fault{FaultKind::WorkerRestarted, 1000, 4000, 0},
+                       Fault{FaultKind::WorkerCut, 5500, 1000, 5},
+                       Fault{FaultKind::WorkerLost, 6000, 0, 2}}},
+        FoundSchedule{"StopOnUnreachedIncarnationThenLost",
+                      {Fault{FaultKind::OrdersLost, 1000, 200, 0},
+                       Fault{FaultKind::WorkerRestarted, 1500, 200, 0},
+                       Fault{FaultKind::WorkerLost, 2500, 0, 6}}},
+        // The successor assumes that the former owner granted leases until shortly before.
+        FoundSchedule{"WorkerLostThenOwnerLost",
+                      {Fault{FaultKind::WorkerReplaced, 5000, 200, 0},
+                       Fault{FaultKind::OwnerLost, 7000, 0, 0}}},
+        FoundSchedule{
+            "OwnerLostThenWorkerLost",
+            {Fault{FaultKind::OwnerLost, 4000, 0, 0}, Fault{FaultKind::WorkerLost, 5000, 0, 0}}},
+        FoundSchedule{"WorkerAndOwnerLost",
+                      {Fault{FaultKind::WorkerReplaced, 7000, 200, 0},
+                       Fault{FaultKind::OwnerLost, 7000, 0, 0}}},
+        FoundSchedule{"WorkerLostThenOwnerCutFromStore",
+                      {Fault{FaultKind::WorkerReplaced, 5000, 200, 0},
+                       Fault{FaultKind::OwnerCutFromStore, 6000, 3000, 0}}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 RC_GTEST_PROP(FaultScheduleProperty, LongRunningTasksRunAgainWithinBound, ())
 {
     FaultSchedule schedule;
