End the claims of a worker that no instance lists any more

Callers saw a yielding task stay claimed for ever: its worker had died and left the list, and then every instance of the zone restarted, or the log was out of reach for ten times fence_after_ms.

Cause: a claim of a silent worker ends by fence and lapse, and only workers in an instance's own table get these. A worker comes into the table by the list alone and leaves it after that silence, whether or not it has claims.

Evidence: GoneWorker on the former code: 30 s after the loss the task is "claimed for w1" in three of four cases (restart, log outage of 20 s, both); the control without either is moved.

Why it works: once a list has arrived, workers of the own zone with claims are added to the table as leaving and last seen then, so fence and lapse take their course with the same waits. They have no address and get no orders. A worker that another instance reaches is unfenced by it as before.

--- a/src/libgodwitfall/taskregistry.cpp
+++ b/src/libgodwitfall/taskregistry.cpp
@@ -408,6 +408,17 @@
     return {found->second.begin(), found->second.end()};
 }
 
+std::vector<std::string> TaskRegistry::workersWithClaims(const std::string &zone) const
+{
+    std::vector<std::string> workers;
+    for (const auto &[worker, claimed] : this->byWorker) {
+        if (this->tasks.at(*claimed.begin()).zone() == zone) {
+            workers.push_back(worker);
+        }
+    }
+    return workers;
+}
+
 std::vector<std::string> TaskRegistry::pending(std::size_t limit) const
 {
     if (this->pendingByTeam.empty()) {
--- a/src/libgodwitfall/taskregistry.h
+++ b/src/libgodwitfall/taskregistry.h
@@ -62,6 +62,9 @@
     /** Returns the tasks claimed on the worker. */
     std::vector<std::string> claimedOn(const std::string &worker) const;
 
+    /** Returns the workers of the zone with claimed tasks. */
+    std::vector<std::string> workersWithClaims(const std::string &zone) const;
+
     /**
      * Returns about the given number of pending tasks in the order in which they should start.
      *
--- a/src/libgodwitfall/workerleasemanager.cpp
+++ b/src/libgodwitfall/workerleasemanager.cpp
@@ -47,6 +47,7 @@
     const std::vector<InstanceId> candidates =
         this->members.read([&](const Membership &table) { return table.candidates(now); });
     this->workers.write([&](WorkerTable &table) {
+        this->addWorkersWithClaims(table, now);
         for (auto &[id, worker] : table.all()) {
             const InstanceId preferred = rendezvousOwner(id.value(), candidates);
             if (worker.owned && !table.leaseHolds(worker, now)) {
@@ -61,6 +62,20 @@
     });
 }
 
+void WorkerLeaseManager::addWorkersWithClaims(WorkerTable &table, Instant now)
+{
+    if (!table.listed()) {
+        return;
+    }
+    const std::string zone =
+        this->members.read([](const Membership &known) { return known.ownZone().value(); });
+    const std::vector<std::string> claimed = this->state.read(
+        [&](const ClusterState &known) { return known.tasks().workersWithClaims(zone); });
+    for (const std::string &worker : claimed) {
+        table.addUnlisted(WorkerId(worker), now);
+    }
+}
+
 void WorkerLeaseManager::tickOwned(Worker &worker, const InstanceId &preferred, Instant now)
 {
     const bool selfPreferred =
@@ -104,7 +119,7 @@
         this->members.read([&](const Membership &table) { return preferred == table.selfId(); });
     this->notPreferredSince.erase(worker.id);
     this->tickFence(worker, selfPreferred, now);
-    if (selfPreferred && !this->draining &&
+    if (selfPreferred && !this->draining && !worker.address.empty() &&
         now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
         this->sendAcquire(worker, now);
     }
--- a/src/libgodwitfall/workerleasemanager.h
+++ b/src/libgodwitfall/workerleasemanager.h
@@ -48,6 +48,8 @@
         bool lapseSent = false;
     };
 
+    /** Adds the workers that are no longer listed but have claims, which have to lapse. */
+    void addWorkersWithClaims(WorkerTable &table, Instant now);
     void tickOwned(Worker &worker, const InstanceId &preferred, Instant now);
     void tickUnowned(Worker &worker, const InstanceId &preferred, Instant now);
     void considerTransfer(Worker &worker, const InstanceId &preferred, Instant now);
--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -33,6 +33,7 @@
     if (askedAt >= this->listFreshFrom) {
         this->listAwaitedUntil = Instant();
     }
+    this->listArrived = true;
     for (auto &[id, worker] : this->workers) {
         worker.listedLeaving = true;
     }
@@ -68,6 +69,16 @@
     });
 }
 
+void WorkerTable::addUnlisted(const WorkerId &id, Instant now)
+{
+    const auto [position, added] = this->workers.try_emplace(id);
+    if (added) {
+        position->second.id = id;
+        position->second.lastSeenAt = now;
+        position->second.listedLeaving = true;
+    }
+}
+
 void WorkerTable::markLeaving(const std::vector<WorkerId> &leaving, Instant until)
 {
     for (const WorkerId &id : leaving) {
--- a/src/libgodwitfall/workertable.h
+++ b/src/libgodwitfall/workertable.h
@@ -66,6 +66,12 @@
      */
     void markLeaving(const std::vector<WorkerId> &leaving, Instant until);
 
+    /** Adds a worker that has claims but is in no list, so that its claims can be ended. */
+    void addUnlisted(const WorkerId &id, Instant now);
+
+    /** Returns whether a list of workers has arrived since the start. */
+    bool listed() const { return this->listArrived; }
+
     /** Returns the workers that this instance's own list has leaving or no longer has. */
     std::vector<WorkerId> listedLeaving() const;
 
@@ -141,6 +147,7 @@
     std::unique_ptr<WorkerChooser> chooser;
     std::map<WorkerId, Worker> workers;
     std::vector<Resources> distinctCapacities;
+    bool listArrived = false;
     Instant listFreshFrom;
     Instant listAwaitedUntil;
 };
