Hand a worker over at the latest one lease after the transfer began

Callers saw requests refused as not run though a worker had free slots: an instance had started that should own the worker, and one long call ran there.

Cause: an owner that hands a worker over gives it no new work until every call and every claim in flight on it has ended. One call (up to 600 s) or one claim that awaits an unreachable log so kept the whole worker idle.

Why it works: after the length of a lease the worker is released with what is in flight. That is the state after a lapse of the lease, which is handled already: the successor's grant lists calls and attempts, orders of the former epoch are refused by the worker, a claim that never started is ended by the successor, and the reply to a call still reaches its caller.

--- a/src/libgodwitfall/worker.h
+++ b/src/libgodwitfall/worker.h
@@ -55,6 +55,7 @@
     bool drained = false;         ///< Drained by an operator.
     Instant peerLeavingUntil;     ///< A peer's list has it leaving; counts until then.
     bool transferring = false;    ///< Ownership is being transferred to another instance.
+    Instant transferringSince;
 
     bool owned = false;
     Instant ownedAt; ///< When the grant arrived that made this instance the owner.
--- a/src/libgodwitfall/workerleasemanager.cpp
+++ b/src/libgodwitfall/workerleasemanager.cpp
@@ -100,7 +100,10 @@
     if (!worker.transferring && (!stable || (preferred.empty() && !this->draining))) {
         return;
     }
-    worker.transferring = true;
+    if (!worker.transferring) {
+        worker.transferring = true;
+        worker.transferringSince = now;
+    }
     const bool starting =
         std::any_of(worker.attempts.begin(), worker.attempts.end(), [](const auto &entry) {
             const AttemptPhase phase = entry.second.phase;
@@ -108,7 +111,9 @@
         });
     const bool calling = std::any_of(worker.calls.begin(), worker.calls.end(),
                                      [](const auto &entry) { return !entry.second.adopted; });
-    if (!starting && !calling) {
+    // Later the successor adopts what is in flight, as it would after a lapse of the lease.
+    const bool late = now - worker.transferringSince >= this->times.ownerLease;
+    if ((!starting && !calling) || late) {
         this->sendRelease(worker, now);
     }
 }
--- a/tests/state/test_workerleases.cpp
+++ b/tests/state/test_workerleases.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "fakes/nodeworld.h"
+#include "rendezvous.h"
 
 namespace godwitfall {
 namespace {
@@ -11,6 +12,12 @@
 constexpr Resources roomy{4000, 4000, 0, 4};
 constexpr std::int64_t settleMs = 3000;
 
+/** Returns the one of the instances a and b that should own the worker when both are alive. */
+std::string preferredOf(const std::string &worker)
+{
+    return rendezvousOwner(worker, {InstanceId("a"), InstanceId("b")}).value();
+}
+
 /** What happens while a worker with a running task is gone for good. */
 struct GoneCase
 {
@@ -55,5 +62,57 @@
                                          GoneCase{"InstancesRestartInLogOutage", true, 20000}),
                          [](const auto &info) { return info.param.name; });
 
+/** A worker whose owner hands it to a preferred instance that started later. */
+class Transfer : public testing::Test
+{
+protected:
+    Transfer()
+    {
+        this->world.start(this->former);
+        this->world.run(settleMs);
+    }
+
+    NodeWorld world;
+    FakeWorker &worker = this->world.addWorker("w", roomy);
+    const std::string preferred = preferredOf("w");
+    const std::string former = preferred == "a" ? "b" : "a";
+};
+
+// Guards against: one long call kept the whole worker from new work until the call had ended.
+TEST_F(Transfer, LongCallDoesNotHoldTheWorker)
+{
+    constexpr std::int64_t longCall = 60000;
+    this->worker.callTime = Duration(longCall);
+    this->world.request(this->former, "long", longCall * 2);
+    this->world.run(100);
+    this->worker.callTime = Duration(20);
+    this->world.start(this->preferred);
+    this->world.run(8000);
+    EXPECT_TRUE(this->world.owns(this->preferred, "w"));
+    this->world.request(this->preferred, "short", 2000);
+    this->world.run(2500);
+    EXPECT_EQ(this->world.outcome("short"), "ANSWERED_WHOLE");
+    this->world.run(longCall);
+    EXPECT_EQ(this->world.outcome("long"), "ANSWERED_WHOLE");
+}
+
+// Guards against: a claim that awaited the log kept the whole worker from serving requests for as
+// long as the log was out of reach.
+TEST_F(Transfer, UndecidedClaimDoesNotHoldTheWorker)
+{
+    this->world.start(this->preferred);
+    this->world.run(1000);
+    this->world.command(this->former, "submit task t team x milli_cores 1000 memory_mb 100 run_ms "
+                                      "60000");
+    while (this->world.task(this->former, "t").spec().task().empty()) {
+        this->world.run(10);
+    }
+    this->world.logReachable = false;
+    this->world.run(9000);
+    this->world.request(this->preferred, "short", 2000);
+    this->world.run(2500);
+    EXPECT_EQ(this->world.outcome("short"), "ANSWERED_WHOLE");
+}
+
 } // namespace
 } // namespace godwitfall
