End a transfer when its owner is the preferred one again

Callers of a worker that was being handed over were refused longer than needed: the instance it was meant for had gone meanwhile.

Cause: the mark that a worker is being handed over was never taken back. The owner kept new work from it, released it and acquired it anew.

Evidence: Transfer.EndsWhenThePreferredInstanceIsGone on the former code: two seconds after the loss the worker has another epoch.

Why it works: an owner that is preferred keeps the worker; nothing was sent yet, as a release ends the ownership at once.

--- a/src/libgodwitfall/workerleasemanager.cpp
+++ b/src/libgodwitfall/workerleasemanager.cpp
@@ -83,9 +83,10 @@
     worker.drained = this->state.read(
         [&](const ClusterState &table) { return table.restrictions().drained(worker.id.value()); });
     this->tickFence(worker, selfPreferred, now);
-    if (!selfPreferred || worker.transferring) {
+    if (!selfPreferred) {
         this->considerTransfer(worker, preferred, now);
     } else {
+        worker.transferring = false;
         this->notPreferredSince.erase(worker.id);
     }
     if (worker.owned && now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
--- a/tests/state/test_workerleases.cpp
+++ b/tests/state/test_workerleases.cpp
@@ -72,6 +72,14 @@
         this->world.run(settleMs);
     }
 
+    /** Returns the worker as its former owner knows it. */
+    Worker atFormer()
+    {
+        return this->world.node(this->former).workerTable().read([](const WorkerTable &table) {
+            return *table.find(WorkerId("w"));
+        });
+    }
+
     NodeWorld world;
     FakeWorker &worker = this->world.addWorker("w", roomy);
     const std::string preferred = preferredOf("w");
@@ -114,5 +122,25 @@
     EXPECT_EQ(this->world.outcome("short"), "ANSWERED_WHOLE");
 }
 
+// Guards against: a transfer went on after its reason had gone, so that the worker got no new work
+// and then had no owner for a while.
+TEST_F(Transfer, EndsWhenThePreferredInstanceIsGone)
+{
+    this->worker.callTime = Duration(60000);
+    this->world.request(this->former, "long", 120000);
+    this->world.run(100);
+    this->worker.callTime = Duration(20);
+    this->world.start(this->preferred);
+    while (!this->atFormer().transferring) {
+        this->world.run(10);
+    }
+    const Epoch epoch = this->atFormer().epoch;
+    this->world.kill(this->preferred);
+    this->world.run(2000);
+    EXPECT_FALSE(this->atFormer().transferring);
+    EXPECT_TRUE(this->world.owns(this->former, "w"));
+    EXPECT_EQ(this->atFormer().epoch, epoch);
+}
+
 } // namespace
 } // namespace godwitfall
