Free the slot of an abandoned call once its worker no longer lists it

Callers saw a worker with a free slot take no more calls: one call there had gone on for over a minute after its caller's budget.

Cause: the fate of such a call is asked for 60 s; then the call is dropped and its slot stays reserved until the worker reports it. Reports free only the slots of calls of an earlier owner, so the slot was lost for as long as the ownership lasted, and a transfer of the worker waited for it without end.

Why it works: a call that is given up counts as one of an earlier owner. Its slot is free when an inventory omits it and its order has expired on the worker's clock, after which the worker does not begin it.

--- a/src/libgodwitfall/requestrouter.cpp
+++ b/src/libgodwitfall/requestrouter.cpp
@@ -301,8 +301,9 @@
     execute.set_request(entry.request.request());
     execute.set_service(entry.request.service());
     execute.set_body(entry.request.body());
-    execute.set_expires_at(reservation->workerTime +
-                           static_cast<std::uint64_t>((entry.deadline - now).count()));
+    call.expiresAt =
+        reservation->workerTime + static_cast<std::uint64_t>((entry.deadline - now).count());
+    execute.set_expires_at(call.expiresAt);
     this->outbox.sendWorker({std::move(order), reservation->address, now, reservation->leaseUntil,
                              entry.deadline - now + replyMargin});
     return true;
@@ -515,8 +516,12 @@
                                  now + resolveTimeout, voidRetryDelay * 4});
     }
     for (const CallId &id : abandoned) {
-        const Token token = this->calls.at(id).pending;
+        const Call call = this->calls.at(id);
+        const Token token = call.pending;
         // The slot stays reserved: only a report of the worker or a new grant releases it.
+        this->workers.write([&](WorkerTable &table) {
+            table.adoptCall(call.reservation.worker, call.reservation.epoch, id, call.expiresAt);
+        });
         this->calls.erase(id);
         if (token != 0) {
             this->finish(token, wire::UNKNOWN, {}, "the worker can't be asked", now);
--- a/src/libgodwitfall/requestrouter.h
+++ b/src/libgodwitfall/requestrouter.h
@@ -120,6 +120,7 @@
         Reservation reservation;
         Offset intent;
         Instant sentAt;
+        std::uint64_t expiresAt = 0; ///< On the worker's clock, in ms.
         bool resolving = false;
         bool voidInFlight = false;
         Instant nextVoidAt;
--- a/src/libgodwitfall/worker.h
+++ b/src/libgodwitfall/worker.h
@@ -38,7 +38,8 @@
 /** A call that occupies a slot of a worker. */
 struct CallOnWorker
 {
-    bool adopted = false; ///< Sent by an earlier owner; removed once an inventory omits it.
+    bool adopted = false; ///< Nobody here awaits its end; removed once an inventory omits it.
+    std::uint64_t expiresAt = 0; ///< On the worker's clock, in ms; it does not begin from then on.
 };
 
 /** A worker of the own zone and the lease under which this instance owns it. */
--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -167,6 +167,19 @@
     }
 }
 
+void WorkerTable::adoptCall(const WorkerId &id, Epoch epoch, const CallId &call,
+                            std::uint64_t expiresAt)
+{
+    Worker *worker = this->find(id);
+    if (worker == nullptr || !worker->owned || worker->epoch != epoch) {
+        return;
+    }
+    const auto found = worker->calls.find(call);
+    if (found != worker->calls.end()) {
+        found->second = {true, expiresAt};
+    }
+}
+
 void WorkerTable::observeLatency(const WorkerId &id, Duration latency, Instant now)
 {
     Worker *worker = this->find(id);
@@ -311,7 +324,9 @@
     }
     const std::set<std::string> calls(inventory.calls().begin(), inventory.calls().end());
     std::erase_if(worker.calls, [&](const auto &entry) {
-        return entry.second.adopted && !calls.contains(entry.first.value());
+        const CallOnWorker &call = entry.second;
+        return call.adopted && !calls.contains(entry.first.value()) &&
+               worker.workerTime >= call.expiresAt;
     });
     this->checkCapacity(worker);
 }
--- a/src/libgodwitfall/workertable.h
+++ b/src/libgodwitfall/workertable.h
@@ -97,6 +97,10 @@
     /** Frees the call's slot after the worker reported that the call ended or will never run. */
     void releaseCall(const WorkerId &worker, Epoch epoch, const CallId &call);
 
+    /** Keeps the call's slot only until an inventory omits a call that can't begin any more. */
+    void adoptCall(const WorkerId &worker, Epoch epoch, const CallId &call,
+                   std::uint64_t expiresAt);
+
     /** Adds a call's latency to the worker's moving average. */
     void observeLatency(const WorkerId &worker, Duration latency, Instant now);
 
--- /dev/null
+++ b/tests/routing/test_requestrouter.cpp
@@ -0,0 +1,41 @@
+#include <gtest/gtest.h>
+
+#include "fakes/nodeworld.h"
+
+namespace godwitfall {
+namespace {
+
+using fakes::FakeWorker;
+using fakes::NodeWorld;
+
+constexpr Resources oneSlot{4000, 4000, 0, 1};
+constexpr std::int64_t settleMs = 3000;
+
+// Guards against: a call that ran for longer than its fate was asked for kept its slot for as long
+// as the worker had the same owner.
+TEST(RequestRouterTest, SlotOfAnAbandonedCallIsFreedWhenTheCallEnds)
+{
+    constexpr std::int64_t longCall = 80000;
+    NodeWorld world;
+    FakeWorker &worker = world.addWorker("w", oneSlot);
+    world.start("a");
+    world.run(settleMs);
+    worker.callTime = Duration(longCall);
+    world.request("a", "long", 1000);
+    world.run(longCall - 5000);
+    EXPECT_EQ(world.outcome("long"), "UNKNOWN");
+    ASSERT_EQ(worker.runningCalls(), 1U);
+    world.request("a", "early", 500);
+    world.run(1000);
+    EXPECT_EQ(world.outcome("early"), "NOT_RUN");
+    EXPECT_EQ(worker.runningCalls(), 1U);
+    worker.callTime = Duration(20);
+    world.run(10000);
+    ASSERT_EQ(worker.runningCalls(), 0U);
+    world.request("a", "next", 2000);
+    world.run(2500);
+    EXPECT_EQ(world.outcome("next"), "ANSWERED_WHOLE");
+}
+
+} // namespace
+} // namespace godwitfall
