Pass on queued requests behind one that must stay here

Callers saw requests end as not run after their whole budget although a peer had free slots.

Cause: a request with an intent in the log, or from a peer, is not passed on. When no worker here has a slot for it, dispatching stopped with it, so one such request kept all others of the service, or of its caller, waiting.

Evidence: RequestThatCannotBeForwardedDoesNotHoldOthers on the former code: both callers' requests of 2 s end NOT_RUN while the peer's worker is idle.

Why it works: a request that finds no slot and must stay is set aside and put back at the head; the ones behind it are passed on for as long as a peer has slots. Without such a peer dispatching stops at the first one, as before.

--- a/src/libgodwitfall/requestrouter.cpp
+++ b/src/libgodwitfall/requestrouter.cpp
@@ -1,6 +1,7 @@
 #include "requestrouter.h"
 
 #include <algorithm>
+#include <vector>
 
 #include <xxhash.h>
 
@@ -258,14 +259,22 @@
 void RequestRouter::dispatchQueued(Instant now)
 {
     for (auto &[service, queue] : this->queues) {
+        std::vector<Token> unsent;
         while (const std::optional<Token> token = queue.pop()) {
             --this->queued;
-            if (this->dispatch(*token, now) || this->forward(*token, now)) {
+            // Once one finds no slot here, none does, but others may be passed on.
+            const bool dispatched = unsent.empty() && this->dispatch(*token, now);
+            if (dispatched || this->forward(*token, now)) {
                 continue;
             }
+            unsent.push_back(*token);
+            if (!this->anyPeerHasSlots(now)) {
+                break;
+            }
+        }
+        for (auto token = unsent.rbegin(); token != unsent.rend(); ++token) {
             queue.pushFront(this->pending.at(*token).request.caller(), *token);
             ++this->queued;
-            break;
         }
     }
     std::erase_if(this->queues, [](const auto &entry) { return entry.second.size() == 0; });
@@ -309,6 +318,13 @@
     return true;
 }
 
+bool RequestRouter::anyPeerHasSlots(Instant now) const
+{
+    return !this->draining && this->members.read([&](const Membership &table) {
+        return table.peerWithSlots(now).has_value();
+    });
+}
+
 bool RequestRouter::forward(Token token, Instant now)
 {
     Pending &entry = this->pending.at(token);
--- a/src/libgodwitfall/requestrouter.h
+++ b/src/libgodwitfall/requestrouter.h
@@ -141,6 +141,8 @@
     void dispatchQueued(Instant now);
     bool dispatch(Token token, Instant now);
     bool forward(Token token, Instant now);
+    /** Returns whether a request that may be passed on could be. */
+    bool anyPeerHasSlots(Instant now) const;
     void retryOrRefuse(Token token, const std::string &reason, Instant now);
 
     void onExecuteReply(const CallId &id, const Result<wire::WorkerReply> &answer, Instant now);
--- a/tests/routing/test_requestrouter.cpp
+++ b/tests/routing/test_requestrouter.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "fakes/nodeworld.h"
+#include "rendezvous.h"
 
 namespace godwitfall {
 namespace {
@@ -37,5 +38,37 @@
     EXPECT_EQ(world.outcome("next"), "ANSWERED_WHOLE");
 }
 
+class TwoInstances : public testing::Test
+{
+protected:
+    TwoInstances()
+    {
+        this->world.start(this->entry);
+        this->world.start(this->owner);
+        this->world.run(settleMs);
+    }
+
+    NodeWorld world;
+    const std::string owner = rendezvousOwner("w", {InstanceId("a"), InstanceId("b")}).value();
+    const std::string entry = owner == "a" ? "b" : "a";
+};
+
+// Guards against: a request that must not be passed on kept those behind it from being passed on.
+TEST_F(TwoInstances, RequestThatCannotBeForwardedDoesNotHoldOthers)
+{
+    this->world.request(this->entry, "once", 60000, false, "first");
+    this->world.run(500);
+    this->world.addWorker("w", oneSlot);
+    this->world.run(settleMs);
+    ASSERT_TRUE(this->world.owns(this->owner, "w"));
+    ASSERT_EQ(this->world.outcome("once"), "");
+    for (const char *caller : {"second", "first"}) {
+        this->world.request(this->entry, caller, 2000, true, caller);
+        this->world.run(2500);
+        EXPECT_EQ(this->world.outcome(caller), "ANSWERED_WHOLE");
+    }
+    EXPECT_EQ(this->world.outcome("once"), "");
+}
+
 } // namespace
 } // namespace godwitfall
