Retry a forwarded request once its peer runs in a later incarnation

Callers waited out their whole budget for a request that had been passed to an instance which restarted faster than its peers missed it.

Cause: a forwarded request is retried when its peer is not alive any more.

Evidence: ForwardedRequestIsRetriedWhenThePeerRestarts on the former code: 8 s after the restart the request has no answer; its budget is 20 s.

Why it works: the request keeps the incarnation it was passed to; a heartbeat of another one counts as the loss of the peer.

--- a/src/libgodwitfall/membership.cpp
+++ b/src/libgodwitfall/membership.cpp
@@ -78,6 +78,12 @@
            now - found->second.lastSeenAt < this->peerTimeout;
 }
 
+Incarnation Membership::incarnationOf(const InstanceId &peer) const
+{
+    const auto found = this->peers.find(peer);
+    return found == this->peers.end() ? Incarnation() : found->second.incarnation;
+}
+
 std::vector<InstanceId> Membership::candidates(Instant now) const
 {
     std::vector<InstanceId> ids;
--- a/src/libgodwitfall/membership.h
+++ b/src/libgodwitfall/membership.h
@@ -63,6 +63,9 @@
     /** Returns whether a heartbeat came within the peer timeout and the peer is not stopping. */
     bool alive(const InstanceId &peer, Instant now) const;
 
+    /** Returns the incarnation of the peer's latest heartbeat; 0 if there is none. */
+    Incarnation incarnationOf(const InstanceId &peer) const;
+
     /** Returns the instances of the own zone that may own workers, including this one. */
     std::vector<InstanceId> candidates(Instant now) const;
 
--- a/src/libgodwitfall/requestrouter.cpp
+++ b/src/libgodwitfall/requestrouter.cpp
@@ -1,6 +1,7 @@
 #include "requestrouter.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include <xxhash.h>
@@ -332,19 +333,20 @@
     if (!entry.origin.peer.empty() || hasIntent || this->draining) {
         return false;
     }
-    const auto [peer, address] = this->members.write([&](Membership &table) {
+    const auto [peer, address, incarnation] = this->members.write([&](Membership &table) {
         const std::optional<InstanceId> chosen = table.peerWithSlots(now);
         if (!chosen || entry.refusedBy.contains(*chosen)) {
-            return std::pair(InstanceId(), std::string());
+            return std::tuple(InstanceId(), std::string(), Incarnation());
         }
         table.takeSlot(*chosen);
-        return std::pair(*chosen, table.address(*chosen));
+        return std::tuple(*chosen, table.address(*chosen), table.incarnationOf(*chosen));
     });
     if (peer.empty()) {
         return false;
     }
     entry.phase = Phase::Forwarded;
     entry.forwardedTo = peer;
+    entry.forwardedIncarnation = incarnation;
     entry.forwardToken = ++this->lastForward;
     ++entry.tries;
     this->forwards[entry.forwardToken] = token;
@@ -601,7 +603,9 @@
     std::vector<Token> lost;
     this->members.read([&](const Membership &table) {
         for (const auto &[token, entry] : this->pending) {
-            if (entry.phase == Phase::Forwarded && !table.alive(entry.forwardedTo, now)) {
+            if (entry.phase == Phase::Forwarded &&
+                (!table.alive(entry.forwardedTo, now) ||
+                 table.incarnationOf(entry.forwardedTo) != entry.forwardedIncarnation)) {
                 lost.push_back(token);
             }
         }
--- a/src/libgodwitfall/requestrouter.h
+++ b/src/libgodwitfall/requestrouter.h
@@ -107,6 +107,7 @@
         Ticket intentTicket;
         Offset intent; ///< Offset of the open intent; 0 if there is none.
         InstanceId forwardedTo;
+        Incarnation forwardedIncarnation; ///< Of the peer; a later one knows nothing of it.
         std::uint64_t forwardToken = 0;
         std::set<InstanceId> refusedBy;
         bool mayHaveRun = false; ///< The fate of an earlier try is unknown.
--- a/tests/routing/test_requestrouter.cpp
+++ b/tests/routing/test_requestrouter.cpp
@@ -70,5 +70,22 @@
     EXPECT_EQ(this->world.outcome("once"), "");
 }
 
+// Guards against: a request that was passed to an instance waited out its budget when that instance
+// restarted faster than it was missed.
+TEST_F(TwoInstances, ForwardedRequestIsRetriedWhenThePeerRestarts)
+{
+    FakeWorker &worker = this->world.addWorker("w", oneSlot);
+    this->world.run(settleMs);
+    ASSERT_TRUE(this->world.owns(this->owner, "w"));
+    worker.callTime = Duration(2000);
+    this->world.request(this->entry, "forwarded", 20000);
+    this->world.run(100);
+    ASSERT_EQ(worker.runningCalls(), 1U);
+    worker.callTime = Duration(20);
+    this->world.start(this->owner);
+    this->world.run(8000);
+    EXPECT_EQ(this->world.outcome("forwarded"), "ANSWERED_WHOLE");
+}
+
 } // namespace
 } // namespace godwitfall
