End a worker's ejection with its incarnation

Callers saw a worker that had restarted under its id get no work for up to ten minutes.

Cause: the ejection, its doublings and the failed tasks are kept by worker id and were not cleared when another incarnation granted the lease.

Evidence: Ejection.EndsWithTheIncarnation on the former code: the worker is still ejected after a grant of incarnation 2.

Why it works: a restarted worker holds and knows nothing of before, so it starts with a clean record; if it fails three tasks it is ejected again. A new grant by the same incarnation keeps the ejection.

--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -248,6 +248,12 @@
     worker.transferring = false;
     worker.epoch = Epoch(reply.epoch());
     worker.leaseUntil = sentAt + this->times.ownerLease;
+    if (reply.incarnation() != worker.incarnation.value()) {
+        // Failures of an earlier incarnation say nothing of this one.
+        worker.failedTasks.clear();
+        worker.ejectedUntil = Instant();
+        worker.ejections = 0;
+    }
     worker.incarnation = Incarnation(reply.incarnation());
     worker.replySequence = reply.sequence();
     worker.workerTime = reply.worker_time();
--- a/tests/state/test_workerleases.cpp
+++ b/tests/state/test_workerleases.cpp
@@ -1,3 +1,5 @@
+#include <memory>
+
 #include <gtest/gtest.h>
 
 #include "fakes/nodeworld.h"
@@ -142,5 +144,62 @@
     EXPECT_EQ(this->atFormer().epoch, epoch);
 }
 
+/** A table with one worker that this instance owns. */
+class Ejection : public testing::Test
+{
+protected:
+    Ejection()
+    {
+        this->times.ownerLease = Duration(1000000);
+        this->times.renewEvery = Duration(1000000);
+        this->table = std::make_unique<WorkerTable>(ZoneId("z"), this->times,
+                                                    makeWorkerChooser("random", this->random));
+        wire::InstanceList list;
+        wire::ListedWorker &entry = *list.add_workers();
+        entry.set_worker("w");
+        entry.set_zone("z");
+        this->table->applyList(list, Instant(1), Instant(1));
+        this->own(1, Instant(1));
+    }
+
+    void own(std::uint64_t incarnation, Instant now)
+    {
+        wire::WorkerReply grant;
+        grant.set_epoch(++this->epoch);
+        grant.set_incarnation(incarnation);
+        WorkerTable::loseOwnership(this->worker());
+        this->table->becomeOwner(this->worker(), grant, now, now);
+    }
+
+    Worker &worker() { return *this->table->find(WorkerId("w")); }
+
+    void fail(int tasks, Instant now)
+    {
+        for (int index = 0; index < tasks; ++index) {
+            WorkerTable::observeEnd(this->worker(), "t" + std::to_string(++this->lastTask), true,
+                                    this->times, now);
+        }
+    }
+
+    LeaseTimes times;
+    Random random{1};
+    std::unique_ptr<WorkerTable> table;
+    std::uint64_t epoch = 0;
+    int lastTask = 0;
+};
+
+// Guards against: an ejection of up to ten minutes was carried over to the worker's next
+// incarnation, to which the failures say nothing.
+TEST_F(Ejection, EndsWithTheIncarnation)
+{
+    this->fail(3, Instant(1000));
+    this->own(1, Instant(2000));
+    EXPECT_FALSE(this->table->takesWork(this->worker(), Instant(3000)));
+    this->own(2, Instant(4000));
+    EXPECT_TRUE(this->table->takesWork(this->worker(), Instant(5000)));
+    this->fail(2, Instant(6000));
+    EXPECT_TRUE(this->table->takesWork(this->worker(), Instant(7000)));
+}
+
 } // namespace
 } // namespace godwitfall
