Count tasks that fail together as one ejection

Callers saw a worker get no work for ten minutes after one bad moment in which nine or more of its tasks failed.

Cause: from the third failure on each one ejected the worker anew and doubled the length (10 s to 600 s), also those of tasks that ran before it was ejected. The length is meant to grow with each trial that fails.

Evidence: Ejection.CountsTasksThatFailTogetherOnce on the former code: after 12 failures at once the worker is still ejected 10 s later.

Why it works: an ejected worker gets nothing new, so what fails meanwhile was started before and is not counted. After the ejection one failure starts the next, twice as long, as before.

--- a/src/libgodwitfall/workertable.cpp
+++ b/src/libgodwitfall/workertable.cpp
@@ -380,6 +380,10 @@
         worker.ejections = 0;
         return;
     }
+    if (now < worker.ejectedUntil) {
+        // It was started before the ejection, so it says no more than those that caused that.
+        return;
+    }
     worker.failedTasks.insert(task);
     if (worker.failedTasks.size() < failedTasksBeforeEjection) {
         return;
--- a/tests/state/test_workerleases.cpp
+++ b/tests/state/test_workerleases.cpp
@@ -201,5 +201,18 @@
     EXPECT_TRUE(this->table->takesWork(this->worker(), Instant(7000)));
 }
 
+// Guards against: tasks that failed together ejected the worker once each, which doubled the
+// ejection to its longest although the worker had no chance to prove itself in between.
+TEST_F(Ejection, CountsTasksThatFailTogetherOnce)
+{
+    this->fail(12, Instant(1000));
+    const Instant over = Instant(1000) + this->times.firstEjection;
+    EXPECT_FALSE(this->table->takesWork(this->worker(), over - Duration(1)));
+    EXPECT_TRUE(this->table->takesWork(this->worker(), over));
+    this->fail(1, over);
+    EXPECT_FALSE(this->table->takesWork(this->worker(), over + this->times.firstEjection));
+    EXPECT_TRUE(this->table->takesWork(this->worker(), over + this->times.firstEjection * 2));
+}
+
 } // namespace
 } // namespace godwitfall
