--- a/src/libgodwitfall/requestrouter.h
+++ b/src/libgodwitfall/requestrouter.h
@@ -107,6 +107,7 @@
         Ticket intentTicket;
         Offset intent; ///< Offset of the open intent; 0 if there is none.
         InstanceId forwardedTo;
+        Incarnation forwardedIncarnation; ///< Of the peer; a later one knows nothing of it.
         std::uint64_t forwardToken = 0;
         std::set<InstanceId> refusedBy;
         bool mayHaveRun = false; ///< The fate of an earlier try is unknown.
@@ -120,6 +121,7 @@
         Reservation reservation;
         Offset intent;
         Instant sentAt;
+        std::uint64_t expiresAt = 0; ///< On the worker's clock, in ms.
         bool resolving = false;
         bool voidInFlight = false;
         Instant nextVoidAt;
@@ -140,6 +142,8 @@
     void dispatchQueued(Instant now);
     bool dispatch(Token token, Instant now);
     bool forward(Token token, Instant now);
+    /** Returns whether a request that may be passed on could be. */
+    bool anyPeerHasSlots(Instant now) const;
     void retryOrRefuse(Token token, const std::string &reason, Instant now);
 
     void onExecuteReply(const CallId &id, const Result<wire::WorkerReply> &answer, Instant now);
--- a/src/libgodwitfall/workerleasemanager.cpp
+++ b/src/libgodwitfall/workerleasemanager.cpp
@@ -47,6 +47,7 @@
     const std::vector<InstanceId> candidates =
         this->members.read([&](const Membership &table) { return table.candidates(now); });
     this->workers.write([&](WorkerTable &table) {
+        this->addWorkersWithClaims(table, now);
         for (auto &[id, worker] : table.all()) {
             const InstanceId preferred = rendezvousOwner(id.value(), candidates);
             if (worker.owned && !table.leaseHolds(worker, now)) {
@@ -61,6 +62,20 @@
     });
 }
 
+void WorkerLeaseManager::addWorkersWithClaims(WorkerTable &table, Instant now)
+{
+    if (!table.listed()) {
+        return;
+    }
+    const std::string zone =
+        this->members.read([](const Membership &known) { return known.ownZone().value(); });
+    const std::vector<std::string> claimed = this->state.read(
+        [&](const ClusterState &known) { return known.tasks().workersWithClaims(zone); });
+    for (const std::string &worker : claimed) {
+        table.addUnlisted(WorkerId(worker), now);
+    }
+}
+
 void WorkerLeaseManager::tickOwned(Worker &worker, const InstanceId &preferred, Instant now)
 {
     const bool selfPreferred =
@@ -68,9 +83,10 @@
     worker.drained = this->state.read(
         [&](const ClusterState &table) { return table.restrictions().drained(worker.id.value()); });
     this->tickFence(worker, selfPreferred, now);
-    if (!selfPreferred || worker.transferring) {
+    if (!selfPreferred) {
         this->considerTransfer(worker, preferred, now);
     } else {
+        worker.transferring = false;
         this->notPreferredSince.erase(worker.id);
     }
     if (worker.owned && now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
@@ -85,7 +101,10 @@
     if (!worker.transferring && (!stable || (preferred.empty() && !this->draining))) {
         return;
     }
-    worker.transferring = true;
+    if (!worker.transferring) {
+        worker.transferring = true;
+        worker.transferringSince = now;
+    }
     const bool starting =
         std::any_of(worker.attempts.begin(), worker.attempts.end(), [](const auto &entry) {
             const AttemptPhase phase = entry.second.phase;
@@ -93,7 +112,9 @@
         });
     const bool calling = std::any_of(worker.calls.begin(), worker.calls.end(),
                                      [](const auto &entry) { return !entry.second.adopted; });
-    if (!starting && !calling) {
+    // Later the successor adopts what is in flight, as it would after a lapse of the lease.
+    const bool late = now - worker.transferringSince >= this->times.ownerLease;
+    if ((!starting && !calling) || late) {
         this->sendRelease(worker, now);
     }
 }
@@ -104,7 +125,7 @@
         this->members.read([&](const Membership &table) { return preferred == table.selfId(); });
     this->notPreferredSince.erase(worker.id);
     this->tickFence(worker, selfPreferred, now);
-    if (selfPreferred && !this->draining &&
+    if (selfPreferred && !this->draining && !worker.address.empty() &&
         now - worker.lastLeaseOrderAt >= this->times.renewEvery) {
         this->sendAcquire(worker, now);
     }
--- a/src/libgodwitfall/workertable.h
+++ b/src/libgodwitfall/workertable.h
@@ -66,6 +66,12 @@
      */
     void markLeaving(const std::vector<WorkerId> &leaving, Instant until);
 
+    /** Adds a worker that has claims but is in no list, so that its claims can be ended. */
+    void addUnlisted(const WorkerId &id, Instant now);
+
+    /** Returns whether a list of workers has arrived since the start. */
+    bool listed() const { return this->listArrived; }
+
     /** Returns the workers that this instance's own list has leaving or no longer has. */
     std::vector<WorkerId> listedLeaving() const;
 
@@ -91,6 +97,10 @@
     /** Frees the call's slot after the worker reported that the call ended or will never run. */
     void releaseCall(const WorkerId &worker, Epoch epoch, const CallId &call);
 
+    /** Keeps the call's slot only until an inventory omits a call that can't begin any more. */
+    void adoptCall(const WorkerId &worker, Epoch epoch, const CallId &call,
+                   std::uint64_t expiresAt);
+
     /** Adds a call's latency to the worker's moving average. */
     void observeLatency(const WorkerId &worker, Duration latency, Instant now);
 
@@ -141,6 +151,7 @@
     std::unique_ptr<WorkerChooser> chooser;
     std::map<WorkerId, Worker> workers;
     std::vector<Resources> distinctCapacities;
+    bool listArrived = false;
     Instant listFreshFrom;
     Instant listAwaitedUntil;
 };
