Soak: planned operations that overlap, kept connections, workers lost for good

The soak stopped one instance at a time, far from other faults, and its callers drew a new instance for each request. Callers on kept connections (as the platform has them: new connections only to ready instances, open ones stay) send half of the calls and questions.

The first LOST rule now holds any request that an undisturbed instance broke off, from contact_ms before it to its end, around planned stops until 1 s after grace, signals and configurations or not; formerly only stops with 13 s without faults before them counted. Added: a task that lasts runs by max(end of its last run + 6 s, calm + 4 s) + 3 s while workers have two free slots.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iostream>
 #include <numeric>
 #include <utility>
 
@@ -18,10 +19,14 @@
 constexpr std::int64_t longestFaultMs = 9000;
 /** Above the time after which the tasks of a worker that is not heard go on elsewhere. */
 constexpr std::int64_t longestWorkerCutMs = 16000;
-/** Time around a fault within which a broken connection is laid to it. */
+/** Time after a fault within which a broken connection is laid to it; the platform's contact_ms. */
 constexpr std::int64_t nearMs = 4000;
 /** Time from a planned stop to the end of the process at the latest; the platform's grace. */
 constexpr std::int64_t graceMs = 6000;
+/** Time after the grace in which a planned stop still counts. */
+constexpr std::int64_t afterGraceMs = 1000;
+/** Time from a kill until the process that replaces the killed one listens. */
+constexpr std::int64_t startMs = 1000;
 constexpr std::int64_t longAgoMs = -1000000;
 
 } // namespace
@@ -57,8 +62,9 @@
     , random(random)
     , nextAt(firstFaultMs)
     , ends(layout.instances)
+    , stoppedProcess(layout.instances)
     , stoppedAtMs(layout.instances, longAgoMs)
-    , disturbedAtMs(layout.instances, longAgoMs)
+    , disturbedUntilMs(layout.instances, longAgoMs)
     , frozen(layout.instances)
 {}
 
@@ -77,6 +83,7 @@
     for (const Kind &kind : table) {
         if (drawn < kind.weight) {
             ++this->done[kind.name];
+            this->note(kind.name);
             (this->*kind.act)();
             return;
         }
@@ -103,26 +110,47 @@
     for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
         this->signal(instance, SIGCONT);
         this->frozen[instance] = false;
+        this->disturbedUntilMs[instance] = std::min(this->disturbedUntilMs[instance], this->nowMs);
     }
 }
 
 bool FaultPlan::stopsAsPlanned(std::size_t instance) const
 {
     const std::int64_t stopped = this->stoppedAtMs[instance];
-    return this->nowMs < stopped + graceMs &&
-           this->disturbedAtMs[instance] + nearMs + longestFaultMs < stopped;
+    return this->nowMs < stopped + graceMs + afterGraceMs;
+}
+
+bool FaultPlan::undisturbedSince(std::size_t instance, std::int64_t sinceMs) const
+{
+    return this->disturbedUntilMs[instance] + nearMs < sinceMs;
+}
+
+void FaultPlan::note(const std::string &fault) const
+{
+    const auto unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::cout << unixMs.count() << " at " << this->nowMs << " fault " << fault << "\n";
 }
 
 bool FaultPlan::signal(std::size_t instance, int number)
+{
+    const pid_t process = this->processOf(instance);
+    return process > 1 && ::kill(process, number) == 0;
+}
+
+pid_t FaultPlan::processOf(std::size_t instance) const
 {
     std::ifstream file(this->layout.processFile(instance));
     pid_t process = 0;
-    return file >> process && process > 1 && ::kill(process, number) == 0;
+    return file >> process ? process : 0;
 }
 
-void FaultPlan::disturb(std::size_t instance)
+void FaultPlan::disturb(std::size_t instance, std::int64_t lengthMs)
 {
-    this->disturbedAtMs[instance] = this->nowMs;
+    std::int64_t &until = this->disturbedUntilMs[instance];
+    until = std::max(until, this->nowMs + lengthMs);
+    this->note("of " + this->layout.instanceName(instance) +
+               " for ms: " + std::to_string(lengthMs));
 }
 
 std::size_t FaultPlan::owner()
@@ -138,33 +166,34 @@
 
 void FaultPlan::kill(std::size_t instance)
 {
-    this->disturb(instance);
+    this->disturb(instance, startMs);
     this->ends[instance] += this->signal(instance, SIGKILL) ? 1 : 0;
 }
 
 void FaultPlan::freeze(std::size_t instance)
 {
-    this->disturb(instance);
     if (this->frozen[instance] || !this->signal(instance, SIGSTOP)) {
         return;
     }
     this->frozen[instance] = true;
-    callAfter(this->context, Duration(300 + static_cast<std::int64_t>(this->below(longestFaultMs))),
-              [this, instance] {
-                  this->signal(instance, SIGCONT);
-                  this->frozen[instance] = false;
-                  this->disturb(instance);
-              });
+    const std::int64_t length = 300 + static_cast<std::int64_t>(this->below(longestFaultMs));
+    this->disturb(instance, length);
+    callAfter(this->context, Duration(length), [this, instance] {
+        this->signal(instance, SIGCONT);
+        this->frozen[instance] = false;
+        this->disturb(instance, 0);
+    });
 }
 
-void FaultPlan::trouble(LinkProxy &link, std::int64_t longestMs)
+std::int64_t FaultPlan::trouble(LinkProxy &link, std::int64_t longestMs)
 {
     constexpr LinkProxy::Mode modes[] = {LinkProxy::Mode::Delay, LinkProxy::Mode::Hold,
                                          LinkProxy::Mode::HoldReply, LinkProxy::Mode::Reset};
     link.delay = Duration(static_cast<std::int64_t>(20 + this->below(400)));
     link.setMode(modes[this->below(std::size(modes))]);
-    callAfter(this->context, Duration(200 + static_cast<std::int64_t>(this->below(longestMs))),
-              [&link] { link.setMode(LinkProxy::Mode::Pass); });
+    const std::int64_t length = 200 + static_cast<std::int64_t>(this->below(longestMs));
+    callAfter(this->context, Duration(length), [&link] { link.setMode(LinkProxy::Mode::Pass); });
+    return length;
 }
 
 void FaultPlan::killOne()
@@ -189,13 +218,27 @@
 
 void FaultPlan::stopOne()
 {
-    const std::size_t instance = this->anyInstance();
+    this->stop(this->anyInstance());
+}
+
+void FaultPlan::stop(std::size_t instance)
+{
     if (this->nowMs < this->stoppedAtMs[instance] + graceMs || this->frozen[instance]) {
         return;
     }
+    const pid_t process = this->processOf(instance);
     if (this->signal(instance, SIGTERM)) {
+        this->stoppedProcess[instance] = process;
         ++this->ends[instance];
         this->stoppedAtMs[instance] = this->nowMs;
+        this->note("planned stop of " + this->layout.instanceName(instance));
+    }
+}
+
+void FaultPlan::repeatStop(std::size_t instance)
+{
+    if (this->processOf(instance) == this->stoppedProcess[instance]) {
+        this->signal(instance, SIGTERM);
     }
 }
 
@@ -232,16 +275,18 @@
 
 void FaultPlan::troubleStoreLink()
 {
-    const std::size_t instance = this->anyInstance();
-    this->disturb(instance);
-    this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
+    this->troubleStoreLinkOf(this->anyInstance());
 }
 
 void FaultPlan::troubleOwnersStoreLink()
 {
-    const std::size_t instance = this->owner();
-    this->disturb(instance);
-    this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
+    this->troubleStoreLinkOf(this->owner());
+}
+
+void FaultPlan::troubleStoreLinkOf(std::size_t instance)
+{
+    const std::int64_t length = this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
+    this->disturb(instance, length);
 }
 
 void FaultPlan::troubleWorkerLink()
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <sys/types.h>
 
 #include "linkproxy.h"
 #include "platformstore.h"
@@ -42,9 +43,27 @@
     /** Ends every fault that is under way. */
     void heal();
 
-    /** Returns whether the instance is stopping as planned, and was well before. */
+    /** Returns whether the instance may be stopping as planned. */
     bool stopsAsPlanned(std::size_t instance) const;
 
+    /** Returns whether no fault was near the instance from shortly before the time until now. */
+    bool undisturbedSince(std::size_t instance, std::int64_t sinceMs) const;
+
+    /** Kills the instance. */
+    void kill(std::size_t instance);
+
+    /** Stops the instance as planned, unless it is stopping or frozen. */
+    void stop(std::size_t instance);
+
+    /** Sends the signal of a planned stop again, if the process that got it still runs. */
+    void repeatStop(std::size_t instance);
+
+    /** Returns the instance that coordinates, as the log says, or any. */
+    std::size_t owner();
+
+    /** Writes to the log of the run that the fault begins. */
+    void note(const std::string &fault) const;
+
     /** Returns how often the instance was made to end. */
     unsigned endsCaused(std::size_t instance) const { return this->ends[instance]; }
 
@@ -54,6 +73,9 @@
     const std::map<std::string, unsigned> &counts() const { return this->done; }
 
 private:
+    /** Returns the process of the instance; 0: none. */
+    pid_t processOf(std::size_t instance) const;
+
     struct Kind
     {
         const char *name;
@@ -80,16 +102,14 @@
     void troubleOrders();
     void changeConfig();
 
-    void kill(std::size_t instance);
     void freeze(std::size_t instance);
-    /** Draws what is wrong with the link and for how long. */
-    void trouble(LinkProxy &link, std::int64_t longestMs);
-    /** Returns the instance that coordinates, as the log says, or any. */
-    std::size_t owner();
+    /** Draws what is wrong with the link and for how long; returns that time. */
+    std::int64_t trouble(LinkProxy &link, std::int64_t longestMs);
+    void troubleStoreLinkOf(std::size_t instance);
     std::size_t anyInstance() { return this->below(this->layout.instances); }
     std::size_t anyWorker() { return this->below(this->targets.workers.size()); }
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
-    void disturb(std::size_t instance);
+    void disturb(std::size_t instance, std::int64_t lengthMs);
 
     boost::asio::io_context &context;
     const SoakLayout layout;
@@ -99,8 +119,9 @@
     std::int64_t nextAt = 0;
     bool healed = false;
     std::vector<unsigned> ends;
-    std::vector<std::int64_t> stoppedAtMs;   ///< Last planned stop, by instance.
-    std::vector<std::int64_t> disturbedAtMs; ///< Last other fault near it, by instance.
+    std::vector<pid_t> stoppedProcess;          ///< That got the last planned stop, by instance.
+    std::vector<std::int64_t> stoppedAtMs;      ///< Last planned stop, by instance.
+    std::vector<std::int64_t> disturbedUntilMs; ///< End of the last other fault, by instance.
     std::vector<bool> frozen;
     std::map<std::string, unsigned> done;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -9,7 +10,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tclap/CmdLine.h>
 
+#include "callafter.h"
 #include "faultplan.h"
+#include "keptcallers.h"
+#include "lastingcheck.h"
+#include "operationplan.h"
 #include "platform/names.h"
 #include "soakclients.h"
 
@@ -26,6 +31,14 @@
 /** Time that an instance surely had a request for when its connection broke after it. */
 constexpr Duration surelyRead{300};
 constexpr std::int64_t msPerSecond = 1000;
+/** Time until a killed instance listens again, in which not all is calm yet. */
+constexpr std::int64_t restartMs = 500;
+/** Pause of this process itself that counts as one of the platform. */
+constexpr std::int64_t longestPauseMs = 500;
+constexpr std::size_t slotsOfWorker = 4;
+constexpr std::size_t sparesOfExtended = 4; ///< Workers that may be lost.
+/** Time from the last word of a lost worker until the registry drops it; its heartbeats' bound. */
+constexpr Duration registryMemory{3000};
 
 /** What to leave out of the platform, to show that the checks notice. */
 struct Weakening
@@ -54,6 +67,10 @@
     void publishWorker(std::size_t worker);
     void publishConfig();
     void rebirthWorker(std::size_t worker);
+    void loseWorker(std::uint64_t drawn, bool silent);
+    void makeOperationPlan(std::uint64_t seed);
+    void writeSettings(std::size_t instance);
+    void checkLasting(std::int64_t now);
     void scheduleTick();
     void tick();
     void beginStopping();
@@ -70,11 +87,15 @@
     std::mt19937_64 faultRandom;
     jobtests::FleetLedger ledger;
     PlatformStore store;
+    std::unique_ptr<KeptCallers> kept; ///< Null without the extended plan.
     SoakClients clients;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<std::unique_ptr<LinkProxy>> workerLinks;
     std::unique_ptr<FaultPlan> plan;
+    std::unique_ptr<OperationPlan> operations;
+    LastingCheck lasting;
+    std::int64_t tickedAt = 0;
     boost::asio::steady_timer timer;
     Phase phase = Phase::Faults;
     std::int64_t phaseAt = 0;
@@ -90,7 +111,9 @@
     , clientRandom(seed + 1)
     , faultRandom(seed + 2)
     , store(this->context, this->random)
-    , clients(this->context, layout, this->clientRandom, this->ledger)
+    , kept(layout.extended ? std::make_unique<KeptCallers>(this->context, layout, seed + 3)
+                           : nullptr)
+    , clients(this->context, layout, this->clientRandom, this->ledger, this->kept.get())
     , timer(this->context)
 {
     for (std::size_t index = 0; index < layout.workers; ++index) {
@@ -104,6 +127,9 @@
             }));
         this->workers.back()->simulation().checksFence = !weakening.workerFence;
         this->workers.back()->simulation().keepsLeases = !weakening.workerLease;
+        this->workers.back()->orderLate = [this](const TaskRef &task, Duration delay) {
+            this->lasting.orderLate(task, this->nowMs() + delay.count());
+        };
         this->workerLinks.push_back(
             std::make_unique<LinkProxy>(this->context, layout.workerAddress(index)));
     }
@@ -123,12 +149,32 @@
                                                          }},
                                              this->faultRandom);
     this->clients.brokenOff = [this](std::size_t instance, Duration waited) {
-        if (waited >= surelyRead && this->plan->stopsAsPlanned(instance)) {
-            this->breakPromise("a planned stop of " + this->layout.instanceName(instance) +
-                               " broke off a request that it had for " +
-                               std::to_string(waited.count()) + " ms");
+        if (waited < surelyRead ||
+            !this->plan->undisturbedSince(instance, this->nowMs() - waited.count())) {
+            return;
         }
+        const std::string name = this->layout.instanceName(instance);
+        this->breakPromise((this->plan->stopsAsPlanned(instance) ? "a planned stop of " + name
+                                                                 : "undisturbed, " + name) +
+                           " broke off a request that it had for " +
+                           std::to_string(waited.count()) + " ms");
     };
+    if (layout.extended) {
+        this->makeOperationPlan(seed + 4);
+    }
+}
+
+void Soak::makeOperationPlan(std::uint64_t seed)
+{
+    const OperationTargets targets{
+        [this] { this->publishConfig(); },
+        [this](std::size_t instance) { this->writeSettings(instance); },
+        [this](std::uint64_t drawn, bool silent) { this->loseWorker(drawn, silent); },
+        [this] {
+            return this->store.owner();
+        }};
+    this->operations = std::make_unique<OperationPlan>(this->context, this->layout, *this->plan,
+                                                       targets, seed, this->faultMs);
 }
 
 std::int64_t Soak::unixMs()
@@ -160,7 +206,7 @@
     require(this->store.listen(this->layout.storeAddress()));
     for (std::size_t index = 0; index < this->storeLinks.size(); ++index) {
         require(this->storeLinks[index]->listen(this->layout.storeProxyAddress(index)));
-        std::ofstream(this->layout.settingsFile(index)) << this->layout.settings(index);
+        this->writeSettings(index);
     }
     for (std::size_t index = 0; index < this->workers.size(); ++index) {
         require(this->workers[index]->listen(this->layout.workerAddress(index)));
@@ -189,8 +235,38 @@
                         R"(","max_connections":8,"enforces_capacity":true}]})");
 }
 
+void Soak::writeSettings(std::size_t instance)
+{
+    // An instance that starts meanwhile reads the former file or the new one.
+    const std::filesystem::path file = this->layout.settingsFile(instance);
+    const std::filesystem::path written = file.string() + ".new";
+    std::ofstream(written) << this->layout.settings(instance);
+    std::filesystem::rename(written, file);
+}
+
+void Soak::loseWorker(std::uint64_t drawn, bool silent)
+{
+    std::vector<std::size_t> left;
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+        if (!this->workers[index]->lost()) {
+            left.push_back(index);
+        }
+    }
+    const std::size_t worker = left[drawn % left.size()];
+    this->plan->note("worker lost for good: " + this->workers[worker]->name() +
+                     (silent ? ", silent" : ", resetting"));
+    this->workerLinks[worker]->breakConnections();
+    this->workers[worker]->lose(unixMs(), silent);
+    callAfter(this->context, registryMemory, [this, worker] {
+        this->store.put(platform::names::workerTopic, this->workers[worker]->name(), {});
+    });
+}
+
 void Soak::rebirthWorker(std::size_t worker)
 {
+    if (this->workers[worker]->lost()) {
+        return;
+    }
     this->workerLinks[worker]->breakConnections();
     this->workers[worker]->restart(unixMs());
     this->publishWorker(worker);
@@ -211,14 +287,20 @@
     const std::int64_t now = this->nowMs();
     this->clients.tick(now);
     this->plan->tick(now);
+    if (this->operations) {
+        this->operations->tick(now);
+    }
     this->store.tick(std::chrono::steady_clock::now());
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
     }
+    this->checkLasting(now);
     switch (this->phase) {
     case Phase::Faults:
         if (now >= this->faultMs) {
             this->plan->heal();
+            this->plan->note("all healed");
+            this->lasting.calmSince(now + restartMs);
             this->clients.finish();
             this->phase = Phase::Settling;
             this->phaseAt = now;
@@ -250,6 +332,34 @@
     this->scheduleTick();
 }
 
+void Soak::checkLasting(std::int64_t now)
+{
+    const bool paused = now > this->tickedAt + longestPauseMs;
+    this->tickedAt = now;
+    if (this->phase == Phase::Stopping) {
+        return;
+    }
+    // While this process pauses, no worker answers; late appends may still fence the owner.
+    if (this->phase != Phase::Faults && (paused || this->store.hasLateAppends())) {
+        this->lasting.calmSince(now);
+    }
+    std::map<std::string, std::size_t> taken;
+    for (const auto &[task, runs] : this->ledger.running) {
+        for (const auto &[worker, run] : runs) {
+            ++taken[worker];
+        }
+    }
+    std::size_t freeSlots = 0;
+    for (const auto &worker : this->workers) {
+        const std::size_t used = std::min(slotsOfWorker, taken[worker->name()]);
+        freeSlots += worker->lost() ? 0 : slotsOfWorker - used;
+    }
+    for (const std::string &broken :
+         this->lasting.check(now, this->clients.lastingTasks(), this->ledger, freeSlots)) {
+        this->breakPromise(broken);
+    }
+}
+
 void Soak::beginStopping()
 {
     this->phase = Phase::Stopping;
@@ -304,8 +414,14 @@
     std::cout << "jobs " << this->clients.jobCount() << ", accepted "
               << this->clients.acceptedCount() << ", rejections " << this->clients.rejections()
               << ", unknown " << this->clients.unknowns() << ", starts " << this->ledger.starts
-              << ", done " << this->ledger.done << "\nfaults:";
-    for (const auto &[name, count] : this->plan->counts()) {
+              << ", done " << this->ledger.done << ", answers on kept connections "
+              << this->clients.keptAnswers() << ", longest gap of a lasting task ms "
+              << this->lasting.longestGap() << "\nfaults:";
+    std::map<std::string, unsigned> counts = this->plan->counts();
+    if (this->operations) {
+        counts.insert(this->operations->counts().begin(), this->operations->counts().end());
+    }
+    for (const auto &[name, count] : counts) {
         std::cout << " " << name << " " << count;
     }
     std::cout << "\n";
@@ -328,6 +444,10 @@
                                       false, 20, "20 to 250", flags);
     TCLAP::ValueArg<std::size_t> instances("", "instances", "entry instances", false, 5, "number",
                                            flags);
+    TCLAP::SwitchArg extended("", "extended",
+                              "also operations in series and overlapping, callers on kept "
+                              "connections, workers lost for good",
+                              flags);
     TCLAP::ValueArg<std::string> folder("", "folder", "settings, logs and process ids", true, "",
                                         "path", flags);
     TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
@@ -337,6 +457,8 @@
     SoakLayout layout;
     layout.network = network.getValue();
     layout.instances = instances.getValue();
+    layout.extended = extended.getValue();
+    layout.workers += layout.extended ? sparesOfExtended : 0;
     layout.folder = folder.getValue();
     const Weakening weakening{workerFence.getValue(), workerLease.getValue(),
                               storeFence.getValue()};
--- a/tests/soak/platformstore.cpp
+++ b/tests/soak/platformstore.cpp
@@ -203,8 +203,11 @@
     if (this->chance(this->appendsLate)) {
         const auto more = static_cast<std::int64_t>(this->random() %
                                                     static_cast<std::uint64_t>(lateRange.count()));
-        callAfter(this->context, lateFrom + Duration(more),
-                  [this, query, body] { this->executeAppend(query, body); });
+        ++this->lateAppends;
+        callAfter(this->context, lateFrom + Duration(more), [this, query, body] {
+            --this->lateAppends;
+            this->executeAppend(query, body);
+        });
         this->abandon(respond);
         return;
     }
--- a/tests/soak/platformstore.h
+++ b/tests/soak/platformstore.h
@@ -42,6 +42,9 @@
     /** Returns the instance that the job log names as its owner; empty: none. */
     std::string owner() const;
 
+    /** Returns whether an append is still to be carried out late. */
+    bool hasLateAppends() const { return this->lateAppends > 0; }
+
     /** Lets appends of earlier epochs pass, to show that checks notice. */
     void dropFence();
 
@@ -86,6 +89,7 @@
     std::map<std::string, Topic> topics;
     std::list<Waiting> waiting;
     bool fences = true;
+    std::size_t lateAppends = 0;
 };
 
 } // namespace godwitfall::soak
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -175,6 +175,13 @@
     });
 }
 
+void PlatformWorker::lose(std::int64_t unixMs, bool staysSilent)
+{
+    this->restart(unixMs);
+    this->worker.up = false;
+    this->silent = staysSilent;
+}
+
 void PlatformWorker::restart(std::int64_t unixMs)
 {
     for (const Waiting &hold : this->waiting) {
@@ -224,6 +231,14 @@
 
 void PlatformWorker::handle(const HttpRequest &request, const Respond &respond)
 {
+    if (this->lost()) {
+        if (this->silent) {
+            this->abandon(respond);
+        } else {
+            respond(withStatus(dropConnection));
+        }
+        return;
+    }
     if (request.header("x-expected-instance") != this->id) {
         respond(withStatus(421));
         return;
@@ -242,17 +257,28 @@
         this->abandon(respond);
         return;
     }
-    const Respond silent = [](const HttpResponse &) {
+    const Respond unheard = [](const HttpResponse &) {
     };
     // A late hold of an earlier life is left out: docs/PLATFORM.md asks the users about it.
     if (!hold && this->chance(this->ordersLate)) {
         const auto more = static_cast<std::int64_t>(this->random() %
                                                     static_cast<std::uint64_t>(lateRange.count()));
-        callAfter(this->context, lateFrom + Duration(more),
-                  [this, order, silent, body = request.body] { (this->*order)(body, silent); });
+        const Duration delay = lateFrom + Duration(more);
+        if (this->orderLate) {
+            rapidjson::Document message;
+            StartOrder read;
+            if (readRun(request.body, message, read)) {
+                this->orderLate(read.task, delay);
+            }
+        }
+        callAfter(this->context, delay, [this, order, unheard, body = request.body] {
+            if (!this->lost()) {
+                (this->*order)(body, unheard);
+            }
+        });
         this->abandon(respond);
     } else if (this->chance(this->answersLost)) {
-        (this->*order)(request.body, silent);
+        (this->*order)(request.body, unheard);
         this->abandon(respond);
     } else {
         (this->*order)(request.body, respond);
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -39,6 +39,10 @@
     /** Loses everything and begins a new life. */
     void restart(std::int64_t unixMs);
 
+    /** Loses everything and never comes back; silent: callers wait instead of seeing a reset. */
+    void lose(std::int64_t unixMs, bool silent);
+    bool lost() const { return !this->worker.up; }
+
     /** Returns its entry in the platform's registry. */
     std::string registryEntry() const;
 
@@ -46,6 +50,9 @@
 
     jobtests::SimWorker &simulation() { return this->worker; }
 
+    /** Told of an order that will be carried out late, with the time until then. */
+    std::function<void(const TaskRef &task, Duration delay)> orderLate;
+
     unsigned ordersLost = 0;  ///< In percent; neither done nor answered.
     unsigned answersLost = 0; ///< In percent; done all the same.
     unsigned ordersLate = 0;  ///< In percent of starts and stops; done seconds later.
@@ -84,6 +91,7 @@
     HttpServer server;
     jobtests::SimWorker worker;
     std::int64_t nowMs = 0;
+    bool silent = false; ///< Once lost, does not even reset connections.
     std::list<Waiting> waiting;
 };
 
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -20,24 +20,36 @@
 constexpr unsigned cancelPercent = 15;
 constexpr unsigned lastingEvery = 40; ///< One job in so many runs until it is cancelled.
 constexpr unsigned mostLasting = 6;   ///< A quarter of all room stays taken at the most.
+constexpr unsigned lastingEveryExtended = 16;
+constexpr unsigned mostLastingExtended = 5;
+constexpr std::size_t usualInstances = 5; ///< With more, each is asked less often.
 constexpr std::uint64_t lastingWorkMs = 100000000;
 constexpr unsigned longEvery = 24; ///< One job in so many works for longer than a lease.
 constexpr std::uint64_t longWorkMs = 9000;
+/** The same while workers are lost, so that runs end soon after the last loss. */
+constexpr std::uint64_t longWorkExtendedMs = 6500;
+constexpr std::uint64_t longWorkRangeExtendedMs = 1000;
 
 } // namespace
 
 SoakClients::SoakClients(boost::asio::io_context &context, const SoakLayout &layout,
-                         std::mt19937_64 &random, const jobtests::FleetLedger &ledger)
+                         std::mt19937_64 &random, const jobtests::FleetLedger &ledger,
+                         KeptCallers *kept)
     : context(context)
     , layout(layout)
     , random(random)
     , ledger(ledger)
+    , kept(kept)
     , http(context)
 {}
 
 void SoakClients::tick(std::int64_t now)
 {
     this->nowMs = now;
+    if (this->kept) {
+        this->kept->tick(now);
+        this->askOnKept();
+    }
     if (this->finishing || now < this->nextAt) {
         return;
     }
@@ -51,13 +63,17 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(this->jobs.size() + 1));
     made->id = JobId(id);
-    const bool lasts =
-        this->jobs.size() % lastingEvery == 1 && this->jobs.size() / lastingEvery < mostLasting;
+    const bool extended = this->layout.extended;
+    const unsigned every = extended ? lastingEveryExtended : lastingEvery;
+    const unsigned most = extended ? mostLastingExtended : mostLasting;
+    const bool lasts = this->jobs.size() % every == 1 && this->jobs.size() / every < most;
     const bool isLong = this->jobs.size() % longEvery == 2;
     const std::uint64_t steps = lasts || isLong ? 1 : 1 + this->below(3);
     for (std::uint32_t step = 0; step < steps; ++step) {
         SoakStep spec;
-        spec.count = static_cast<std::uint32_t>(1 + this->below(lasts || isLong ? 1 : 3));
+        spec.count = static_cast<std::uint32_t>(1 + this->below(lasts    ? (extended ? 2 : 1)
+                                                                : isLong ? 1
+                                                                         : 3));
         spec.lasts = lasts;
         if (step > 0) {
             spec.after.push_back(step - 1);
@@ -65,7 +81,7 @@
         made->steps.push_back(std::move(spec));
     }
     const std::uint64_t work = lasts    ? lastingWorkMs
-                               : isLong ? longWorkMs + this->below(longWorkMs)
+                               : isLong ? this->drawLongWork()
                                         : 50 + this->below(700);
     const bool fails = !lasts && !isLong && this->below(10) == 0;
     made->payload = "ms=" + std::to_string(work) + " fails=" + (fails ? "1" : "0");
@@ -82,36 +98,70 @@
     }
 }
 
-void SoakClients::call(std::size_t instance, const char *method, const SoakJob &job,
-                       std::string body, const Handler &handler)
+std::uint64_t SoakClients::drawLongWork()
+{
+    return this->layout.extended ? longWorkExtendedMs + this->below(longWorkRangeExtendedMs)
+                                 : longWorkMs + this->below(longWorkMs);
+}
+
+void SoakClients::call(std::size_t instance, KeptCallers::Caller *caller, const char *method,
+                       const SoakJob &job, std::string body, const Handler &handler)
 {
+    const std::size_t called = caller ? caller->instance : instance;
     HttpCall call;
     call.step = "client";
-    call.address = this->layout.entranceAddress(instance);
+    call.address = this->layout.entranceAddress(called);
     call.method = method;
     call.target = SoakLayout::queuePrefix + job.id.value();
     call.headers["Host"] = SoakLayout::queueHost;
     call.headers["X-Deadline-Ms"] = std::to_string(patience.count());
     call.body = std::move(body);
     call.timeout = patience;
+    if (caller) {
+        caller->busy = true;
+    }
     const auto sentAt = std::chrono::steady_clock::now();
-    this->http.call(std::move(call),
-                    [this, instance, handler, sentAt](const Result<HttpResponse> &result) {
-                        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            std::chrono::steady_clock::now() - sentAt);
-                        const bool sent = !result && result.error().fate != Fate::NotDone;
-                        if (sent && Duration(waited.count()) < patience && this->brokenOff) {
-                            this->brokenOff(instance, Duration(waited.count()));
-                        }
-                        handler(result);
-                    });
+    HttpClient &client = caller ? caller->http : this->http;
+    client.call(std::move(call),
+                [this, called, caller, handler, sentAt](const Result<HttpResponse> &result) {
+                    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        std::chrono::steady_clock::now() - sentAt);
+                    const bool sent = !result && result.error().fate != Fate::NotDone;
+                    if (sent && Duration(waited.count()) < patience && this->brokenOff) {
+                        this->brokenOff(called, Duration(waited.count()));
+                    }
+                    if (caller) {
+                        this->answeredOnKept += result ? 1 : 0;
+                        this->kept->finished(*caller, result);
+                    }
+                    handler(result);
+                });
+}
+
+void SoakClients::callAny(const char *method, const SoakJob &job, std::string body,
+                          const Handler &handler)
+{
+    const std::size_t instance = this->below(this->layout.instances);
+    const bool onKept = this->kept && this->kept->below(2) == 0;
+    KeptCallers::Caller *caller = onKept ? this->kept->drawIdle() : nullptr;
+    this->call(instance, caller, method, job, std::move(body), handler);
+}
+
+void SoakClients::askOnKept()
+{
+    if (this->jobs.empty()) {
+        return;
+    }
+    for (KeptCallers::Caller *caller : this->kept->takeDue()) {
+        const SoakJob &job = *this->jobs[this->kept->below(this->jobs.size())];
+        this->call(0, caller, "GET", job, {}, [](const auto &) {});
+    }
 }
 
 void SoakClients::send(SoakJob &job)
 {
     ++job.attempts;
-    const std::size_t instance = this->below(this->layout.instances);
-    this->call(instance, "POST", job, job.body(), [this, &job](const Result<HttpResponse> &result) {
+    this->callAny("POST", job, job.body(), [this, &job](const Result<HttpResponse> &result) {
         if (result && result->status == 200) {
             job.accepted = true;
             return;
@@ -131,8 +181,7 @@
 
 void SoakClients::cancel(SoakJob &job)
 {
-    const std::size_t instance = this->below(this->layout.instances);
-    this->call(instance, "DELETE", job, {}, [this, &job](const Result<HttpResponse> &result) {
+    this->callAny("DELETE", job, {}, [this, &job](const Result<HttpResponse> &result) {
         const bool known = result && result->status == 200;
         // Of a job whose accept is not known yet 410 says nothing.
         const bool gone = result && result->status == 410 && !job.accepted;
@@ -164,7 +213,7 @@
         return;
     }
     for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
-        this->call(instance, "GET", job, {}, [this, &job, instance](const auto &result) {
+        this->call(instance, nullptr, "GET", job, {}, [this, &job, instance](const auto &result) {
             const std::string state = result ? result->body : result.error().text();
             this->lastShown[job.id.value()] = state;
             const bool cancelled = state.find("cancelled") != std::string::npos;
@@ -179,7 +228,8 @@
             }
         });
     }
-    callAfter(this->context, Duration(watchGapMs), [this, &job] {
+    const std::size_t share = std::max<std::size_t>(1, this->layout.instances / usualInstances);
+    callAfter(this->context, Duration(watchGapMs * static_cast<std::int64_t>(share)), [this, &job] {
         if (!job.settled) {
             this->watch(job);
         }
@@ -188,13 +238,28 @@
 
 bool SoakClients::settled() const
 {
-    return std::all_of(this->jobs.begin(), this->jobs.end(), [&](const auto &job) {
-        const bool lasting = job->lasts() && job->accepted && !job->cancelSent;
-        // A task that lasts is at work again once all is well.
-        const auto at = this->ledger.running.find(TaskRef{job->id, 0, 0, 0});
-        const bool atWork = at != this->ledger.running.end() && !at->second.empty();
-        return job->settled && (!lasting || atWork);
-    });
+    // Tasks that last are at work again once all is well.
+    const std::vector<TaskRef> lasting = this->lastingTasks();
+    return std::all_of(this->jobs.begin(), this->jobs.end(),
+                       [](const auto &job) { return job->settled; }) &&
+           std::all_of(lasting.begin(), lasting.end(), [&](const TaskRef &task) {
+               const auto at = this->ledger.running.find(task);
+               return at != this->ledger.running.end() && !at->second.empty();
+           });
+}
+
+std::vector<TaskRef> SoakClients::lastingTasks() const
+{
+    std::vector<TaskRef> tasks;
+    for (const auto &job : this->jobs) {
+        if (!job->lasts() || !job->accepted || job->cancelSent) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < job->steps.front().count; ++index) {
+            tasks.push_back(TaskRef{job->id, 0, 0, index});
+        }
+    }
+    return tasks;
 }
 
 std::size_t SoakClients::acceptedCount() const
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "httpclient.h"
+#include "keptcallers.h"
 #include "simworker.h"
 #include "soakjob.h"
 #include "soaklayout.h"
@@ -24,8 +25,9 @@
 class SoakClients
 {
 public:
+    /** kept: callers through which half of the calls go, and questions; null: none do. */
     SoakClients(boost::asio::io_context &context, const SoakLayout &layout, std::mt19937_64 &random,
-                const jobtests::FleetLedger &ledger);
+                const jobtests::FleetLedger &ledger, KeptCallers *kept);
 
     /** Submits new jobs and cancels old ones; the time is in ms since the run began. */
     void tick(std::int64_t now);
@@ -42,10 +44,14 @@
     /** Returns what was still wrong at the end, in words. */
     std::vector<std::string> faults() const;
 
+    /** Returns the tasks that are to run until their jobs are cancelled. */
+    std::vector<TaskRef> lastingTasks() const;
+
     std::size_t jobCount() const { return this->jobs.size(); }
     std::size_t acceptedCount() const;
     std::size_t rejections() const { return this->rejected; }
     std::size_t unknowns() const { return this->unknown; }
+    std::size_t keptAnswers() const { return this->answeredOnKept; }
 
     /** Told when a connection broke after the instance had had the request for a while. */
     std::function<void(std::size_t instance, Duration waited)> brokenOff;
@@ -54,17 +60,22 @@
     using Handler = std::function<void(const Result<HttpResponse> &)>;
 
     void submitNew();
+    std::uint64_t drawLongWork();
     void send(SoakJob &job);
     void cancel(SoakJob &job);
     void watch(SoakJob &job);
-    void call(std::size_t instance, const char *method, const SoakJob &job, std::string body,
-              const Handler &handler);
+    /** Calls the instance; or, given a kept caller, the instance that it is on. */
+    void call(std::size_t instance, KeptCallers::Caller *caller, const char *method,
+              const SoakJob &job, std::string body, const Handler &handler);
+    void callAny(const char *method, const SoakJob &job, std::string body, const Handler &handler);
+    void askOnKept();
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
 
     boost::asio::io_context &context;
     const SoakLayout layout;
     std::mt19937_64 &random;
     const jobtests::FleetLedger &ledger;
+    KeptCallers *const kept;
     HttpClient http;
     std::vector<std::unique_ptr<SoakJob>> jobs;
     std::map<std::string, SoakJob *> byId;
@@ -74,6 +85,7 @@
     std::int64_t nextAt = 0;
     std::size_t rejected = 0;
     std::size_t unknown = 0;
+    std::size_t answeredOnKept = 0;
     bool finishing = false;
 };
 
--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -12,6 +12,8 @@
     unsigned network = 20; ///< Second number of every address, so that runs don't meet.
     std::size_t instances = 5;
     std::size_t workers = 6;
+    /** Also plays planned operations in series and overlapping, and loses workers for good. */
+    bool extended = false;
     std::filesystem::path folder; ///< Of settings, logs and process ids.
 
     std::string storeAddress() const { return this->address(0, 1); }
@@ -31,6 +33,12 @@
 
     std::string entranceAddress(std::size_t instance) const { return this->address(4, instance); }
 
+    /** Where the instance says whether it wants new connections. */
+    std::string readinessAddress(std::size_t instance) const
+    {
+        return this->ip(4, instance) + ":" + std::to_string(readinessPort);
+    }
+
     std::filesystem::path settingsFile(std::size_t instance) const
     {
         return this->folder / (this->instanceName(instance) + ".conf");
@@ -60,6 +68,7 @@
 
 private:
     static constexpr unsigned port = 7300;
+    static constexpr unsigned readinessPort = 7301;
 
     std::string ip(std::size_t group, std::size_t index) const
     {
