Answer open requests before a stopping instance must end

Cause: the instance waits for 250 ms without an open request, and at the end of its time it left the loop whatever was open. Requests overlap for seconds when the coordinator that they are relayed to can't append: each waits for the relay's 1.5 s (0.8 s a question) and then for its own append.

The new test fails on the former code: status 0 instead of 504.

Why it works: 250 ms before the end, the time in which answers are surely sent, all open requests get 504 (the outcome is not known, the same id may be sent again), and later ones 503, of which nothing was done.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 
 #include "logging.h"
+#include "platform/codec.h"
 #include "platform/names.h"
 
 namespace godwitfall {
@@ -48,6 +49,14 @@
     return Instant(std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000);
 }
 
+HttpResponse closingResponse(unsigned status, const char *reason)
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = platform::errorBody(reason);
+    return response;
+}
+
 } // namespace
 
 EntryInstance::EntryInstance(boost::asio::io_context &context, platform::Settings settings,
@@ -406,9 +415,8 @@
 
 void EntryInstance::serveClient(const HttpRequest &request, const Respond &respond, bool forwarded)
 {
-    ++this->openRequests;
-    const Respond answer = [this, respond, since = this->now()](HttpResponse response) {
-        --this->openRequests;
+    const std::uint64_t number = ++this->lastRequest;
+    const Respond finish = [this, respond, since = this->now()](HttpResponse response) {
         this->lastResponseAt = this->now();
         this->metrics.count("godwitfall_answers_total",
                             "status=\"" + std::to_string(response.status) + "\"");
@@ -419,6 +427,17 @@
         }
         respond(std::move(response));
     };
+    if (this->lastAnswersGiven) {
+        finish(closingResponse(503, "not accepted: this instance is stopping"));
+        return;
+    }
+    this->openRequests.emplace(number, finish);
+    const Respond answer = [this, number](HttpResponse response) {
+        const auto request = this->openRequests.extract(number);
+        if (!request.empty()) {
+            request.mapped()(std::move(response));
+        }
+    };
     // Records of forwarded requests share the coordinator's appends, and its view is the newest.
     const bool toCoordinator =
         !forwarded && !this->node.coordinates() && !this->jobApi.canRespondLocally(request) &&
@@ -480,16 +499,27 @@
 
 void EntryInstance::finishShutdownWhenIdle(Instant at)
 {
-    const bool idle = this->openRequests == 0 && at >= this->lastResponseAt + flushTime;
+    const Instant endsAt = this->stoppingSince + this->settings.grace - killMargin;
+    if (!this->lastAnswersGiven && at >= endsAt - flushTime) {
+        this->answerOpenRequests();
+    }
+    const bool idle = this->openRequests.empty() && at >= this->lastResponseAt + flushTime;
     const bool drained = at >= this->stoppingSince + drainTime && idle && this->node.released();
-    const bool mustEnd = at >= this->stoppingSince + this->settings.grace - killMargin;
-    if (drained || mustEnd) {
+    if (drained || at >= endsAt) {
         logLine(LogLevel::Info, "shutdown_done",
-                {{"open_requests", std::to_string(this->openRequests)}});
+                {{"open_requests", std::to_string(this->openRequests.size())}});
         this->context.stop();
     }
 }
 
+void EntryInstance::answerOpenRequests()
+{
+    this->lastAnswersGiven = true;
+    for (const auto &[number, finish] : std::exchange(this->openRequests, {})) {
+        finish(closingResponse(504, "outcome unknown; send the request again"));
+    }
+}
+
 // Notifications from the coordinator
 
 void EntryInstance::taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -97,6 +98,8 @@
     void waitForSignals();
     void beginShutdown();
     void finishShutdownWhenIdle(Instant at);
+    /** Answers what is still open, as the process is about to end. */
+    void answerOpenRequests();
 
     boost::asio::io_context &context;
     const platform::Settings settings;
@@ -127,7 +130,9 @@
     Instant delaysReportedAt;
     bool stopping = false;
     Instant stoppingSince;
-    std::size_t openRequests = 0;
+    bool lastAnswersGiven = false;                 ///< From then on requests are refused at once.
+    std::map<std::uint64_t, Respond> openRequests; ///< By number.
+    std::uint64_t lastRequest = 0;
     Instant lastResponseAt;
 };
 
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -185,6 +185,44 @@
     EXPECT_EQ(responseStatus, 200U) << responseText;
 }
 
+TEST_F(EntryInstanceTest, AnswersOpenRequestsBeforeItMustEnd)
+{
+    // The store stops answering so late that the request is open when the process has to end.
+    constexpr std::chrono::milliseconds afterSignal(4600);
+    unsigned responseStatus = 0;
+    std::string responseText;
+    const auto submit = [&] {
+        HttpCall call;
+        call.step = "submit";
+        call.address = jobApiAddress;
+        call.target = std::string("/plan/") + lastJob;
+        call.headers["Host"] = "a.example";
+        call.body = R"({"spec":"","steps":[{"count":1,"cpu":1,"estimated_ms":1}]})";
+        this->client.call(std::move(call), [&](const Result<HttpResponse> &result) {
+            responseStatus = result ? result->status : 0;
+            responseText = result ? result->body : result.error().text();
+        });
+    };
+    boost::asio::steady_timer untilSubmit(this->context);
+    this->pollJob(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        std::raise(SIGTERM);
+        // Questions keep the shutdown from finishing earlier.
+        const Clock::time_point askedUntil = Clock::now() + afterSignal;
+        this->pollJob(lastJob, [askedUntil](unsigned) { return Clock::now() > askedUntil; });
+        untilSubmit.expires_after(afterSignal);
+        untilSubmit.async_wait([&](const boost::system::error_code &) {
+            this->store.mood = soak::PlatformStore::Mood::Silent;
+            submit();
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(responseStatus, 504U) << responseText;
+}
+
 } // namespace
 
 } // namespace godwitfall
