Close kept connections of a stopping instance, as its responses ask

Callers on kept connections were never told to leave an instance that stops: its responses asked for Connection: close, but the server set the message to keep-alive afterwards, which takes the word out again. An open connection stays with its instance on the platform, so such callers kept it from being idle and went on sending until the process was gone.

Evidence: the new test fails on the former code (no Connection header after SIGTERM). Why it works: the server now counts a response's Connection: close as the end of keep-alive, writes it out and closes after the response.

Measured: test_entryinstance, test_httpserver and test_relay pass.

--- a/src/godwitfall/httpserver.cpp
+++ b/src/godwitfall/httpserver.cpp
@@ -53,6 +53,12 @@
     return request;
 }
 
+bool asksToClose(const HttpResponse &response)
+{
+    const auto connection = response.headers.find("Connection");
+    return connection != response.headers.end() && connection->second == "close";
+}
+
 HttpResponse errorResponse(unsigned status, const std::string &reason)
 {
     HttpResponse response;
@@ -195,6 +201,7 @@
         keepAlive = parser.get().keep_alive();
         stream.expires_never();
         const HttpResponse response = co_await this->handle(fromBeast(parser.get()));
+        keepAlive = keepAlive && !asksToClose(response);
         if (response.status == dropConnection ||
             !co_await this->send(stream, response, keepAlive)) {
             break;
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -223,6 +223,40 @@
     EXPECT_EQ(responseStatus, 504U) << responseText;
 }
 
+TEST_F(EntryInstanceTest, TellsCallersToLeaveWhileItStops)
+{
+    std::string before = "none";
+    std::string after = "none";
+    const auto ask = [this](std::string &connection, std::function<void()> then) {
+        HttpCall call;
+        call.step = "ask";
+        call.address = jobApiAddress;
+        call.method = "GET";
+        call.target = std::string("/plan/") + lastJob;
+        call.headers["Host"] = "a.example";
+        this->client.call(std::move(call), [&connection, then](const Result<HttpResponse> &result) {
+            ASSERT_TRUE(result) << result.error().text();
+            const auto named = result->headers.find("connection");
+            connection = named == result->headers.end() ? "kept" : named->second;
+            then();
+        });
+    };
+    this->pollJob(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        ask(before, [&] {
+            std::raise(SIGTERM);
+            this->timer.expires_after(std::chrono::milliseconds(100));
+            this->timer.async_wait([&](const boost::system::error_code &) { ask(after, [] {}); });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(before, "kept");
+    EXPECT_EQ(after, "close");
+}
+
 } // namespace
 
 } // namespace godwitfall
