--- a/tests/soak/callafter.h
+++ b/tests/soak/callafter.h
@@ -8,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "clock.h"
+#include "httpserver.h"
 
 namespace godwitfall::soak {
 
@@ -21,4 +21,20 @@
         [timer, action = std::move(action)](const boost::system::error_code &) { action(); });
 }
 
+/** Limits of the platform's servers, which take all connections. */
+inline HttpLimits platformLimits()
+{
+    HttpLimits limits;
+    limits.maxConnections = 20000;
+    return limits;
+}
+
+/** Leaves a call without an answer, for longer than any caller waits. */
+inline void abandonCall(boost::asio::io_context &context, const Respond &respond)
+{
+    HttpResponse dropped;
+    dropped.status = dropConnection;
+    callAfter(context, Duration(5000), [respond, dropped] { respond(dropped); });
+}
+
 } // namespace godwitfall::soak
