--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -185,6 +185,78 @@
     EXPECT_EQ(responseStatus, 200U) << responseText;
 }
 
+TEST_F(EntryInstanceTest, AnswersOpenRequestsBeforeItMustEnd)
+{
+    // The store stops answering so late that the request is open when the process has to end.
+    constexpr std::chrono::milliseconds afterSignal(4600);
+    unsigned responseStatus = 0;
+    std::string responseText;
+    const auto submit = [&] {
+        HttpCall call;
+        call.step = "submit";
+        call.address = jobApiAddress;
+        call.target = std::string("/plan/") + lastJob;
+        call.headers["Host"] = "a.example";
+        call.body = R"({"spec":"","steps":[{"count":1,"cpu":1,"estimated_ms":1}]})";
+        this->client.call(std::move(call), [&](const Result<HttpResponse> &result) {
+            responseStatus = result ? result->status : 0;
+            responseText = result ? result->body : result.error().text();
+        });
+    };
+    boost::asio::steady_timer untilSubmit(this->context);
+    this->pollJob(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        std::raise(SIGTERM);
+        // Questions keep the shutdown from finishing earlier.
+        const Clock::time_point askedUntil = Clock::now() + afterSignal;
+        this->pollJob(lastJob, [askedUntil](unsigned) { return Clock::now() > askedUntil; });
+        untilSubmit.expires_after(afterSignal);
+        untilSubmit.async_wait([&](const boost::system::error_code &) {
+            this->store.mood = soak::PlatformStore::Mood::Silent;
+            submit();
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(responseStatus, 504U) << responseText;
+}
+
+TEST_F(EntryInstanceTest, TellsCallersToLeaveWhileItStops)
+{
+    std::string before = "none";
+    std::string after = "none";
+    const auto ask = [this](std::string &connection, std::function<void()> then) {
+        HttpCall call;
+        call.step = "ask";
+        call.address = jobApiAddress;
+        call.method = "GET";
+        call.target = std::string("/plan/") + lastJob;
+        call.headers["Host"] = "a.example";
+        this->client.call(std::move(call), [&connection, then](const Result<HttpResponse> &result) {
+            ASSERT_TRUE(result) << result.error().text();
+            const auto named = result->headers.find("connection");
+            connection = named == result->headers.end() ? "kept" : named->second;
+            then();
+        });
+    };
+    this->pollJob(lastJob, [&](unsigned status) {
+        if (status != 410) {
+            return false;
+        }
+        ask(before, [&] {
+            std::raise(SIGTERM);
+            this->timer.expires_after(std::chrono::milliseconds(100));
+            this->timer.async_wait([&](const boost::system::error_code &) { ask(after, [] {}); });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(before, "kept");
+    EXPECT_EQ(after, "close");
+}
+
 } // namespace
 
 } // namespace godwitfall
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -14,6 +14,7 @@
 #include "platformstore.h"
 #include "platformworker.h"
 #include "soaklayout.h"
+#include "weightedkinds.h"
 
 namespace godwitfall::soak {
 
@@ -26,6 +27,7 @@
     std::vector<std::unique_ptr<LinkProxy>> &workerLinks; ///< By worker.
     std::function<void()> publishConfig;
     std::function<void(std::size_t worker)> rebirthWorker;
+    std::function<void(std::size_t instance)> writeSettings;
 };
 
 /** Draws faults from a seed and does them: signals to instances, faults of links, store, workers.
@@ -42,9 +44,27 @@
     /** Ends every fault that is under way. */
     void heal();
 
-    /** Returns whether the instance is stopping as planned, and was well before. */
+    /** Returns whether the instance may be stopping as planned. */
     bool stopsAsPlanned(std::size_t instance) const;
 
+    /** Returns whether no fault was near the instance from shortly before the time until now. */
+    bool undisturbedSince(std::size_t instance, std::int64_t sinceMs) const;
+
+    /** Kills the instance. */
+    void kill(std::size_t instance);
+
+    /** Stops the instance as planned, unless it is stopping or frozen. */
+    void stop(std::size_t instance);
+
+    /** Returns the instance that coordinates, as the log says, or any. */
+    std::size_t owner();
+
+    /** Writes to the log of the run that the fault begins. */
+    void note(const std::string &fault) const;
+
+    /** Counts and notes that the kind of fault begins. */
+    void begin(const std::string &kind);
+
     /** Returns how often the instance was made to end. */
     unsigned endsCaused(std::size_t instance) const { return this->ends[instance]; }
 
@@ -54,42 +74,20 @@
     const std::map<std::string, unsigned> &counts() const { return this->done; }
 
 private:
-    struct Kind
-    {
-        const char *name;
-        unsigned weight;
-        void (FaultPlan::*act)();
-    };
-
-    static const std::vector<Kind> &kinds();
-
-    void killOne();
-    void killOwner();
-    void freezeOne();
-    void freezeOwner();
-    void stopOne();
-    void rereadSettings();
+    static const std::vector<WeightedKind<FaultPlan>> &kinds();
+
     void troubleStore();
-    void loseStoreAnswers();
-    void delayAppends();
-    void dropHistory();
-    void troubleStoreLink();
-    void troubleOwnersStoreLink();
-    void troubleWorkerLink();
-    void rebirthWorker();
     void troubleOrders();
-    void changeConfig();
-
-    void kill(std::size_t instance);
+    /** Sets the percentage for two seconds. */
+    void troubleAppends(unsigned &percentage, unsigned percent);
     void freeze(std::size_t instance);
-    /** Draws what is wrong with the link and for how long. */
-    void trouble(LinkProxy &link, std::int64_t longestMs);
-    /** Returns the instance that coordinates, as the log says, or any. */
-    std::size_t owner();
+    /** Draws what is wrong with the link and for how long; returns that time. */
+    std::int64_t trouble(LinkProxy &link, std::int64_t longestMs);
+    void troubleStoreLink(std::size_t instance);
     std::size_t anyInstance() { return this->below(this->layout.instances); }
     std::size_t anyWorker() { return this->below(this->targets.workers.size()); }
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
-    void disturb(std::size_t instance);
+    void disturb(std::size_t instance, std::int64_t lengthMs);
 
     boost::asio::io_context &context;
     const SoakLayout layout;
@@ -99,8 +97,8 @@
     std::int64_t nextAt = 0;
     bool healed = false;
     std::vector<unsigned> ends;
-    std::vector<std::int64_t> stoppedAtMs;   ///< Last planned stop, by instance.
-    std::vector<std::int64_t> disturbedAtMs; ///< Last other fault near it, by instance.
+    std::vector<std::int64_t> stoppedAtMs;      ///< Last planned stop, by instance.
+    std::vector<std::int64_t> disturbedUntilMs; ///< End of the last other fault, by instance.
     std::vector<bool> frozen;
     std::map<std::string, unsigned> done;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -10,6 +11,9 @@
 #include <tclap/CmdLine.h>
 
 #include "faultplan.h"
+#include "keptcallers.h"
+#include "lastingcheck.h"
+#include "operationplan.h"
 #include "platform/names.h"
 #include "soakclients.h"
 
@@ -26,6 +30,12 @@
 /** Time that an instance surely had a request for when its connection broke after it. */
 constexpr Duration surelyRead{300};
 constexpr std::int64_t msPerSecond = 1000;
+/** Time until a killed instance listens again, in which not all is calm yet. */
+constexpr std::int64_t restartMs = 500;
+/** Pause of this process itself that counts as one of the platform. */
+constexpr std::int64_t longestPauseMs = 500;
+constexpr std::size_t slotsOfWorker = 4;
+constexpr std::size_t sparesOfExtended = 4; ///< Workers that may be lost.
 
 /** What to leave out of the platform, to show that the checks notice. */
 struct Weakening
@@ -54,6 +64,8 @@
     void publishWorker(std::size_t worker);
     void publishConfig();
     void rebirthWorker(std::size_t worker);
+    void writeSettings(std::size_t instance);
+    void checkLasting(std::int64_t now);
     void scheduleTick();
     void tick();
     void beginStopping();
@@ -70,11 +82,16 @@
     std::mt19937_64 faultRandom;
     jobtests::FleetLedger ledger;
     PlatformStore store;
+    std::unique_ptr<KeptCallers> kept; ///< Null without the extended plan.
     SoakClients clients;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<std::unique_ptr<LinkProxy>> workerLinks;
     std::unique_ptr<FaultPlan> plan;
+    std::unique_ptr<OperationPlan> operations;
+    LastingCheck lasting;
+    std::int64_t tickedAt = 0;
+    unsigned pauses = 0; ///< Of this process itself; while it pauses, no worker answers.
     boost::asio::steady_timer timer;
     Phase phase = Phase::Faults;
     std::int64_t phaseAt = 0;
@@ -90,7 +107,9 @@
     , clientRandom(seed + 1)
     , faultRandom(seed + 2)
     , store(this->context, this->random)
-    , clients(this->context, layout, this->clientRandom, this->ledger)
+    , kept(layout.extended ? std::make_unique<KeptCallers>(this->context, layout, seed + 3)
+                           : nullptr)
+    , clients(this->context, layout, this->clientRandom, this->ledger, this->kept.get())
     , timer(this->context)
 {
     for (std::size_t index = 0; index < layout.workers; ++index) {
@@ -104,6 +123,9 @@
             }));
         this->workers.back()->simulation().checksFence = !weakening.workerFence;
         this->workers.back()->simulation().keepsLeases = !weakening.workerLease;
+        this->workers.back()->orderLate = [this](const TaskRef &task, Duration delay) {
+            this->lasting.orderLate(task, this->nowMs() + delay.count());
+        };
         this->workerLinks.push_back(
             std::make_unique<LinkProxy>(this->context, layout.workerAddress(index)));
     }
@@ -114,21 +136,31 @@
         this->storeLinks.push_back(
             std::make_unique<LinkProxy>(this->context, layout.storeAddress()));
     }
-    this->plan = std::make_unique<FaultPlan>(this->context, layout,
-                                             SoakTargets{this->store, this->workers,
-                                                         this->storeLinks, this->workerLinks,
-                                                         [this] { this->publishConfig(); },
-                                                         [this](std::size_t worker) {
-                                                             this->rebirthWorker(worker);
-                                                         }},
-                                             this->faultRandom);
+    const SoakTargets targets{this->store,
+                              this->workers,
+                              this->storeLinks,
+                              this->workerLinks,
+                              [this] { this->publishConfig(); },
+                              [this](std::size_t worker) { this->rebirthWorker(worker); },
+                              [this](std::size_t instance) {
+                                  this->writeSettings(instance);
+                              }};
+    this->plan = std::make_unique<FaultPlan>(this->context, layout, targets, this->faultRandom);
     this->clients.brokenOff = [this](std::size_t instance, Duration waited) {
-        if (waited >= surelyRead && this->plan->stopsAsPlanned(instance)) {
-            this->breakPromise("a planned stop of " + this->layout.instanceName(instance) +
-                               " broke off a request that it had for " +
-                               std::to_string(waited.count()) + " ms");
+        if (waited < surelyRead ||
+            !this->plan->undisturbedSince(instance, this->nowMs() - waited.count())) {
+            return;
         }
+        const std::string name = this->layout.instanceName(instance);
+        this->breakPromise((this->plan->stopsAsPlanned(instance) ? "a planned stop of " + name
+                                                                 : "undisturbed, " + name) +
+                           " broke off a request that it had for " +
+                           std::to_string(waited.count()) + " ms");
     };
+    if (layout.extended) {
+        this->operations = std::make_unique<OperationPlan>(this->context, layout, *this->plan,
+                                                           targets, seed + 4, faultMs);
+    }
 }
 
 std::int64_t Soak::unixMs()
@@ -160,7 +192,7 @@
     require(this->store.listen(this->layout.storeAddress()));
     for (std::size_t index = 0; index < this->storeLinks.size(); ++index) {
         require(this->storeLinks[index]->listen(this->layout.storeProxyAddress(index)));
-        std::ofstream(this->layout.settingsFile(index)) << this->layout.settings(index);
+        this->writeSettings(index);
     }
     for (std::size_t index = 0; index < this->workers.size(); ++index) {
         require(this->workers[index]->listen(this->layout.workerAddress(index)));
@@ -189,8 +221,20 @@
                         R"(","max_connections":8,"enforces_capacity":true}]})");
 }
 
+void Soak::writeSettings(std::size_t instance)
+{
+    // An instance that starts meanwhile reads the former file or the new one.
+    const std::filesystem::path file = this->layout.settingsFile(instance);
+    const std::filesystem::path written = file.string() + ".new";
+    std::ofstream(written) << this->layout.settings(instance);
+    std::filesystem::rename(written, file);
+}
+
 void Soak::rebirthWorker(std::size_t worker)
 {
+    if (this->workers[worker]->lost()) {
+        return;
+    }
     this->workerLinks[worker]->breakConnections();
     this->workers[worker]->restart(unixMs());
     this->publishWorker(worker);
@@ -211,14 +255,20 @@
     const std::int64_t now = this->nowMs();
     this->clients.tick(now);
     this->plan->tick(now);
+    if (this->operations) {
+        this->operations->tick(now);
+    }
     this->store.tick(std::chrono::steady_clock::now());
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
     }
+    this->checkLasting(now);
     switch (this->phase) {
     case Phase::Faults:
         if (now >= this->faultMs) {
             this->plan->heal();
+            this->plan->note("all healed");
+            this->lasting.calmSince(now + restartMs);
             this->clients.finish();
             this->phase = Phase::Settling;
             this->phaseAt = now;
@@ -250,6 +300,35 @@
     this->scheduleTick();
 }
 
+void Soak::checkLasting(std::int64_t now)
+{
+    const bool paused = now > this->tickedAt + longestPauseMs;
+    this->tickedAt = now;
+    this->pauses += paused ? 1 : 0;
+    if (this->phase == Phase::Stopping) {
+        return;
+    }
+    // A pause is a fault like any other; late appends may still fence the owner.
+    if (this->phase != Phase::Faults && (paused || this->store.hasLateAppends())) {
+        this->lasting.calmSince(now);
+    }
+    std::map<std::string, std::size_t> taken;
+    for (const auto &[task, runs] : this->ledger.running) {
+        for (const auto &[worker, run] : runs) {
+            ++taken[worker];
+        }
+    }
+    std::size_t freeSlots = 0;
+    for (const auto &worker : this->workers) {
+        const std::size_t used = std::min(slotsOfWorker, taken[worker->name()]);
+        freeSlots += worker->lost() ? 0 : slotsOfWorker - used;
+    }
+    for (const std::string &broken :
+         this->lasting.check(now, this->clients.lastingTasks(), this->ledger, freeSlots)) {
+        this->breakPromise(broken);
+    }
+}
+
 void Soak::beginStopping()
 {
     this->phase = Phase::Stopping;
@@ -304,7 +383,10 @@
     std::cout << "jobs " << this->clients.jobCount() << ", accepted "
               << this->clients.acceptedCount() << ", rejections " << this->clients.rejections()
               << ", unknown " << this->clients.unknowns() << ", starts " << this->ledger.starts
-              << ", done " << this->ledger.done << "\nfaults:";
+              << ", done " << this->ledger.done << ", answers on kept connections "
+              << this->clients.keptAnswers() << ", longest gap of a lasting task ms "
+              << this->lasting.longestGap() << ", pauses of the soak " << this->pauses
+              << "\nfaults:";
     for (const auto &[name, count] : this->plan->counts()) {
         std::cout << " " << name << " " << count;
     }
@@ -328,6 +410,10 @@
                                       false, 20, "20 to 250", flags);
     TCLAP::ValueArg<std::size_t> instances("", "instances", "entry instances", false, 5, "number",
                                            flags);
+    TCLAP::SwitchArg extended("", "extended",
+                              "also operations in series and overlapping, callers on kept "
+                              "connections, workers lost for good",
+                              flags);
     TCLAP::ValueArg<std::string> folder("", "folder", "settings, logs and process ids", true, "",
                                         "path", flags);
     TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
@@ -337,6 +423,8 @@
     SoakLayout layout;
     layout.network = network.getValue();
     layout.instances = instances.getValue();
+    layout.extended = extended.getValue();
+    layout.workers += layout.extended ? sparesOfExtended : 0;
     layout.folder = folder.getValue();
     const Weakening weakening{workerFence.getValue(), workerLease.getValue(),
                               storeFence.getValue()};
--- a/tests/soak/platformstore.h
+++ b/tests/soak/platformstore.h
@@ -42,6 +42,9 @@
     /** Returns the instance that the job log names as its owner; empty: none. */
     std::string owner() const;
 
+    /** Returns whether an append is still to be carried out late. */
+    bool hasLateAppends() const { return this->lateAppends > 0; }
+
     /** Lets appends of earlier epochs pass, to show that checks notice. */
     void dropFence();
 
@@ -76,8 +79,6 @@
     HttpResponse newest(const Query &query);
     HttpResponse page(const Topic &topic, std::uint64_t from) const;
     void serveWaiting(const std::string &topic);
-    /** Leaves the call without an answer, for longer than any caller waits. */
-    void abandon(const Respond &respond);
     bool chance(unsigned percent) { return this->random() % 100 < percent; }
 
     boost::asio::io_context &context;
@@ -86,6 +87,7 @@
     std::map<std::string, Topic> topics;
     std::list<Waiting> waiting;
     bool fences = true;
+    std::size_t lateAppends = 0;
 };
 
 } // namespace godwitfall::soak
