Count leases from the worker's last reply

Callers saw a long-running task stand still for 10 s after it was handed in: it was placed on a worker that had been lost just before.

Cause: a lease began with the order that carries it. Orders sent into silence, for up to 2 s, so moved the time at which the worker's runs have surely ended.

One that no longer replies has 6 s from its last reply, 6.7 s with drift and stop, instead of 8.7.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -76,6 +76,9 @@
     /** Time without a report after which a worker gets no more starts and its leases are no longer
      * renewed; above a hold and its timeout, so that one lost reply costs no lease. */
     static constexpr Duration renewalTimeout{2000};
+    /** Part of WorkerBounds::longestDelay in which a former owner may still have renewed leases,
+     * when worker and owner are lost together. */
+    static constexpr Duration takeoverTime{2000};
     /** Time from the lapse of all leases on a worker until its tasks have started on others. */
     static constexpr Duration replacementTime{250};
     /** Longest lease of a draining worker: it may leave at any moment, and its tasks resume on
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -24,7 +24,7 @@
 
 Duration Coordinator::leaseLength() const
 {
-    const Duration left = this->bounds.longestDelay - renewalTimeout - this->bounds.stopTime -
+    const Duration left = this->bounds.longestDelay - takeoverTime - this->bounds.stopTime -
                           WorkerState::lapseMargin - replacementTime;
     const double onSlowClock = static_cast<double>(left.count()) * (1.0 - WorkerState::clockDrift);
     return std::min(this->bounds.longestLease, Duration(static_cast<std::int64_t>(onSlowClock)));
@@ -48,7 +48,7 @@
     order.task = ref;
     order.run = task.run;
     order.payload = job.spec().payload();
-    order.leaseEndMs = worker->leaseEnd(now, this->leaseLength());
+    order.leaseEndMs = worker->leaseEnd(this->leaseLength());
     order.checkpoint = task.checkpoint;
     const StepRef step{ref.job, ref.occurrence, ref.step};
     if (const std::string *ticket = this->advice.ticket(step, *worker, now)) {
@@ -276,7 +276,7 @@
     if (mayRenew && mayProlongLeases(worker, now)) {
         const Duration length = this->leaseLength();
         order.leaseEndMs =
-            worker.leaseEnd(now, worker.entry.draining ? std::min(length, drainingLease) : length);
+            worker.leaseEnd(worker.entry.draining ? std::min(length, drainingLease) : length);
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = worker.applied == worker.acknowledged;
         const bool shared = worker.bestEffortMilliCores > 0 && worker.reserved.milliCores > 0;
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -52,12 +52,9 @@
     this->sampledAt = receivedAt;
 }
 
-std::int64_t WorkerState::leaseEnd(Instant now, Duration length) const
+std::int64_t WorkerState::leaseEnd(Duration length) const
 {
-    if (!this->responded) {
-        return 0;
-    }
-    return this->clockSampleMs + (now - this->sampledAt).count() + length.count();
+    return this->responded ? this->clockSampleMs + length.count() : 0;
 }
 
 void WorkerState::noteLeaseEnd(std::int64_t endMs)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -121,8 +121,9 @@
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
-    /** Returns the lease end to ask for, in ms of the worker's clock; 0 before its first reply. */
-    std::int64_t leaseEnd(Instant now, Duration length) const;
+    /** Returns the end of a lease that begins with the worker's last reply, in ms of its clock; 0
+     * before its first reply. Orders that get no reply so do not prolong a lease. */
+    std::int64_t leaseEnd(Duration length) const;
 
     /** Records the lease end that an order carries, in ms of the worker's clock. */
     void noteLeaseEnd(std::int64_t endMs);
