Wait for delayed starts to a former incarnation with the whole worker

A task could run twice after a takeover: a record places B on a worker's former incarnation, without confirming it, and A on the next one. B's late start carries a lease end on the former clock, which the worker shortens to a lease from its arrival, for all that it runs; A counted as over before.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -573,6 +573,12 @@
         Task &task = *job->task(ref);
         if (task.workerIncarnationStartMs != 0 &&
             task.workerIncarnationStartMs < worker.entry.incarnationStartMs) {
+            if (task.startMayArriveLate) {
+                // Its lease end, on the former clock, prolongs all that runs on the newest
+                // incarnation.
+                worker.earlierLeasesLapse =
+                    std::max(worker.earlierLeasesLapse, task.delayedRunLapses);
+            }
             this->stopDelayedRun(ref, task, now);
         }
     }
