Count a former owner's starts until its permission has ended

A start could be carried out after a successor took it for settled: the former owner, cut off from the store, may send tries until its permission ends, and the successor counted twelve seconds from the takeover.

The bound is now the one that the wait for a delayed run uses.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -122,9 +122,9 @@
             if (task.startMayArriveLate) {
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
-                task.startMayArriveUntil = now + WorkerState::longestOrderDelay;
                 task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay +
                                         this->bounds.longestLease - this->leaseLength();
+                task.startMayArriveUntil = task.delayedRunLapses;
             }
             worker->entry.incarnationStartMs =
                 std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
