Only orders with a lease end prolong the leases of a next incarnation

A restarted worker's tasks waited for 18.7 s when it was lost: holds without a lease end, sent while it was down, and a lost reply to a start of the present incarnation counted as orders that may still prolong a lease.

The first kind is not counted, and a start's placement tells its incarnation. Found by the review.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -271,7 +271,7 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
-        if (outcome == OrderOutcome::Unanswered) {
+        if (outcome == OrderOutcome::Unanswered && worker->holdRenews) {
             worker->noteUnanswered(sentAt, now);
         }
         worker->holdDue = now + unresponsiveHoldGap;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -187,13 +187,18 @@
     std::erase_if(worker->unanswered, [&](const UnansweredStart &start) {
         return now - start.at > WorkerState::longestOrderDelay;
     });
-    worker->noteUnanswered(sameIncarnation ? now : Instant(), now);
     // The incarnation that the start was sent to recognises a repeated start; a later one has to be
     // sent a stop.
     worker->unanswered.push_back(
         UnansweredStart{ref, run, now, sameIncarnation ? worker->incarnation : 0});
     Job *job = this->table.find(ref.job);
-    if (Task *task = job ? job->task(ref) : nullptr) {
+    Task *task = job ? job->task(ref) : nullptr;
+    // Its task's placement tells which incarnation the newest run was sent to.
+    const bool sentToPresent =
+        sameIncarnation || (task && task->run == run &&
+                            task->workerIncarnationStartMs == worker->entry.incarnationStartMs);
+    worker->noteUnanswered(sentToPresent ? now : Instant(), now);
+    if (task) {
         std::erase_if(task->lateStarts, [&](const LateStart &start) {
             return start.worker == id.value() && start.run == run;
         });
@@ -282,6 +287,7 @@
         const bool shared = worker.bestEffortMilliCores > 0 && worker.reserved.milliCores > 0;
         order.wait = !settled ? Duration(0) : shared ? sharedHoldWait : holdWait;
     }
+    worker.holdRenews = order.leaseEndMs > 0;
     worker.holdInFlight = true;
     this->orders.hold(std::move(order));
 }
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -170,6 +170,7 @@
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
 
     bool holdInFlight = false;
+    bool holdRenews = false; ///< The newest hold carries a lease end.
     Instant holdDue;
     std::uint64_t incarnation = 1;  ///< Counts its incarnations; each numbers its ends anew.
     std::uint64_t acknowledged = 0; ///< Ends up to this number are durable.
