Keep a start confirmed while its run is being stopped

A long-running task that was moving off a leaving worker waited 12 s more when worker and coordinator were lost: records confirmed only running tasks, so the one written when the stop began took the confirmation back.

Whether the start was taken is now kept with the task.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -368,6 +368,7 @@
     }
     if (task->phase == TaskPhase::Unconfirmed || task->phase == TaskPhase::Starting) {
         task->phase = TaskPhase::Running;
+        task->startTaken = true;
         task->since = now;
         task->progressAt = now;
         const auto start = this->starts.find(running.task);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -100,6 +100,7 @@
     switch (outcome) {
     case OrderOutcome::Accepted:
         task->phase = TaskPhase::Running;
+        task->startTaken = true;
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -530,6 +530,7 @@
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
     Task &task = run.tasks[index];
     task.phase = TaskPhase::Recording;
+    task.startTaken = false;
     task.startMayArriveLate = false;
     task.delayedRunLapses = Instant();
     task.listed = false;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -37,10 +37,7 @@
             placed.set_index(index);
             placed.set_worker(task.worker);
             placed.set_worker_born_ms(task.workerIncarnationStartMs);
-            // A placement confirmed by an earlier record stays confirmed until its worker responds.
-            const bool confirmed =
-                task.phase == TaskPhase::Running || task.phase == TaskPhase::Unconfirmed;
-            placed.set_confirmed(confirmed && !task.startMayArriveLate);
+            placed.set_confirmed(task.startTaken && !task.startMayArriveLate);
         }
         for (const LateStart &start : task.lateStarts) {
             jobs::LateStart &late = *message.add_late();
@@ -230,6 +227,7 @@
             if (placed.index() < run.tasks.size()) {
                 Task &task = run.tasks[placed.index()];
                 task.phase = TaskPhase::Unconfirmed;
+                task.startTaken = placed.confirmed();
                 task.startMayArriveLate = !placed.confirmed();
                 task.worker = placed.worker();
                 task.workerIncarnationStartMs = placed.worker_born_ms();
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -67,6 +67,7 @@
     std::string checkpoint;
     std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it as running.
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
+    bool startTaken = false;        ///< Its worker has taken the start of its newest run.
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
     Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
