--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,6 +60,7 @@
 
     static std::int64_t unixMs();
     std::int64_t nowMs() const;
+    void callEnded(std::size_t instance, Duration waited, bool answered);
     void listen();
     void publishWorker(std::size_t worker);
     void publishConfig();
@@ -91,7 +92,8 @@
     std::unique_ptr<OperationPlan> operations;
     LastingCheck lasting;
     std::int64_t tickedAt = 0;
-    unsigned pauses = 0; ///< Of this process itself; while it pauses, no worker answers.
+    unsigned answersInStops = 0; ///< Of instances that stopped as planned, undisturbed.
+    unsigned pauses = 0;         ///< Of this process itself; while it pauses, no worker answers.
     boost::asio::steady_timer timer;
     Phase phase = Phase::Faults;
     std::int64_t phaseAt = 0;
@@ -146,16 +148,8 @@
                                   this->writeSettings(instance);
                               }};
     this->plan = std::make_unique<FaultPlan>(this->context, layout, targets, this->faultRandom);
-    this->clients.brokenOff = [this](std::size_t instance, Duration waited) {
-        if (waited < surelyRead ||
-            !this->plan->undisturbedSince(instance, this->nowMs() - waited.count())) {
-            return;
-        }
-        const std::string name = this->layout.instanceName(instance);
-        this->breakPromise((this->plan->stopsAsPlanned(instance) ? "a planned stop of " + name
-                                                                 : "undisturbed, " + name) +
-                           " broke off a request that it had for " +
-                           std::to_string(waited.count()) + " ms");
+    this->clients.ended = [this](std::size_t instance, Duration waited, bool answered) {
+        this->callEnded(instance, waited, answered);
     };
     if (layout.extended) {
         this->operations = std::make_unique<OperationPlan>(this->context, layout, *this->plan,
@@ -163,6 +157,21 @@
     }
 }
 
+void Soak::callEnded(std::size_t instance, Duration waited, bool answered)
+{
+    if (!this->plan->undisturbedSince(instance, this->nowMs() - waited.count())) {
+        return;
+    }
+    const bool stops = this->plan->stopsAsPlanned(instance);
+    this->answersInStops += answered && stops ? 1 : 0;
+    if (!answered && waited >= surelyRead) {
+        const std::string name = this->layout.instanceName(instance);
+        this->breakPromise((stops ? "a planned stop of " + name : "undisturbed, " + name) +
+                           " broke off a request that it had for " +
+                           std::to_string(waited.count()) + " ms");
+    }
+}
+
 std::int64_t Soak::unixMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -384,9 +393,9 @@
               << this->clients.acceptedCount() << ", rejections " << this->clients.rejections()
               << ", unknown " << this->clients.unknowns() << ", starts " << this->ledger.starts
               << ", done " << this->ledger.done << ", answers on kept connections "
-              << this->clients.keptAnswers() << ", longest gap of a lasting task ms "
-              << this->lasting.longestGap() << ", pauses of the soak " << this->pauses
-              << "\nfaults:";
+              << this->clients.keptAnswers() << ", in planned stops " << this->answersInStops
+              << ", longest gap of a lasting task ms " << this->lasting.longestGap()
+              << ", pauses of the soak " << this->pauses << "\nfaults:";
     for (const auto &[name, count] : this->plan->counts()) {
         std::cout << " " << name << " " << count;
     }
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -120,9 +120,9 @@
                 [this, called, caller, handler, sentAt](const Result<HttpResponse> &result) {
                     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
                         std::chrono::steady_clock::now() - sentAt);
-                    const bool sent = !result && result.error().fate != Fate::NotDone;
-                    if (sent && Duration(waited.count()) < patience && this->brokenOff) {
-                        this->brokenOff(called, Duration(waited.count()));
+                    const bool broken = !result && result.error().fate != Fate::NotDone;
+                    if (result || (broken && Duration(waited.count()) < patience)) {
+                        this->ended(called, Duration(waited.count()), static_cast<bool>(result));
                     }
                     if (caller) {
                         this->answeredOnKept += result ? 1 : 0;
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -53,8 +53,8 @@
     std::size_t unknowns() const { return this->unknown; }
     std::size_t keptAnswers() const { return this->answeredOnKept; }
 
-    /** Told when a connection broke after the instance had had the request for a while. */
-    std::function<void(std::size_t instance, Duration waited)> brokenOff;
+    /** Told when a sent call was answered, or its connection broke before its time was over. */
+    std::function<void(std::size_t instance, Duration waited, bool answered)> ended;
 
 private:
     using Handler = std::function<void(const Result<HttpResponse> &)>;
