Soak: keep every stop that the former check of broken requests counted

The check by request left out one case that the former one by stop had: a request sent up to 3 s before a planned stop, within contact_ms of a fault. Such a stop counts from its own time on again.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -156,7 +156,8 @@
 
 bool FaultPlan::undisturbedSince(std::size_t instance, std::int64_t sinceMs) const
 {
-    return this->disturbedUntilMs[instance] + nearMs < sinceMs;
+    const std::int64_t stopped = this->stopsAsPlanned(instance) ? this->stoppedAtMs[instance] : 0;
+    return this->disturbedUntilMs[instance] + nearMs < std::max(sinceMs, stopped);
 }
 
 void FaultPlan::note(const std::string &fault) const
@@ -256,7 +257,7 @@
 void FaultPlan::troubleStoreLink(std::size_t instance)
 {
     const std::int64_t length = this->trouble(*this->targets.storeLinks[instance], longestFaultMs);
-    this->disturb(instance, length);
+    this->disturb(instance, std::min(length, longestFaultMs));
 }
 
 void FaultPlan::troubleOrders()
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -47,7 +47,8 @@
     /** Returns whether the instance may be stopping as planned. */
     bool stopsAsPlanned(std::size_t instance) const;
 
-    /** Returns whether no fault was near the instance from shortly before the time until now. */
+    /** Returns whether no fault was near the instance from shortly before the time until now; in a
+     * planned stop, from shortly before that at the earliest. */
     bool undisturbedSince(std::size_t instance, std::int64_t sinceMs) const;
 
     /** Kills the instance. */
