Release a claim that wins while its instance stops

Callers found no coordinator for 2.5 s and long-running tasks of a lost worker waited 9.2 s more: an instance claimed as its SIGTERM arrived.

Cause: an instance that stops neither takes up a claim that has won nor releases it, so the others wait for the owner's timeout and then for leases that nobody had granted.

ClaimThatWinsDuringShutdownIsReleased is red on the former code.

Why it works: the claim is fenced as usual and then released in place of being taken up.

--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -156,17 +156,21 @@
 void JobNode::considerClaim(Instant now, std::int64_t unixMs)
 {
     const OwnerView &owner = this->table.owner();
-    if (this->coordinator.active() || this->stopping || !this->viewLoaded) {
+    if (this->coordinator.active() || !this->viewLoaded) {
         return;
     }
     if (this->lease.owns(owner)) {
+        // Also during shutdown, to release what a claim in flight has won.
         if (this->takeover == Takeover::None) {
             this->fenceProgress(now);
-        } else if (this->takeover == Takeover::Loaded) {
+        } else if (this->takeover == Takeover::Loaded && !this->stopping) {
             this->becomeOwner(now, unixMs);
         }
         return;
     }
+    if (this->stopping) {
+        return;
+    }
     const bool waiting = this->claimInFlight && now < this->claimSentAt + claimTimeout;
     if (!waiting && this->lease.shouldClaim(owner, now, this->service.viewTime())) {
         this->claim(now);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -389,5 +389,35 @@
     EXPECT_LT(returnedAt, lostAt + longestMs);
 }
 
+// Guards against: a claim that won as its instance began to stop was neither taken up nor released,
+// so the others waited for the owner's timeout and for leases that nobody had granted.
+TEST(JobNodeTest, ClaimThatWinsDuringShutdownIsReleased)
+{
+    ImmediateLog log;
+    OrderRecorder orders;
+    RecordingHost host;
+    Random random(1);
+    JobNode node(JobNodeSettings{"b", 1, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
+                 host, random);
+    bool released = false;
+    for (std::int64_t at = 1000; at < 4000; at += 10) {
+        const std::vector<JobRecord> stored = std::exchange(log.stored, {});
+        if (!stored.empty()) {
+            node.beginShutdown();
+        }
+        for (const JobRecord &entry : stored) {
+            node.applyRecord(record(entry.key, entry.value, 1), Instant(at));
+            jobs::Ownership owner;
+            ASSERT_TRUE(owner.ParseFromString(entry.value));
+            released = owner.released();
+        }
+        node.logReadTo(1, Instant(at));
+        node.work(Instant(at), at);
+    }
+    EXPECT_TRUE(released);
+    EXPECT_TRUE(node.released());
+    EXPECT_FALSE(node.coordinates());
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
