--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -73,7 +73,7 @@
         phase("running", tasks.running);
         phase("stopping", tasks.stopping);
     }
-    for (std::size_t reason = 0; reason < delayReasons; ++reason) {
+    for (std::size_t reason = 0; reason < delayReasonCount; ++reason) {
         gauge("godwitfall_delayed_tasks", "reason", toText(static_cast<DelayReason>(reason)),
               statistics.delayed.at(reason));
     }
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -72,7 +72,7 @@
     this->unansweredOfUnlisted.clear();
     this->advice.clear();
     this->dirty.clear();
-    this->confirmations.clear();
+    this->unrecordedStarts.clear();
     this->recording.clear();
     this->inBatch.clear();
     this->inRecords.clear();
@@ -621,7 +621,7 @@
         record.value = job->toProgress().SerializeAsString();
         records.push_back(std::move(record));
         this->inRecords.push_back(job);
-        this->confirmations.erase(job);
+        this->unrecordedStarts.erase(job);
     }
     this->dirty.clear();
     this->inBatch = std::move(this->recording);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -264,6 +264,9 @@
     void adopt(Job &job, Instant now);
     OrderTarget targetOf(const WorkerState &worker) const;
 
+    /** Returns why the waiting task is not placed. */
+    DelayReason waitingReason(const TaskRef &ref, const Task &task, const StepWait *wait,
+                              Instant now) const;
     /** Returns why the long-running task does not run; nothing if it does. */
     std::optional<DelayedTask> delayOf(const Job &job, const StepRun &run, std::uint32_t index,
                                        Instant now) const;
@@ -294,7 +297,8 @@
                  Instant now);
     /** Sets all tasks of a worker whose incarnation is gone back to waiting. */
     void returnTasksOf(WorkerState &worker, Instant now);
-    /** Returns when the task's run has certainly ended if no order reaches the worker any more. */
+    /** Returns when the task's run has certainly ended if no order reaches the worker any more.
+     * Once the worker replies, delayed starts are stopped there and need no wait. */
     Instant runLapsesAt(const WorkerState &worker, const Task &task) const;
     /** Sets the tasks whose runs on the worker have certainly ended back to waiting. */
     void returnLapsedTasks(WorkerState &worker, Instant now);
@@ -331,7 +335,7 @@
     /** Has a record say that the task's worker took its start: for a long-running step with the
      * next batch, once none of its starts is open, otherwise after confirmationDelay. */
     void confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now);
-    /** Adds the jobs with confirmations that are due to the next batch. */
+    /** Adds the jobs of unrecordedStarts to the next batch once they are due. */
     void recordConfirmations(Instant now);
     /** Notes that no order may start the task's run any more, and confirms its start. */
     void clearDelayedStart(Job &job, const TaskRef &ref, Task &task, Instant now);
@@ -433,8 +437,8 @@
     std::uint64_t searches = 0;
     std::uint64_t reports = 0;          ///< Number of reports applied.
     Instant shortLivedOpenAt{-1000000}; ///< When a job with short-lived tasks was last open.
-    JobSet confirmations;               ///< Jobs with taken starts that no record confirms yet.
-    Instant confirmationsDue;
+    JobSet unrecordedStarts;            ///< Jobs with taken starts that no record confirms yet.
+    Instant unrecordedStartsDue;
     bool acknowledgeDirty = false; ///< Some applied end is not acknowledged to its worker.
     bool fencedByWorker = false;
     std::vector<RecordedStart> recording; ///< Starts that the next batch makes durable.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -83,9 +83,9 @@
     Job *job = this->table.find(ref.job);
     Task *task = job ? job->task(ref) : nullptr;
     if (outcome == OrderOutcome::Unanswered) {
-        const bool listed = task && task->phase == TaskPhase::Running && task->listed &&
-                            task->run == run && task->worker == id.value();
-        this->recordUnanswered(id, ref, run, awaited || listed, now);
+        const bool runIsListed = task && task->phase == TaskPhase::Running && task->listed &&
+                                 task->run == run && task->worker == id.value();
+        this->recordUnanswered(id, ref, run, awaited || runIsListed, now);
     }
     if (!awaited) {
         return;
@@ -155,17 +155,17 @@
         this->markDirty(job);
         return;
     }
-    if (this->confirmations.empty()) {
-        this->confirmationsDue = now + confirmationDelay;
+    if (this->unrecordedStarts.empty()) {
+        this->unrecordedStartsDue = now + confirmationDelay;
     }
-    this->confirmations.insert(&job);
+    this->unrecordedStarts.insert(&job);
 }
 
 void Coordinator::recordConfirmations(Instant now)
 {
-    if (now >= this->confirmationsDue) {
-        this->dirty.merge(this->confirmations);
-        this->confirmations.clear();
+    if (now >= this->unrecordedStartsDue) {
+        this->dirty.merge(this->unrecordedStarts);
+        this->unrecordedStarts.clear();
     }
 }
 
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::array<const char *, workKinds> kindNames = {"plain", "serving", "filling"};
-constexpr std::array<const char *, delayReasons> reasonNames = {
+constexpr std::array<const char *, delayReasonCount> reasonNames = {
     "former_lease", "delayed_start", "lease",       "start",
     "stop",         "orphan_run",    "short_lived", "no_worker"};
 
@@ -107,6 +107,16 @@
     return statistics;
 }
 
+DelayReason Coordinator::waitingReason(const TaskRef &ref, const Task &task, const StepWait *wait,
+                                       Instant now) const
+{
+    if (this->hasOrphanRun(ref, now)) {
+        return DelayReason::OrphanRun;
+    }
+    const bool yields = task.run == 0 && wait && wait->yields;
+    return yields ? DelayReason::ShortLivedFirst : DelayReason::NoWorker;
+}
+
 std::optional<DelayedTask> Coordinator::delayOf(const Job &job, const StepRun &run,
                                                 std::uint32_t index, Instant now) const
 {
@@ -117,9 +127,7 @@
     Instant since = task.since;
     if (task.phase == TaskPhase::Waiting) {
         const StepWait *wait = job.findWait(run.occurrence, run.step);
-        delayed.reason = this->hasOrphanRun(delayed.task, now)   ? DelayReason::OrphanRun
-                         : task.run == 0 && wait && wait->yields ? DelayReason::ShortLivedFirst
-                                                                 : DelayReason::NoWorker;
+        delayed.reason = this->waitingReason(delayed.task, task, wait, now);
         since = since == Instant() && wait ? wait->readySince : since;
     } else {
         const auto worker = this->workers.find(task.worker);
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -42,7 +42,7 @@
     NoWorker,        ///< No worker can take it.
 };
 
-constexpr std::size_t delayReasons = 8;
+constexpr std::size_t delayReasonCount = 8;
 
 /** Returns the reason's name in logs and metrics. */
 const char *toText(DelayReason reason);
@@ -73,7 +73,7 @@
     std::uint64_t workerSearches = 0; ///< Since this coordinator became active.
     std::uint32_t missedTargets = 0;  ///< Serving tasks over their latency target.
     std::array<TaskCounts, workKinds> tasks;
-    std::array<std::uint32_t, delayReasons> delayed{}; ///< Long-running tasks, by DelayReason.
+    std::array<std::uint32_t, delayReasonCount> delayed{}; ///< Long-running tasks, by DelayReason.
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -72,8 +72,8 @@
     bool startMayArriveLate = false;
     Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
     std::vector<LateStart> lateStarts;
-    /** When a run that a delayed order starts has certainly ended, if its worker is never reached;
-     * unset: no order may still start one. */
+    /** When a run that a delayed order starts has certainly ended, if its worker is never reached.
+     * Set after a takeover or a restart of the worker. */
     Instant delayedRunLapses;
     std::uint32_t percent = 0;
     std::uint32_t pace = 100;  ///< Percent of full speed that a best-effort task may use.
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -35,14 +35,14 @@
     this->earlierLeasesLapse = now;
     this->latestLeaseEndMs = 0;
     this->incarnationKnownSince = now;
-    this->formerOrdersUntil = this->unansweredUntil;
+    this->formerIncarnationOrdersUntil = this->unansweredUntil;
 }
 
 void WorkerState::noteUnanswered(Instant sentAt, Instant now)
 {
     this->unansweredUntil = now + longestOrderDelay;
     if (sentAt < this->incarnationKnownSince) {
-        this->formerOrdersUntil = this->unansweredUntil;
+        this->formerIncarnationOrdersUntil = this->unansweredUntil;
     }
 }
 
@@ -72,9 +72,10 @@
             static_cast<std::int64_t>(static_cast<double>(milliseconds) / (1.0 - clockDrift)));
     };
     Instant lapse = this->sampledAt + onSlowClock(this->latestLeaseEndMs - this->clockSampleMs);
-    if (this->formerOrdersUntil > this->sampledAt) {
+    if (this->formerIncarnationOrdersUntil > this->sampledAt) {
         // The worker shortens a lease end that is beyond the longest lease on its clock.
-        lapse = std::max(lapse, this->formerOrdersUntil + onSlowClock(bounds.longestLease.count()));
+        lapse = std::max(lapse, this->formerIncarnationOrdersUntil +
+                                    onSlowClock(bounds.longestLease.count()));
     }
     return lapse + bounds.stopTime + lapseMargin;
 }
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -198,10 +198,9 @@
     Instant sampledAt;
     std::int64_t latestLeaseEndMs = 0; ///< Of all orders, on the worker's clock.
     Instant incarnationKnownSince;
-    Instant unansweredUntil; ///< Until when orders without a reply may be carried out.
-    /** The same of orders that were sent to a former incarnation; their lease ends are on its
-     * clock. */
-    Instant formerOrdersUntil;
+    Instant unansweredUntil; ///< Until when orders with a lease end may be carried out late.
+    /** The same of those that were sent to a former incarnation, with a lease end on its clock. */
+    Instant formerIncarnationOrdersUntil;
     mutable std::optional<std::vector<BestEffortShare>> cachedFullPaceShares;
 };
 
