Pass on how long silent workers may hold their tasks when ownership is released

Callers saw a long-running task stand still for 11.6 to 14.8 s when its worker was lost and the coordinator was stopped as planned some seconds later: the successor began the wait for the leases anew.

Cause: a successor knows when the former owner's permission ended, not that some workers had been silent for seconds by then.

ReleasedOwnerPassesOnHowLongSilentWorkersMayHoldTheirTasks, red without the new field (returned 11.8 s after the last reply).

Why it works: the released record lists the workers with tasks that do not reply, with the time until their leases have lapsed, and from then on the owner prolongs none. The successor counts from when it read the record, so never too early. An owner that is lost can't tell; that wait stays whole.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -36,7 +36,8 @@
     , advice(orders)
 {}
 
-void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse)
+void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse,
+                        const std::map<std::string, Instant> &silentUntil)
 {
     this->end();
     this->unixMs = newUnixMs;
@@ -47,6 +48,9 @@
         this->adopt(*job, now);
     }
     for (const auto &[id, worker] : this->workers) {
+        if (const auto silent = silentUntil.find(id); silent != silentUntil.end()) {
+            worker->earlierLeasesLapse = std::min(worker->earlierLeasesLapse, silent->second);
+        }
         this->stopRunsOfEarlierIncarnations(*worker, now);
     }
     for (const auto &[id, job] : this->table.all()) {
@@ -57,6 +61,19 @@
     this->planNeeded = true;
 }
 
+std::map<std::string, Duration> Coordinator::silentWorkers(Instant now) const
+{
+    std::map<std::string, Duration> silent;
+    for (const auto &[id, worker] : this->workers) {
+        const bool replies =
+            worker->responded && now - worker->lastSeenAt <= PlacementPolicy::responseTimeout;
+        if (!replies && !worker->tasks.empty()) {
+            silent[id] = std::max(Duration(0), worker->lapsesAt(this->bounds) - now);
+        }
+    }
+    return silent;
+}
+
 void Coordinator::end()
 {
     this->epoch = 0;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -118,8 +118,13 @@
     Duration leaseLength() const;
 
     /** Takes over under the epoch; leases that a former coordinator granted lapse at the given
-     * time. */
-    void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse);
+     * time, on the workers in silentUntil at the earlier time there. */
+    void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse,
+               const std::map<std::string, Instant> &silentUntil = {});
+
+    /** Returns the workers with tasks that do not reply, and how long their leases may last if
+     * nothing prolongs them; for the next coordinator. */
+    std::map<std::string, Duration> silentWorkers(Instant now) const;
 
     /** Discards all state; sends no more orders. */
     void end();
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -120,7 +120,7 @@
     this->considerClaim(now, unixMs);
     if (this->coordinator.active()) {
         this->pauseStartsOnStaleView(now);
-        this->coordinator.tick(now, unixMs, this->lease.mayRenew(now));
+        this->coordinator.tick(now, unixMs, !this->releasing && this->lease.mayRenew(now));
     }
     if (this->ownsLog() && this->stopping) {
         this->release(now);
@@ -183,10 +183,11 @@
     this->claimInFlight = true;
     this->claimSentAt = now;
     this->formerOwnerSeenAt = owner.lastSeenAt;
+    this->formerSilentUntil = owner.silentUntil;
     this->claimSequence = 1 + this->random.below(sequenceRange);
     this->formerOwnerGone =
         owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
-    const JobRecord record = this->ownershipRecord(owner.epoch + 1, false);
+    const JobRecord record = this->ownershipRecord(owner.epoch + 1, false, now);
     const AppendIdentity identity{coordinatorProducer, owner.epoch + 1, this->claimSequence};
     // Reading the log shows whether the claim won, so a lost reply does not matter.
     this->log.append(LogStream::Jobs, {record}, identity, this->logEnd,
@@ -208,7 +209,7 @@
     this->announcementInFlight = false;
     this->announcements.open(coordinatorProducer, epoch, this->claimSequence + 1);
     this->progressUpdates.open(coordinatorProducer, epoch, this->claimSequence);
-    this->progressUpdates.add({this->ownershipRecord(epoch, false)}, GroupCommit::noDeadline,
+    this->progressUpdates.add({this->ownershipRecord(epoch, false, now)}, GroupCommit::noDeadline,
                               [this, epoch](CommitResult result, Instant) {
                                   if (result != CommitResult::Durable) {
                                       this->stepDownReason = "a later epoch writes";
@@ -237,7 +238,7 @@
     if (this->currentConfig) {
         this->coordinator.setConfig(*this->currentConfig);
     }
-    this->coordinator.begin(epoch, now, unixMs, formerLapse);
+    this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilentUntil);
     this->host.ownershipGained(epoch);
 }
 
@@ -272,7 +273,7 @@
     this->host.ownershipLost(epoch, reason);
 }
 
-JobRecord JobNode::ownershipRecord(std::uint64_t epoch, bool released) const
+JobRecord JobNode::ownershipRecord(std::uint64_t epoch, bool released, Instant now) const
 {
     jobs::Ownership message;
     message.set_epoch(epoch);
@@ -281,6 +282,13 @@
     message.set_released(released);
     message.set_address(this->settings.address);
     message.set_processors(static_cast<float>(this->settings.processors));
+    if (released) {
+        for (const auto &[worker, left] : this->coordinator.silentWorkers(now)) {
+            jobs::SilentWorker &silent = *message.add_silent();
+            silent.set_worker(worker);
+            silent.set_lapses_in_ms(static_cast<std::uint32_t>(left.count()));
+        }
+    }
     JobRecord record;
     record.key = JobTable::ownerKey;
     record.value = message.SerializeAsString();
@@ -324,7 +332,7 @@
     }
     std::vector<JobRecord> batch = this->coordinator.takeStatuses();
     if (due) {
-        batch.push_back(this->ownershipRecord(this->announcements.epoch(), false));
+        batch.push_back(this->ownershipRecord(this->announcements.epoch(), false, now));
         this->ownershipWrittenAt = now;
     }
     if (batch.empty()) {
@@ -367,8 +375,10 @@
         return;
     }
     this->announcementInFlight = true;
+    // What the record says of silent workers holds only if their leases are not prolonged any more.
+    this->releasing = true;
     std::vector<JobRecord> batch = this->coordinator.takeStatuses();
-    batch.push_back(this->ownershipRecord(this->announcements.epoch(), true));
+    batch.push_back(this->ownershipRecord(this->announcements.epoch(), true, now));
     this->announcements.add(std::move(batch), now + claimTimeout, [this](CommitResult, Instant) {
         this->coordinator.end();
         this->takeover = Takeover::None;
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -154,7 +155,7 @@
     void addPressures(std::vector<JobRecord> &batch, Instant now);
     /** Pauses starts while the view is too old to include every cancel that must stop them. */
     void pauseStartsOnStaleView(Instant now);
-    JobRecord ownershipRecord(std::uint64_t epoch, bool released) const;
+    JobRecord ownershipRecord(std::uint64_t epoch, bool released, Instant now) const;
 
     const JobNodeSettings settings;
     JobLog &log;
@@ -176,6 +177,7 @@
     Instant claimSentAt;
     bool formerOwnerGone = false; ///< No former owner could renew leases at the last claim.
     Instant formerOwnerSeenAt;    ///< When its last record before the claim was read.
+    std::map<std::string, Instant> formerSilentUntil; ///< See OwnerView::silentUntil.
     Instant ownershipWrittenAt;
     Instant committedAt;
     bool commitInFlight = false;
@@ -185,6 +187,7 @@
     const char *stepDownReason = nullptr;
     std::uint64_t lostEpoch = 0; ///< Epoch that ended and is to be reported; 0: none.
     bool stopping = false;
+    bool releasing = false; ///< The released ownership record is in flight or stored.
     Instant pressuresAt;
     Instant trimmedAt;
 };
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -180,6 +180,10 @@
     this->ownership.released = message.released();
     this->ownership.lastSeenAt = now;
     this->ownership.address = message.address();
+    this->ownership.silentUntil.clear();
+    for (const jobs::SilentWorker &silent : message.silent()) {
+        this->ownership.silentUntil[silent.worker()] = now + Duration(silent.lapses_in_ms());
+    }
     return Change::Owner;
 }
 
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -29,6 +30,8 @@
     std::string address;     ///< Where other instances reach the owner.
     double processors = 0.0; ///< That it may use, in cores; 0: not reported.
     Instant since;           ///< When its epoch was first read.
+    /** Of a released owner: when the leases of workers that did not reply to it have lapsed. */
+    std::map<std::string, Instant> silentUntil;
 };
 
 /**
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -419,5 +419,74 @@
     EXPECT_FALSE(node.coordinates());
 }
 
+// Guards against: a planned stop of the coordinator began the wait for the leases of workers that
+// had been silent for seconds anew, so their long-running tasks stood still for over eleven
+// seconds.
+TEST(JobNodeTest, ReleasedOwnerPassesOnHowLongSilentWorkersMayHoldTheirTasks)
+{
+    constexpr std::int64_t lastReply = 1000;
+    constexpr std::int64_t stoppedAt = 6000;
+    ImmediateLog log;
+    OrderRecorder orders;
+    RecordingHost hosts[2];
+    Random random(1);
+    JobNode first(JobNodeSettings{"a", 1, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
+                  hosts[0], random);
+    JobNode second(JobNodeSettings{"b", 2, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
+                   hosts[1], random);
+    JobNode *nodes[] = {&first, &second};
+    const JobId id("0000000000000001");
+    jobs::JobProgress progress;
+    progress.set_state(jobs::RUNNING);
+    jobs::StepProgress &step = *progress.add_steps();
+    step.add_runs(1);
+    step.add_placed()->set_worker(lostWorker.value());
+    step.mutable_placed(0)->set_confirmed(true);
+    jobs::Ownership former;
+    former.set_epoch(1);
+    former.set_instance("former");
+    former.set_released(true);
+    for (JobNode *node : nodes) {
+        node->applyRecord(record(JobTable::ownerKey, former.SerializeAsString(), 1), Instant(0));
+        node->applyRecord(record(JobTable::submissionKey(id), oneTask(true).SerializeAsString(), 1),
+                          Instant(0));
+        node->applyRecord(record(JobTable::progressKey(id), progress.SerializeAsString(), 1),
+                          Instant(0));
+    }
+    const TaskRef ref{id, 0, 0, 0};
+    const Task &task = *second.jobs().find(id)->task(ref);
+    std::int64_t returnedAt = 0;
+    for (std::int64_t at = 10; at < 20000 && returnedAt == 0; at += 10) {
+        for (const JobRecord &entry : std::exchange(log.stored, {})) {
+            for (JobNode *node : nodes) {
+                node->applyRecord(record(entry.key, entry.value, 1), Instant(at));
+            }
+        }
+        for (std::size_t index = 0; index < 2; ++index) {
+            // The second instance stands by until the first one has stopped.
+            nodes[index]->logReadTo(1, Instant(index == 0 || at > stoppedAt ? at : 0));
+            if (std::exchange(hosts[index].needsProgress, false)) {
+                nodes[index]->progressLoaded();
+            }
+            nodes[index]->work(Instant(at), at);
+        }
+        if (at == lastReply) {
+            ASSERT_TRUE(first.coordinates());
+            WorkerReport report;
+            report.clockMs = 500;
+            report.running.push_back(RunningTask{ref, 1, {}, 100, 0});
+            first.coordination().setWorker(entryOf(lostWorker.value()), Instant(at));
+            first.coordination().holdAnswered(lostWorker, Instant(at), Instant(at),
+                                              OrderOutcome::Accepted, report);
+        }
+        if (at == stoppedAt) {
+            first.beginShutdown();
+        }
+        returnedAt = second.coordinates() && task.worker.empty() ? at : 0;
+    }
+    EXPECT_GT(returnedAt, lastReply + WorkerBounds().longestLease.count());
+    EXPECT_LT(returnedAt, lastReply + longestDelayMs);
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
