--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -72,6 +72,7 @@
     this->unansweredOfUnlisted.clear();
     this->advice.clear();
     this->dirty.clear();
+    this->confirmations.clear();
     this->recording.clear();
     this->inBatch.clear();
     this->inRecords.clear();
@@ -121,6 +122,7 @@
             if (task.startMayArriveLate) {
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
+                task.startMayArriveUntil = now + WorkerState::longestOrderDelay;
                 task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay;
             }
             worker->entry.incarnationStartMs =
@@ -268,6 +270,9 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        if (outcome == OrderOutcome::Unanswered) {
+            worker->noteUnanswered(sentAt, now);
+        }
         worker->holdDue = now + unresponsiveHoldGap;
         return;
     }
@@ -356,11 +361,20 @@
         // A former coordinator may have lowered its pace.
         this->setPace(worker, running.task, *task, 100, now);
     }
+    if (task->phase == TaskPhase::Running && task->startMayArriveLate &&
+        now >= task->startMayArriveUntil) {
+        this->clearDelayedStart(*job, running.task, *task, now);
+    }
     if (task->phase == TaskPhase::Unconfirmed || task->phase == TaskPhase::Starting) {
         task->phase = TaskPhase::Running;
         task->since = now;
         task->progressAt = now;
+        const auto start = this->starts.find(running.task);
+        const bool onlyTry = start != this->starts.end() && start->second.tries == 1;
         this->starts.erase(running.task);
+        if (onlyTry) {
+            this->clearDelayedStart(*job, running.task, *task, now);
+        }
         if (job->closed()) {
             this->stopTask(running.task, *task, now);
         }
@@ -530,11 +544,7 @@
     this->observer.workerRestarted(worker.entry.id);
     worker.entry.incarnationStartMs = incarnationStartMs;
     this->removeUnlistedOrphans(worker, {});
-    ++worker.incarnation;
-    worker.applied = 0;
-    worker.acknowledged = 0;
-    worker.discarded = 0;
-    worker.discarding = 0;
+    worker.beginIncarnation(now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (!worker.tasks.contains(ref)) {
@@ -553,9 +563,6 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
-    worker.responded = false;
-    worker.earlierLeasesLapse = now;
-    worker.holdDue = now;
 }
 
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
@@ -606,6 +613,7 @@
         record.value = job->toProgress().SerializeAsString();
         records.push_back(std::move(record));
         this->inRecords.push_back(job);
+        this->confirmations.erase(job);
     }
     this->dirty.clear();
     this->inBatch = std::move(this->recording);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -73,8 +73,8 @@
     static constexpr Duration sharedHoldWait{500};
     /** Pause between the holds of a worker that has no ends to acknowledge. */
     static constexpr Duration holdGap{25};
-    /** Time without a report after which a worker's leases are no longer renewed; above a hold and
-     * its timeout, so that one lost reply costs no lease. */
+    /** Time without a report after which a worker gets no more starts and its leases are no longer
+     * renewed; above a hold and its timeout, so that one lost reply costs no lease. */
     static constexpr Duration renewalTimeout{2000};
     /** Longest lease of a draining worker: it may leave at any moment, and its tasks resume on
      * another worker only after its lease; above the duration of a takeover. */
@@ -83,6 +83,9 @@
     static constexpr Duration unresponsiveHoldGap{300};
     /** Time after which a start or stop without a reply is sent again. */
     static constexpr Duration orderRetry{250};
+    /** Longest time from a worker's taking of a start until a record says so; bounds the time in
+     * which the loss of coordinator and worker makes a task wait for a delayed start. */
+    static constexpr Duration confirmationDelay{500};
     /** Tries of one start without a reply after which the run is abandoned. */
     static constexpr unsigned startTries = 4;
     /** Ejection of a worker that refused a start or did not reply to it. */
@@ -316,8 +319,13 @@
     void detach(const TaskRef &ref, Task &task);
     /** Adds the job's progress to the next batch. */
     void markDirty(Job &job);
-    /** Records the accepted starts of a long-running step, once none of its starts is open. */
-    void recordAccepted(Job &job, const TaskRef &ref);
+    /** Has a record say that the task's worker took its start: for a long-running step with the
+     * next batch, once none of its starts is open, otherwise after confirmationDelay. */
+    void confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now);
+    /** Adds the jobs with confirmations that are due to the next batch. */
+    void recordConfirmations(Instant now);
+    /** Notes that no order may start the task's run any more, and confirms its start. */
+    void clearDelayedStart(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Publishes the job's state to clients if it has changed. */
     void publishState(Job &job);
     void noteFenced(const WorkerId &id);
@@ -351,7 +359,14 @@
     bool placeTogether(Job &job, StepRun &run, const std::string &rack, Instant now);
     void place(Job &job, StepRun &run, std::uint32_t index, WorkerState &worker, Instant now);
 
+    /** Sends the start, or abandons it if the worker no longer replies. */
     void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
+    /** Returns whether the worker may get orders with a lease end. An order without a reply may
+     * have been applied, so an unresponsive worker gets none and its leases certainly lapse. */
+    static bool mayProlongLeases(const WorkerState &worker, Instant now);
+    /** Sets a task that was not confirmed to run back to waiting, or stops its run if some try may
+     * still be carried out. */
+    void abandonStart(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Remembers a start without a reply, which the worker may still carry out. */
     void recordUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                           bool sameIncarnation, Instant now);
@@ -409,7 +424,9 @@
     std::uint64_t searches = 0;
     std::uint64_t reports = 0;          ///< Number of reports applied.
     Instant shortLivedOpenAt{-1000000}; ///< When a job with short-lived tasks was last open.
-    bool acknowledgeDirty = false;      ///< Some applied end is not acknowledged to its worker.
+    JobSet confirmations;               ///< Jobs with taken starts that no record confirms yet.
+    Instant confirmationsDue;
+    bool acknowledgeDirty = false; ///< Some applied end is not acknowledged to its worker.
     bool fencedByWorker = false;
     std::vector<RecordedStart> recording; ///< Starts that the next batch makes durable.
     std::vector<RecordedStart> inBatch;   ///< Starts that the batch in flight makes durable.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -29,7 +29,8 @@
     open.run = task.run;
     open.worker = WorkerId(task.worker);
     open.retryAt = now + orderRetry;
-    if (!worker || worker->entry.address.empty() || !worker->responded) {
+    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now)) {
+        this->abandonStart(job, ref, task, now);
         return;
     }
     open.inFlight = true;
@@ -49,21 +50,39 @@
     this->orders.start(std::move(order));
 }
 
+bool Coordinator::mayProlongLeases(const WorkerState &worker, Instant now)
+{
+    return worker.responded && now - worker.lastSeenAt < renewalTimeout;
+}
+
+void Coordinator::abandonStart(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    // While a try may still be carried out, only a stop makes sure that the run never starts.
+    const auto open = this->starts.find(ref);
+    if (open != this->starts.end() && open->second.unanswered) {
+        this->stopTask(ref, task, now);
+    } else {
+        this->returnTask(job, ref, task, RunOutcome::Refused, now);
+    }
+}
+
 void Coordinator::startAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                                 Instant now, OrderOutcome outcome)
 {
     const auto found = this->starts.find(ref);
     const bool awaited =
         found != this->starts.end() && found->second.run == run && found->second.worker == id;
+    Job *job = this->table.find(ref.job);
+    Task *task = job ? job->task(ref) : nullptr;
     if (outcome == OrderOutcome::Unanswered) {
-        this->recordUnanswered(id, ref, run, awaited, now);
+        const bool listed = task && task->phase == TaskPhase::Running && task->listed &&
+                            task->run == run && task->worker == id.value();
+        this->recordUnanswered(id, ref, run, awaited || listed, now);
     }
     if (!awaited) {
         return;
     }
     OpenOrder &open = found->second;
-    Job *job = this->table.find(ref.job);
-    Task *task = job ? job->task(ref) : nullptr;
     WorkerState *worker = this->findWorker(id);
     if (!task || !worker) {
         this->starts.erase(found);
@@ -76,7 +95,7 @@
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
-        this->recordAccepted(*job, ref);
+        this->confirmStart(*job, ref, *task, now);
         return;
     case OrderOutcome::Fenced:
         this->noteFenced(id);
@@ -84,6 +103,7 @@
     case OrderOutcome::Unanswered:
         open.unanswered = true;
         task->startMayArriveLate = true;
+        task->startMayArriveUntil = now + WorkerState::longestOrderDelay;
         [[fallthrough]];
     case OrderOutcome::NotSent:
         if (open.tries < startTries) {
@@ -105,29 +125,50 @@
         this->eject(*worker, refusalEjection, now);
         break;
     }
-    // While a try may still be carried out, only a stop makes sure that the run never starts.
-    if (open.unanswered || outcome == OrderOutcome::Superseded) {
+    if (outcome == OrderOutcome::Superseded) {
         this->stopTask(ref, *task, now);
     } else {
-        this->returnTask(*job, ref, *task, RunOutcome::Refused, now);
+        this->abandonStart(*job, ref, *task, now);
     }
 }
 
-void Coordinator::recordAccepted(Job &job, const TaskRef &ref)
+void Coordinator::confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now)
 {
-    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
-    // Other steps write records often enough as their tasks end.
-    if (!run || !job.stepSpec(ref.step).long_running()) {
+    if (task.startMayArriveLate || job.closed()) {
         return;
     }
-    const bool starting = std::any_of(run->tasks.begin(), run->tasks.end(), [](const Task &task) {
-        return task.phase == TaskPhase::Recording || task.phase == TaskPhase::Starting;
-    });
-    if (!starting) {
+    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
+    const bool starting =
+        run && std::any_of(run->tasks.begin(), run->tasks.end(), [](const Task &other) {
+            return other.phase == TaskPhase::Recording || other.phase == TaskPhase::Starting;
+        });
+    if (job.stepSpec(ref.step).long_running() && !starting) {
         this->markDirty(job);
+        return;
+    }
+    if (this->confirmations.empty()) {
+        this->confirmationsDue = now + confirmationDelay;
+    }
+    this->confirmations.insert(&job);
+}
+
+void Coordinator::recordConfirmations(Instant now)
+{
+    if (now >= this->confirmationsDue) {
+        this->dirty.merge(this->confirmations);
+        this->confirmations.clear();
     }
 }
 
+void Coordinator::clearDelayedStart(Job &job, const TaskRef &ref, Task &task, Instant now)
+{
+    task.startMayArriveLate = false;
+    std::erase_if(task.lateStarts, [&](const LateStart &start) {
+        return start.worker == task.worker && start.run == task.run;
+    });
+    this->confirmStart(job, ref, task, now);
+}
+
 void Coordinator::recordUnanswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                                    bool sameIncarnation, Instant now)
 {
@@ -138,6 +179,7 @@
     std::erase_if(worker->unanswered, [&](const UnansweredStart &start) {
         return now - start.at > WorkerState::longestOrderDelay;
     });
+    worker->noteUnanswered(sameIncarnation ? now : Instant(), now);
     // The incarnation that the start was sent to recognises a repeated start; a later one has to be
     // sent a stop.
     worker->unanswered.push_back(
@@ -148,6 +190,9 @@
             return start.worker == id.value() && start.run == run;
         });
         task->lateStarts.push_back(LateStart{id.value(), run, now});
+        if (task->run == run) {
+            task->startMayArriveUntil = now + WorkerState::longestOrderDelay;
+        }
     }
 }
 
@@ -220,9 +265,7 @@
     // its own ends.
     worker.discarding = worker.acknowledged > worker.discarded ? worker.acknowledged : 0;
     order.acknowledged = worker.discarding;
-    // A renewal without a reply may have been applied; an unresponsive worker gets none, so that
-    // its lease certainly lapses.
-    if (worker.responded && mayRenew && now - worker.lastSeenAt < renewalTimeout) {
+    if (mayRenew && mayProlongLeases(worker, now)) {
         const Duration longest = this->bounds.longestLease;
         order.leaseEndMs = worker.leaseEnd(
             now, worker.entry.draining ? std::min(longest, drainingLease) : longest);
@@ -271,6 +314,7 @@
     }
     this->tickedAt = now;
     this->retryOrders(now, mayRenew);
+    this->recordConfirmations(now);
     if (now >= this->movedAt + moveGap) {
         this->movedAt = now;
         this->moveFromDraining(now);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -1,4 +1,7 @@
 // Long-running tasks run again within bounded time after their worker or their coordinator is lost.
+#include <map>
+#include <utility>
+
 #include <gtest/gtest.h>
 
 #include "coordinatorfixture.h"
@@ -7,6 +10,11 @@
 namespace {
 
 const WorkerId lostWorker("w1");
+/** Time after its last run within which a long-running task has to run again, if a worker can take
+ * it; set by the platform. */
+constexpr std::int64_t longestDelayMs = 9000;
+/** Time after which an order that gets no reply counts as unanswered. */
+constexpr std::int64_t orderTimeoutMs = 600;
 
 /** A job of one step with one task that reserves one core. */
 jobs::JobSpec oneTask(bool longRunning)
@@ -66,7 +74,9 @@
         report.clockMs = clockMs;
         report.incarnationStartMs = startedMs;
         for (const TaskRef &task : running) {
-            report.running.push_back(RunningTask{task, this->task(task.job).run, {}, 100, 0});
+            // Progresses with every report.
+            const auto percent = static_cast<std::uint32_t>(clockMs / 100 % 100);
+            report.running.push_back(RunningTask{task, this->task(task.job).run, {}, percent, 0});
         }
         this->coordinator.holdAnswered(worker, Instant(at), Instant(at), OrderOutcome::Accepted,
                                        report);
@@ -82,6 +92,28 @@
 
     void tick(std::int64_t at) { this->coordinator.tick(Instant(at), at, true); }
 
+    /** Advances to the time; no worker replies to any order. */
+    void runWithoutReplies(std::int64_t from, std::int64_t to)
+    {
+        for (std::int64_t at = from; at <= to; at += 10) {
+            this->tick(at);
+            this->commit(at);
+            for (StartOrder &order : std::exchange(this->orders.starts, {})) {
+                this->sentStarts.emplace(at + orderTimeoutMs, std::move(order));
+            }
+            for (const HoldOrder &order : std::exchange(this->orders.holds, {})) {
+                this->coordinator.holdAnswered(order.target.worker, Instant(at), Instant(at),
+                                               OrderOutcome::Unanswered, {});
+            }
+            while (!this->sentStarts.empty() && this->sentStarts.begin()->first <= at) {
+                const StartOrder order = std::move(this->sentStarts.begin()->second);
+                this->sentStarts.erase(this->sentStarts.begin());
+                this->coordinator.startAnswered(order.target.worker, order.task, order.run,
+                                                Instant(at), OrderOutcome::Unanswered);
+            }
+        }
+    }
+
     Task &task(const JobId &id) { return *this->table.find(id)->task(TaskRef{id, 0, 0, 0}); }
 
     JobTable table;
@@ -90,6 +122,8 @@
     Coordinator coordinator;
 
 private:
+    /** Starts without a reply so far, by the time at which they count as unanswered. */
+    std::multimap<std::int64_t, StartOrder> sentStarts;
     std::uint64_t offset = 0;
     unsigned submitted = 0;
 };
@@ -140,6 +174,203 @@
     EXPECT_EQ(serving.waiting, 0U);
 }
 
+// Guards against: starts sent to a worker after it had stopped replying moved the end of its
+// leases, so the long-running tasks on it were placed elsewhere only after eleven seconds.
+TEST(CoordinatorDelayTest, StartsDoNotProlongTheLeasesOfASilentWorker)
+{
+    constexpr std::int64_t lastReply = 1000;
+    for (const std::int64_t submittedAfter : {10, 900, 1700}) {
+        CoordinatorWorld world;
+        const JobId lasting = world.submit(oneTask(true), lastReply);
+        world.placedBefore(lasting, lostWorker, true, lastReply);
+        world.coordinator.begin(2, Instant(lastReply), lastReply, Instant(lastReply));
+        world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(lastReply));
+        world.reply(lostWorker, lastReply, 500, {TaskRef{lasting, 0, 0, 0}});
+        const std::int64_t submittedAt = lastReply + submittedAfter;
+        world.runWithoutReplies(lastReply + 10, submittedAt);
+        const JobId shortLived = world.submit(oneTask(false), submittedAt);
+        world.runWithoutReplies(submittedAt + 10, submittedAt + 20);
+        EXPECT_EQ(world.task(shortLived).worker, lostWorker.value());
+        world.runWithoutReplies(submittedAt + 30, lastReply + longestDelayMs - 100);
+        EXPECT_EQ(world.task(lasting).worker, "") << submittedAfter;
+    }
+}
+
+// Guards against: a start that was never sent, as its worker had stopped replying by the time its
+// record was durable, kept its task on that worker until all leases had lapsed.
+TEST(CoordinatorDelayTest, TaskWhoseStartWasNotSentIsPlacedAgain)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 500, {}, 7);
+    const JobId id = world.submit(oneTask(true), 1010);
+    world.coordinator.plan(Instant(1010), 1010);
+    world.coordinator.takeBatch();
+    WorkerEntry restarted = entryOf(lostWorker.value());
+    restarted.incarnationStartMs = 900;
+    world.coordinator.setWorker(restarted, Instant(1020));
+    world.coordinator.committed(Instant(1030), true);
+    EXPECT_EQ(world.orders.starts.size(), 0U);
+    EXPECT_EQ(world.task(id).worker, "");
+    EXPECT_EQ(world.task(id).phase, TaskPhase::Waiting);
+}
+
+// Guards against: the lease end of a worker's former incarnation, on a clock that had run for
+// longer, counted for the next one as well, so that its tasks were placed elsewhere only after the
+// age of the former one had passed.
+TEST(CoordinatorDelayTest, LeaseEndOfAFormerIncarnationDoesNotCount)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    WorkerEntry entry = entryOf(lostWorker.value());
+    entry.incarnationStartMs = 900;
+    world.coordinator.setWorker(entry, Instant(1000));
+    world.reply(lostWorker, 1000, 400000, {}, 900);
+    entry.incarnationStartMs = 2000;
+    world.coordinator.setWorker(entry, Instant(2010));
+    world.reply(lostWorker, 2100, 100, {}, 2000);
+    const JobId id = world.submit(oneTask(true), 2100);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(2110);
+    ASSERT_EQ(world.orders.starts.size(), 1U);
+    world.orders.starts.clear();
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(2120), OrderOutcome::Accepted);
+    world.reply(lostWorker, 2200, 200, {ref}, 2000);
+    world.runWithoutReplies(2210, 2200 + longestDelayMs - 100);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
+// A hold of which the reply is missing may be carried out by a worker's next incarnation, and its
+// lease end is on the former one's clock.
+TEST(CoordinatorDelayTest, DelayedHoldMayProlongTheLeaseOfTheNextIncarnation)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    WorkerEntry entry = entryOf(lostWorker.value());
+    entry.incarnationStartMs = 900;
+    world.coordinator.setWorker(entry, Instant(1000));
+    world.reply(lostWorker, 1000, 400000, {}, 900);
+    world.coordinator.holdAnswered(lostWorker, Instant(1010), Instant(2000),
+                                   OrderOutcome::Unanswered, {});
+    entry.incarnationStartMs = 2000;
+    world.coordinator.setWorker(entry, Instant(2010));
+    world.reply(lostWorker, 2100, 100, {}, 2000);
+    const JobId id = world.submit(oneTask(true), 2100);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(2110);
+    world.orders.starts.clear();
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(2120), OrderOutcome::Accepted);
+    world.reply(lostWorker, 2200, 200, {ref}, 2000);
+    const std::int64_t lastArrival = 2000 + WorkerState::longestOrderDelay.count();
+    const std::int64_t lastLapse = lastArrival + WorkerBounds().longestLease.count();
+    world.runWithoutReplies(2210, lastLapse);
+    EXPECT_EQ(world.task(id).worker, lostWorker.value());
+    world.runWithoutReplies(lastLapse + 10, lastLapse + 1000);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
+/** What the coordinator records of a start's replies, and when. */
+struct ConfirmationCase
+{
+    const char *name;
+    bool longRunning;
+    std::vector<OrderOutcome> replies; ///< To one try after the other.
+    std::int64_t listedAfter;          ///< From the last reply until a report lists the run.
+    std::int64_t confirmedAfter;       ///< From the last reply until a record confirms the start.
+};
+
+/** From the reply to the second try until the first one may no longer be carried out. */
+constexpr std::int64_t secondTryConfirmedMs =
+    WorkerState::longestOrderDelay.count() - Coordinator::orderRetry.count() - orderTimeoutMs;
+
+class StartConfirmationTest : public testing::TestWithParam<ConfirmationCase>
+{};
+
+// Guards against: no record ever confirmed a start of which one try had no reply, or one of a
+// short-lived task, so that a successor waited 12 s more for a lost worker, however old the run
+// was.
+TEST_P(StartConfirmationTest, IsRecordedSoonAfterNoDelayedStartIsLeft)
+{
+    const ConfirmationCase &given = GetParam();
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 0);
+    const JobId id = world.submit(oneTask(given.longRunning), 1000);
+    const TaskRef ref{id, 0, 0, 0};
+    std::int64_t at = 1000;
+    for (const OrderOutcome reply : given.replies) {
+        while (world.orders.starts.empty()) {
+            at += 10;
+            world.tick(at);
+            world.commit(at);
+        }
+        world.orders.starts.clear();
+        at += orderTimeoutMs;
+        world.coordinator.startAnswered(lostWorker, ref, 1, Instant(at), reply);
+    }
+    const std::int64_t lastReply = at;
+    std::int64_t confirmedAt = 0;
+    bool recordConfirms = false;
+    for (; at <= lastReply + 20000 && !recordConfirms; at += 10) {
+        const bool holdEnds = (at - lastReply) % 100 == given.listedAfter;
+        if (at >= lastReply + given.listedAfter && holdEnds) {
+            world.reply(lostWorker, at, at - 1000, {ref});
+        }
+        world.tick(at);
+        world.coordinator.plan(Instant(at), at);
+        for (const JobRecord &entry : world.coordinator.takeBatch()) {
+            jobs::JobProgress progress;
+            ASSERT_TRUE(progress.ParseFromString(entry.value));
+            recordConfirms = progress.steps(0).placed(0).confirmed();
+            confirmedAt = at;
+        }
+        world.coordinator.committed(Instant(at), true);
+    }
+    EXPECT_TRUE(recordConfirms);
+    EXPECT_GE(confirmedAt, lastReply + given.confirmedAfter);
+    EXPECT_LE(confirmedAt, lastReply + given.confirmedAfter + 600);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, StartConfirmationTest,
+    testing::Values(ConfirmationCase{"LongRunningAccepted", true, {OrderOutcome::Accepted}, 10, 0},
+                    ConfirmationCase{"ShortLivedAccepted", false, {OrderOutcome::Accepted}, 10, 0},
+                    // The only try was carried out, so none is left.
+                    ConfirmationCase{"OnlyTryListed", true, {OrderOutcome::Unanswered}, 10, 10},
+                    // The first try may still be carried out.
+                    ConfirmationCase{"SecondTryAccepted",
+                                     true,
+                                     {OrderOutcome::Unanswered, OrderOutcome::Accepted},
+                                     10,
+                                     secondTryConfirmedMs},
+                    ConfirmationCase{"ShortLivedSecondTryAccepted",
+                                     false,
+                                     {OrderOutcome::Unanswered, OrderOutcome::Accepted},
+                                     10,
+                                     secondTryConfirmedMs}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against: when the reply to a start was lost and a report had listed the run meanwhile, the
+// run was stopped on its worker.
+TEST(CoordinatorDelayTest, LostReplyDoesNotStopAListedRun)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    world.reply(lostWorker, 1000, 0);
+    const JobId id = world.submit(oneTask(true), 1000);
+    const TaskRef ref{id, 0, 0, 0};
+    world.commit(1010);
+    ASSERT_EQ(world.orders.starts.size(), 1U);
+    world.reply(lostWorker, 1100, 100, {ref});
+    world.coordinator.startAnswered(lostWorker, ref, 1, Instant(1610), OrderOutcome::Unanswered);
+    world.reply(lostWorker, 1700, 700, {ref});
+    EXPECT_TRUE(world.orders.stops.empty());
+    EXPECT_EQ(world.task(id).phase, TaskPhase::Running);
+}
+
 // Guards against: a takeover kept the long-running tasks of a lost worker from running for 12 s
 // more because of another task there whose start no record confirmed.
 TEST(CoordinatorDelayTest, UnconfirmedTaskOfALostWorkerDelaysOnlyItself)
