Confirm runs that a former owner started as soon as no order can start them

Cause: no record confirms such a start; the successor sees the run listed, but took its start for one that may still arrive until a delayed run would have ended, a lease longer than the order itself can take.

Evidence: SuccessorConfirmsListedRunsOnceNoDelayedStartIsLeft, red before; TryOfAFormerOwnerSentAfterTheTakeoverMayStillStartTheRun holds.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -145,7 +145,8 @@
                 // length of a lease.
                 task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay +
                                         this->bounds.longestLease - this->leaseLength();
-                task.startMayArriveUntil = task.delayedRunLapses;
+                task.startMayArriveUntil = this->formerLeasesLapse - this->longestLeasedRun() +
+                                           WorkerState::longestOrderDelay;
             }
             worker->entry.incarnationStartMs =
                 std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -117,6 +117,10 @@
      * tasks of a worker that is lost run again within WorkerBounds::longestDelay. */
     Duration leaseLength() const;
 
+    /** Returns the longest time from the beginning of such a lease until its runs have ended, also
+     * on a worker whose clock is slow. */
+    Duration longestLeasedRun() const;
+
     /** Takes over under the epoch; leases that a former coordinator granted lapse at the given
      * time, on the workers in silentUntil at the earlier time there. */
     void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse,
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -30,6 +30,14 @@
     return std::min(this->bounds.longestLease, Duration(static_cast<std::int64_t>(onSlowClock)));
 }
 
+Duration Coordinator::longestLeasedRun() const
+{
+    /** A lease may outlast its length by this fraction (1/n); above the bound on clock drift. */
+    constexpr std::int64_t driftDivisor = 40;
+    const Duration lease = this->leaseLength();
+    return lease + lease / driftDivisor + this->bounds.stopTime + WorkerState::lapseMargin;
+}
+
 void Coordinator::sendStart(Job &job, const TaskRef &ref, Task &task, Instant now)
 {
     WorkerState *worker = this->findWorker(WorkerId(task.worker));
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint64_t sequenceRange = 1U << 30U;
 /** Age of the view above which new clients should use another instance. */
 constexpr Duration readinessAge{2500};
-/** A lease may outlast its length by this fraction (1/n); above the bound on clock drift. */
-constexpr std::int64_t driftDivisor = 40;
 /** Time in which workers reply to a successor's first holds; before, it takes no run for ended. */
 constexpr Duration firstReplies{1000};
 constexpr Instant longAgo(-1000000);
@@ -227,13 +225,11 @@
     // When the last lease that the former owner may have renewed lapses.
     Instant formerLapse = now;
     if (epoch > 1) {
-        const WorkerBounds &bounds = this->settings.worker;
-        const Duration lease = this->coordinator.leaseLength();
         const Instant renewedUntil = this->formerOwnerGone
                                          ? this->claimSentAt
                                          : this->formerOwnerSeenAt + OwnerLease::renewWithoutStore;
-        formerLapse = std::max(now + firstReplies, renewedUntil + lease + lease / driftDivisor +
-                                                       bounds.stopTime + WorkerState::lapseMargin);
+        formerLapse =
+            std::max(now + firstReplies, renewedUntil + this->coordinator.longestLeasedRun());
     }
     if (this->currentConfig) {
         this->coordinator.setConfig(*this->currentConfig);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -277,6 +277,31 @@
                                      secondTryConfirmedMs}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against: a start that the former owner's records did not confirm counted as one that may
+// arrive late for the length of a lease more, though its run was listed all the time.
+TEST(CoordinatorDelayTest, SuccessorConfirmsListedRunsOnceNoDelayedStartIsLeft)
+{
+    constexpr std::int64_t permissionEnded = 1000;
+    CoordinatorWorld world;
+    const JobId id = world.submit(oneTask(true), permissionEnded);
+    world.placedBefore(id, lostWorker, false, permissionEnded);
+    world.coordinator.begin(2, Instant(permissionEnded), permissionEnded,
+                            Instant(permissionEnded) + world.coordinator.longestLeasedRun());
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(permissionEnded));
+    const std::int64_t lastArrival = permissionEnded + WorkerState::longestOrderDelay.count();
+    for (std::int64_t at = permissionEnded + 100; at < lastArrival; at += 100) {
+        world.reply(lostWorker, at, at, {TaskRef{id, 0, 0, 0}});
+        world.tick(at + 50);
+        world.commit(at + 50);
+    }
+    const auto confirmed = [&] {
+        return world.table.find(id)->toProgress().steps(0).placed(0).confirmed();
+    };
+    EXPECT_FALSE(confirmed());
+    world.reply(lostWorker, lastArrival + 100, lastArrival + 100, {TaskRef{id, 0, 0, 0}});
+    EXPECT_TRUE(confirmed());
+}
+
 // Guards against: when the reply to a start was lost and a report had listed the run meanwhile, the
 // run was stopped on its worker.
 TEST(CoordinatorDelayTest, LostReplyDoesNotStopAListedRun)
