--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -83,7 +83,14 @@
 
 INSTANTIATE_TEST_SUITE_P(Passing, FoundScheduleTest,
                          testing::Values(
-
+                             // A task is placed on a worker that was lost just before.
+                             FoundSchedule{"StartOnLostWorker",
+                                           {Fault{FaultKind::WorkerLost, 4800, 0, 0}}},
+                             // The same, with a task that returns from a worker lost earlier.
+                             FoundSchedule{"RestartOnLostWorker",
+                                           {Fault{FaultKind::WorkerLost, 0, 0, 0},
+                                            Fault{FaultKind::WorkerCut, 2545, 2000, 0},
+                                            Fault{FaultKind::WorkerLost, 6500, 0, 0}}},
                              // Starts to the lost worker extend its assumed lease.
                              FoundSchedule{"RunOnLostWorkerThatIsSentStarts",
                                            {Fault{FaultKind::WorkerLost, 4000, 0, 0}}},
@@ -99,13 +106,6 @@
 INSTANTIATE_TEST_SUITE_P(
     KnownRed, FoundScheduleTest,
     testing::Values(
-        // A task is placed on a worker that was lost just before.
-        FoundSchedule{"StartOnLostWorker", {Fault{FaultKind::WorkerLost, 4800, 0, 0}}},
-        // The same, with a task that returns from a worker lost earlier.
-        FoundSchedule{"RestartOnLostWorker",
-                      {Fault{FaultKind::WorkerLost, 0, 0, 0},
-                       Fault{FaultKind::WorkerCut, 2545, 2000, 0},
-                       Fault{FaultKind::WorkerLost, 6500, 0, 0}}},
         // The start had no reply, and a successor or the restarted owner assumes that it may still
         // be carried out.
         FoundSchedule{
