Log which configuration decided a request, and reads that fail or take long

Of a request answered by an outdated configuration nothing told which version the instance went by, or how old it was; of a read of the store that took seconds nothing told at all. request_refused now has version and age, config_applied the size and the length of its read; read_failed and read_slow tell the hypotheses of docs/incidents/late-configuration.md apart (failed with part of a body: timeouts; slow on one instance: its event loop; slow on all: the store or the links). Two gauges for metrics. No decision changes.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -27,6 +27,8 @@
 constexpr Duration ownerReadGap{8};
 constexpr Duration workerReadGap{150};
 constexpr Duration failedReadGap{200};
+/** Time beyond the wait of a read from which it is logged as slow. */
+constexpr Duration slowTransfer{500};
 constexpr Duration ownerTick{20};
 constexpr Duration standbyTick{60};
 /** Time until the platform sends no new connections here: two failed probes one second apart. */
@@ -103,15 +105,11 @@
                            this->settings.statusRetention},
            this->store, this->orders, *this, this->random)
     , jobApi(
-          this->node.jobService(), this->node.jobs(), [this] { return this->node.config(); },
+          this->node.jobService(), this->node.jobs(), this->node.config(),
           [this] { return this->now(); }, [this] { return this->unixMs(); },
-          [](const HttpRequest &request, unsigned status, const char *reason) {
+          [this](const HttpRequest &request, unsigned status, const char *reason) {
               if (status >= 400 && status != 410) {
-                  logLine(LogLevel::Info, "request_refused",
-                          {{"method", request.method},
-                           {"target", request.target},
-                           {"status", std::to_string(status)},
-                           {"reason", reason}});
+                  this->reportRefusal(request, status, reason);
               }
           })
     , relay(this->http, {"host", platform::names::deadlineHeader})
@@ -244,25 +242,25 @@
     follower.requestedAt = this->now();
     this->store.read(
         follower.topic, follower.cursor, pollWait,
-        [this, &follower, generation](platform::StoreClient::ReadOutcome outcome,
-                                      const platform::LogPage &page) {
+        [this, &follower, generation](const platform::StoreClient::ReadReply &reply) {
             using Outcome = platform::StoreClient::ReadOutcome;
             if (generation != follower.generation) {
                 return;
             }
             follower.readInFlight = false;
             const Instant at = this->now();
-            if (outcome == Outcome::Failed) {
+            this->reportRead(follower, reply, at);
+            if (reply.outcome == Outcome::Failed) {
                 follower.dueAt = at + failedReadGap;
                 return;
             }
-            if (outcome == Outcome::Deleted) {
+            if (reply.outcome == Outcome::Deleted) {
                 // The store still has the newest record of each key; load these again.
                 follower.loaded = false;
                 logLine(LogLevel::Info, "history_dropped", {{"topic", follower.topic}});
                 return;
             }
-            for (const JobRecord &record : page.records) {
+            for (const JobRecord &record : reply.page.records) {
                 follower.cursor = record.offset + 1;
                 this->applyRecord(follower, record);
                 if (generation != follower.generation) {
@@ -271,7 +269,7 @@
             }
             const Duration gap =
                 &follower == &this->workerFollower ? workerReadGap : this->jobReadGap();
-            const bool atEnd = follower.cursor >= page.end;
+            const bool atEnd = follower.cursor >= reply.page.end;
             follower.dueAt = atEnd ? at + gap : at;
             if (atEnd) {
                 // The reply may have waited until this process was scheduled.
@@ -296,9 +294,27 @@
     } else if (&follower == &this->progressFollower) {
         this->progressWanted = false;
         this->node.progressLoaded();
+    } else if (&follower == &this->configFollower) {
+        this->node.configReadTo(asOf);
     }
 }
 
+void EntryInstance::reportRead(const Follower &follower,
+                               const platform::StoreClient::ReadReply &reply, Instant at) const
+{
+    const Duration took = at - follower.requestedAt;
+    const bool failed = reply.outcome == platform::StoreClient::ReadOutcome::Failed;
+    if (!failed && took <= pollWait + slowTransfer) {
+        return;
+    }
+    logLine(failed ? LogLevel::Warning : LogLevel::Info, failed ? "read_failed" : "read_slow",
+            {{"topic", follower.topic},
+             {"from", std::to_string(follower.cursor)},
+             {"took_ms", std::to_string(took.count())},
+             {"records", std::to_string(reply.page.records.size())},
+             {"why", failed ? reply.why : "none"}});
+}
+
 void EntryInstance::reload(Follower &follower)
 {
     ++follower.generation;
@@ -328,13 +344,16 @@
         logLine(LogLevel::Warning, "config_unreadable", {{"why", parsed.error().text()}});
         return;
     }
-    if (this->node.config() && parsed->version <= this->node.config()->version) {
+    if (!this->node.setConfig(*parsed)) {
         return;
     }
-    this->node.setConfig(*parsed);
-    logLine(LogLevel::Info, "config_applied",
-            {{"version", std::to_string(parsed->version)},
-             {"queues", std::to_string(parsed->queues.size())}});
+    logLine(
+        LogLevel::Info, "config_applied",
+        {{"version", std::to_string(parsed->version)},
+         {"queues", std::to_string(parsed->queues.size())},
+         {"bytes", std::to_string(record.value.size())},
+         {"offset", std::to_string(record.offset)},
+         {"read_ms", std::to_string((this->now() - this->configFollower.requestedAt).count())}});
 }
 
 void EntryInstance::applyWorkerRecord(const JobRecord &record)
@@ -468,6 +487,19 @@
     this->node.sendSubmissions(this->now());
 }
 
+void EntryInstance::reportRefusal(const HttpRequest &request, unsigned status,
+                                  const char *reason) const
+{
+    const ConfigView &config = this->node.config();
+    logLine(LogLevel::Info, "request_refused",
+            {{"method", request.method},
+             {"target", request.target},
+             {"status", std::to_string(status)},
+             {"reason", reason},
+             {"config_version", std::to_string(config.version())},
+             {"config_age_ms", std::to_string(config.age(this->now()).count())}});
+}
+
 void EntryInstance::waitForSignals()
 {
     this->signals.async_wait([this](const boost::system::error_code &failure, int signal) {
@@ -622,12 +654,16 @@
 {
     HttpResponse response;
     response.contentType = "text/plain";
+    const ConfigView &config = this->node.config();
+    const ConfigFigures inForce{config.version(), config.age(this->now())};
     const Coordinator &coordination = this->node.coordination();
     if (coordination.active()) {
         const CoordinatorStatistics statistics = coordination.statistics(this->now());
-        response.body = this->metrics.page(&statistics, suppressedLogLines(), droppedLogLines());
+        response.body =
+            this->metrics.page(inForce, &statistics, suppressedLogLines(), droppedLogLines());
     } else {
-        response.body = this->metrics.page(nullptr, suppressedLogLines(), droppedLogLines());
+        response.body =
+            this->metrics.page(inForce, nullptr, suppressedLogLines(), droppedLogLines());
     }
     respond(std::move(response));
 }
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -87,6 +87,11 @@
     void applyRecord(Follower &follower, const JobRecord &record);
     void applyConfigRecord(const JobRecord &record);
     void applyWorkerRecord(const JobRecord &record);
+    /** Logs a read that failed, or took longer than its wait explains. */
+    void reportRead(const Follower &follower, const platform::StoreClient::ReadReply &reply,
+                    Instant at) const;
+    /** Logs a request that is answered with an error, and the configuration that it went by. */
+    void reportRefusal(const HttpRequest &request, unsigned status, const char *reason) const;
     /** Records that the follower has applied all that its topic contained at the time. */
     void markCaughtUp(const Follower &follower, Instant asOf);
     void reload(Follower &follower);
--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -116,8 +116,10 @@
     co_await http::async_read(*stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
+        const std::string received = std::to_string(parser.get().body().size());
         co_return tl::unexpected(
-            Error{Fate::Unknown, call.step, call.address, "receive: " + failure.message()});
+            Error{Fate::Unknown, call.step, call.address,
+                  "receive: " + failure.message() + " after " + received + " bytes of the body"});
     }
     HttpResponse response;
     response.status = parser.get().result_int();
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -22,6 +22,9 @@
     MetricHelp{"godwitfall_log_lines_held_back_total", "Log lines suppressed by the rate limit."},
     MetricHelp{"godwitfall_log_lines_dropped_total",
                "Log lines lost as the reader was slow or gone."},
+    MetricHelp{"godwitfall_config_version", "Version of the configuration in force."},
+    MetricHelp{"godwitfall_config_age_ms",
+               "Time since every stored version of the configuration had been read, ms."},
     MetricHelp{"godwitfall_workers", "Workers, by condition; coordinator only."},
     MetricHelp{"godwitfall_cores", "Processor cores, by use; coordinator only."},
     MetricHelp{"godwitfall_memory_mb", "Memory, by use, MB; coordinator only."},
@@ -97,7 +100,8 @@
     this->histograms.observe(name, milliseconds);
 }
 
-std::string InstanceMetrics::page(const CoordinatorStatistics *statistics,
+std::string InstanceMetrics::page(const ConfigFigures &config,
+                                  const CoordinatorStatistics *statistics,
                                   std::uint64_t suppressedLines, std::uint64_t droppedLines) const
 {
     std::string page = this->histograms.text();
@@ -107,6 +111,8 @@
     page +=
         sampleLine("godwitfall_log_lines_held_back_total", static_cast<double>(suppressedLines));
     page += sampleLine("godwitfall_log_lines_dropped_total", static_cast<double>(droppedLines));
+    page += sampleLine("godwitfall_config_version", static_cast<double>(config.version));
+    page += sampleLine("godwitfall_config_age_ms", static_cast<double>(config.age.count()));
     return statistics ? page + coordinatorLines(*statistics) : page;
 }
 
--- a/src/godwitfall/instancemetrics.h
+++ b/src/godwitfall/instancemetrics.h
@@ -20,6 +20,13 @@
 /** Returns all metrics of an entry instance, with the texts of docs/OPERATIONS.md. */
 std::vector<MetricHelp> instanceMetricHelp();
 
+/** The configuration that an instance goes by. */
+struct ConfigFigures
+{
+    std::uint64_t version = 0;
+    Duration age{0}; ///< Since every stored version had been read.
+};
+
 /** Counters and latency histograms of one entry instance. Single-threaded. */
 class InstanceMetrics
 {
@@ -30,9 +37,9 @@
     /** Adds a latency, in ms, to the histogram of that name. */
     void observe(const std::string &name, double milliseconds);
 
-    /** Returns the page in the text exposition format; figures is null unless it coordinates. */
-    std::string page(const CoordinatorStatistics *statistics, std::uint64_t suppressedLines,
-                     std::uint64_t droppedLines) const;
+    /** Returns the page in the text exposition format; statistics is null unless it coordinates. */
+    std::string page(const ConfigFigures &config, const CoordinatorStatistics *statistics,
+                     std::uint64_t suppressedLines, std::uint64_t droppedLines) const;
 
 private:
     std::map<std::pair<std::string, std::string>, std::uint64_t> counters;
--- /dev/null
+++ b/src/libgodwitfall/jobs/configview.cpp
@@ -0,0 +1,21 @@
+#include "configview.h"
+
+#include <algorithm>
+
+namespace godwitfall {
+
+bool ConfigView::apply(const JobConfig &newer)
+{
+    if (this->config && newer.version <= this->config->version) {
+        return false;
+    }
+    this->config = newer;
+    return true;
+}
+
+void ConfigView::readTo(Instant asOf)
+{
+    this->viewedAt = std::max(this->viewedAt, asOf);
+}
+
+} // namespace godwitfall
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -92,15 +92,18 @@
     }
 }
 
-void JobNode::setConfig(const JobConfig &config)
+bool JobNode::setConfig(const JobConfig &config)
 {
-    this->currentConfig = config;
+    if (!this->configuration.apply(config)) {
+        return false;
+    }
     this->coordinator.setConfig(config);
+    return true;
 }
 
 bool JobNode::ready(Instant now) const
 {
-    return !this->stopping && this->currentConfig && this->viewLoaded &&
+    return !this->stopping && this->configuration.current() && this->viewLoaded &&
            now - this->service.viewTime() < readinessAge;
 }
 
@@ -231,8 +234,8 @@
         formerLapse =
             std::max(now + firstReplies, renewedUntil + this->coordinator.longestLeasedRun());
     }
-    if (this->currentConfig) {
-        this->coordinator.setConfig(*this->currentConfig);
+    if (const JobConfig *config = this->configuration.current()) {
+        this->coordinator.setConfig(*config);
     }
     this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilentUntil);
     this->host.ownershipGained(epoch);
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -2,9 +2,9 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 
+#include "configview.h"
 #include "coordinator.h"
 #include "groupcommit.h"
 #include "joblog.h"
@@ -88,11 +88,12 @@
      * progressNeeded(). */
     void progressLoaded();
 
-    void setConfig(const JobConfig &config);
-    const JobConfig *config() const
-    {
-        return this->currentConfig ? &*this->currentConfig : nullptr;
-    }
+    /** Puts the configuration into force; returns false, without effect, unless it is newer. */
+    bool setConfig(const JobConfig &config);
+
+    /** Notes that every version of the configuration stored at the time was read. */
+    void configReadTo(Instant asOf) { this->configuration.readTo(asOf); }
+    const ConfigView &config() const { return this->configuration; }
 
     /** Runs everything that is due: claims, orders, commits, appends. */
     void work(Instant now, std::int64_t unixMs);
@@ -168,7 +169,7 @@
     JobService service;
     OwnerLease lease;
     Coordinator coordinator;
-    std::optional<JobConfig> currentConfig;
+    ConfigView configuration;
 
     bool viewLoaded = false;
     std::uint64_t logEnd = 0; ///< Offset up to which the jobs stream was read.
