Read large bodies in few turns of the event loop

Cause: Beast reads as much at once as the buffer has room for, and a buffer whose content is consumed after each read stays at 512 bytes. A configuration of 262 KB took 516 reads, each in a turn of its own of the event loop; on a busy coordinator a turn takes 18 ms and more, and a read 9.5 s. The timeout of 2 s did not end it: the data were always there when the next read began. The class: work whose number of steps grows with the size of the input, on a loop whose steps get longer with the load. The same code reads pages of the job log, reports of workers and, in the gateway, requests and state.

Why this works: the header is read first and tells the length; the buffer gets room for the body, 64 KB at most, so that the largest record takes a dozen turns. Servers give the room back after each request.

--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast.hpp>
 
 #include "address.h"
+#include "httpread.h"
 
 namespace godwitfall {
 
@@ -113,8 +114,7 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
-    co_await http::async_read(*stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, failure));
+    co_await readMessage(*stream, buffer, parser, failure);
     if (failure) {
         const std::string received = std::to_string(parser.get().body().size());
         co_return tl::unexpected(
--- a/src/godwitfall/httpserver.cpp
+++ b/src/godwitfall/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast.hpp>
 
 #include "address.h"
+#include "httpread.h"
 
 namespace godwitfall {
 
@@ -182,8 +183,7 @@
         parser.header_limit(maxHeaderBytes);
         parser.body_limit(this->limits.maxBodyBytes);
         stream.expires_after(toChrono(this->limits.ioTimeout));
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, failure));
+        co_await readMessage(stream, buffer, parser, failure);
         if (failure == http::error::end_of_stream) {
             break;
         }
@@ -200,6 +200,8 @@
         }
         keepAlive = parser.get().keep_alive();
         stream.expires_never();
+        // Many connections are kept, few of them receive a large request.
+        buffer.shrink_to_fit();
         const HttpResponse response = co_await this->handle(fromBeast(parser.get()));
         keepAlive = keepAlive && !asksToClose(response);
         if (response.status == dropConnection ||
