Deny no queue by a configuration that may be outdated

What callers saw: an instance that could not read the store answered 404, no such queue, for as long as that lasted; by the platform's pages that is final, so the caller of a queue that was added meanwhile gives up, though the same request at another instance is served.

Cause: 404 did not ask how old the configuration was, as 410 does of the view of the jobs. Beyond that, the configuration shared its pace with the job log: weak instances read it every 450 ms after a reply, also after one that had waited in vain.

The configuration is read again 20 ms after a reply, so a calm instance's view is at most as old as one wait of 1 s; DeniesUnknownQueuesWhileItReadsTheStore keeps it from refusing when all is well.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -26,6 +26,8 @@
 /** Pause between reads of the coordinator, which places tasks as they arrive. */
 constexpr Duration ownerReadGap{8};
 constexpr Duration workerReadGap{150};
+/** Pause between reads of the configuration, which changes rarely; the age of the view counts. */
+constexpr Duration configReadGap{20};
 constexpr Duration failedReadGap{200};
 /** Time beyond the wait of a read from which it is logged as slow. */
 constexpr Duration slowTransfer{500};
@@ -102,7 +104,7 @@
               }})
     , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.peerAddress,
                            this->settings.processors, this->settings.worker,
-                           this->settings.statusRetention},
+                           this->settings.statusRetention, this->settings.configApplyTime},
            this->store, this->orders, *this, this->random)
     , jobApi(
           this->node.jobService(), this->node.jobs(), this->node.config(),
@@ -267,8 +269,7 @@
                     return;
                 }
             }
-            const Duration gap =
-                &follower == &this->workerFollower ? workerReadGap : this->jobReadGap();
+            const Duration gap = this->readGap(follower);
             const bool atEnd = follower.cursor >= reply.page.end;
             follower.dueAt = atEnd ? at + gap : at;
             if (atEnd) {
@@ -279,8 +280,14 @@
         });
 }
 
-Duration EntryInstance::jobReadGap() const
+Duration EntryInstance::readGap(const Follower &follower) const
 {
+    if (&follower == &this->workerFollower) {
+        return workerReadGap;
+    }
+    if (&follower == &this->configFollower) {
+        return configReadGap;
+    }
     if (this->node.coordinates()) {
         return ownerReadGap;
     }
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -82,8 +82,8 @@
     void follow(Follower &follower, Instant at);
     void load(Follower &follower, const std::string &after);
     void readNext(Follower &follower);
-    /** Returns the pause between reads of the job log. */
-    Duration jobReadGap() const;
+    /** Returns the pause between reads of the follower's topic. */
+    Duration readGap(const Follower &follower) const;
     void applyRecord(Follower &follower, const JobRecord &record);
     void applyConfigRecord(const JobRecord &record);
     void applyWorkerRecord(const JobRecord &record);
--- a/src/libgodwitfall/jobs/configview.cpp
+++ b/src/libgodwitfall/jobs/configview.cpp
@@ -4,6 +4,11 @@
 
 namespace godwitfall {
 
+ConfigView::ConfigView(Duration applyTime)
+    // The rest is for a request in transit.
+    : longestDenialAge(applyTime * 3 / 4)
+{}
+
 bool ConfigView::apply(const JobConfig &newer)
 {
     if (this->config && newer.version <= this->config->version) {
--- a/src/libgodwitfall/jobs/configview.h
+++ b/src/libgodwitfall/jobs/configview.h
@@ -12,6 +12,9 @@
 class ConfigView
 {
 public:
+    /** applyTime: from a version's acknowledgement until it must be in force. */
+    explicit ConfigView(Duration applyTime);
+
     /** Returns the configuration in force, or null before the first one was read. */
     const JobConfig *current() const { return this->config ? &*this->config : nullptr; }
 
@@ -27,7 +30,11 @@
     /** Returns how long ago every stored version had been read. */
     Duration age(Instant now) const { return now - this->viewedAt; }
 
+    /** Returns whether the view is recent enough to say that a queue does not exist. */
+    bool mayDenyQueue(Instant now) const { return this->age(now) <= this->longestDenialAge; }
+
 private:
+    const Duration longestDenialAge;
     std::optional<JobConfig> config;
     Instant viewedAt{-1000000};
 };
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -35,6 +35,7 @@
     , service(this->table, this->submissions)
     , lease(settings.instance, settings.incarnation, settings.processors, random)
     , coordinator(this->table, settings.worker, orders, host)
+    , configuration(settings.configApplyTime)
 {
     const std::string producer = settings.instance + "/" + std::to_string(settings.incarnation);
     this->submissions.open(producer, 1, 1);
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -48,6 +48,8 @@
     double processors = 1.0; ///< That the process may use, in cores.
     WorkerBounds worker;
     Duration statusRetention{120000}; ///< How long a finished job stays visible.
+    /** From a configuration's acknowledgement until it must be in force. */
+    Duration configApplyTime{2000};
 };
 
 /**
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -4,8 +4,10 @@
 #include <chrono>
 #include <csignal>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -60,9 +62,7 @@
         , storeTimer(this->context)
     {
         EXPECT_TRUE(this->store.listen(storeAddress));
-        this->store.put(platform::names::configTopic, platform::names::configKey,
-                        R"({"version":1,"routes":[{"name":"plan","host":"a.example",)"
-                        R"("path_prefix":"/plan/","service":"orchard"}],"services":[]})");
+        this->putConfig(1, {"plan"});
         EXPECT_TRUE(this->instance.start());
         this->tickStore();
     }
@@ -79,6 +79,40 @@
         });
     }
 
+    /** Writes a version of the configuration with the queues; each has its name as path prefix. */
+    void putConfig(int version, const std::vector<std::string> &queues)
+    {
+        std::string routes;
+        for (const std::string &queue : queues) {
+            routes += (routes.empty() ? R"({"name":")" : R"(,{"name":")") + queue +
+                      R"(","host":"a.example","path_prefix":"/)" + queue +
+                      R"(/","service":"orchard"})";
+        }
+        this->store.put(platform::names::configTopic, platform::names::configKey,
+                        R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+                            R"(],"services":[]})");
+    }
+
+    /** Requests the count of a queue until the callback, given the status, returns true. */
+    void pollQueue(const std::string &queue, std::function<bool(unsigned)> done)
+    {
+        HttpCall call;
+        call.step = "ask";
+        call.address = jobApiAddress;
+        call.method = "GET";
+        call.target = "/" + queue + "/";
+        call.headers["Host"] = "a.example";
+        this->client.call(std::move(call), [this, queue, done](const Result<HttpResponse> &result) {
+            if (result && done(result->status)) {
+                return;
+            }
+            this->timer.expires_after(std::chrono::milliseconds(20));
+            this->timer.async_wait([this, queue, done](const boost::system::error_code &) {
+                this->pollQueue(queue, done);
+            });
+        });
+    }
+
     /** Requests the job until the callback, given the status, returns true. */
     void pollJob(const std::string &id, std::function<bool(unsigned)> done)
     {
@@ -147,6 +181,69 @@
     EXPECT_EQ(shown, 1U);
 }
 
+// Guards against 404 for a queue that was added while the instance could not read the store.
+TEST_F(EntryInstanceTest, DoesNotDenyQueuesOnAnOldConfiguration)
+{
+    Clock::time_point added;
+    unsigned deniedLate = 0;
+    unsigned lastStatus = 0;
+    const auto configApplyTime = std::chrono::milliseconds(testSettings().configApplyTime.count());
+    const auto pollAdded = [&](unsigned status) {
+        const Clock::duration since = Clock::now() - added;
+        deniedLate += status == 404 && since > configApplyTime ? 1 : 0;
+        lastStatus = status;
+        if (since > 2 * configApplyTime) {
+            this->store.mood = soak::PlatformStore::Mood::Well;
+        }
+        const bool over = status == 200 || since > 4 * configApplyTime;
+        if (over) {
+            this->context.stop();
+        }
+        return over;
+    };
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200) {
+            return false;
+        }
+        this->store.mood = soak::PlatformStore::Mood::Silent;
+        // By then the reads that were sent before are over.
+        this->timer.expires_after(std::chrono::milliseconds(1500));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            this->putConfig(2, {"plan", "added"});
+            added = Clock::now();
+            this->pollQueue("added", pollAdded);
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(deniedLate, 0U);
+    EXPECT_EQ(lastStatus, 200U);
+}
+
+// Guards against calm instances that say, now and then, that they can't tell of a queue.
+TEST_F(EntryInstanceTest, DeniesUnknownQueuesWhileItReadsTheStore)
+{
+    std::map<unsigned, int> statuses;
+    const Clock::time_point begin = Clock::now();
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200) {
+            return false;
+        }
+        this->pollQueue("never", [&](unsigned status) {
+            ++statuses[status];
+            const bool over = Clock::now() - begin > std::chrono::seconds(5);
+            if (over) {
+                this->context.stop();
+            }
+            return over;
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(statuses.size(), 1U);
+    EXPECT_GT(statuses[404], 0);
+}
+
 TEST_F(EntryInstanceTest, SendsLastResponseBeforeShutdown)
 {
     // The response is ready only when the shutdown has nothing else left to wait for.
