Answer by no older configuration than the coordinator did

Cause: an instance answers by two versions, its own and, for what it forwards, the coordinator's, and neither side knew which the other went by.

Evidence: both new tests of EntryInstanceTest were red: 404 through an instance whose coordinator had answered by version 2; and 200 to a request of version 2 by a coordinator that had version 1.

Why this works: forwarded requests and their responses carry the version. Whoever learns of a newer one reads the configuration at once. Until it has it, an instance forwards everything and denies no queue, and a coordinator refuses what is forwarded, so that the instance serves it itself. A coordinator's 404 counts if its configuration is newer.

--- a/src/godwitfall/coordinatorrelay.cpp
+++ b/src/godwitfall/coordinatorrelay.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 RelayDecision relayDecision(const std::string &method, const Result<HttpResponse> &result,
-                            bool knownHere)
+                            bool knownHere, bool newerConfig)
 {
     const bool query = method == "GET";
     if (!result) {
@@ -35,7 +35,8 @@
         return notApplied ? RelayDecision::ServeLocally : RelayDecision::ServeLocallyMaybeAccepted;
     }
     switch (result->status) {
-    case notFound: // Its configuration may be older than this instance's, which has the queue.
+    case notFound:
+        return newerConfig ? RelayDecision::Relay : RelayDecision::ServeLocally;
     case unavailable:
         return RelayDecision::ServeLocally;
     case outcomeUnknown:
@@ -47,9 +48,11 @@
     }
 }
 
-CoordinatorRelay::CoordinatorRelay(HttpClient &http, std::vector<std::string> headers)
+CoordinatorRelay::CoordinatorRelay(HttpClient &http, std::vector<std::string> headers,
+                                   NoteConfigVersion noteConfigVersion)
     : http(http)
     , headers(std::move(headers))
+    , noteConfigVersion(std::move(noteConfigVersion))
 {}
 
 bool CoordinatorRelay::shouldForward(const std::string &coordinator, Instant now)
@@ -84,7 +87,9 @@
                         if (calledAddress == this->address) {
                             result ? this->breaker.succeeded() : this->breaker.failed(now());
                         }
-                        const RelayDecision decision = relayDecision(method, result, knownHere);
+                        const bool newerConfig = result && this->noteConfigVersion(*result);
+                        const RelayDecision decision =
+                            relayDecision(method, result, knownHere, newerConfig);
                         if (decision == RelayDecision::Relay) {
                             answer(relayed(*result));
                         } else {
--- a/src/godwitfall/coordinatorrelay.h
+++ b/src/godwitfall/coordinatorrelay.h
@@ -17,9 +17,10 @@
     ServeLocallyMaybeAccepted, ///< It may have taken effect; don't answer "not accepted".
 };
 
-/** Returns how to continue after the response or error; knownHere: the local view has the job. */
+/** Returns how to continue after the response or error; knownHere: the local view has the job;
+ * newerConfig: the coordinator's configuration is newer than this instance's. */
 RelayDecision relayDecision(const std::string &method, const Result<HttpResponse> &result,
-                            bool knownHere);
+                            bool knownHere, bool newerConfig);
 
 /** Forwards clients' requests to the coordinator, behind a circuit breaker. */
 class CoordinatorRelay
@@ -30,8 +31,13 @@
     /** Timeout of other requests, which need appends; a slow store takes a second for two. */
     static constexpr Duration submitTimeout{1500};
 
+    /** Notes the version of the coordinator's configuration, as its response tells it; returns
+     * whether that is newer than this instance's. */
+    using NoteConfigVersion = std::function<bool(const HttpResponse &)>;
+
     /** headers: names of the headers to forward. */
-    CoordinatorRelay(HttpClient &http, std::vector<std::string> headers);
+    CoordinatorRelay(HttpClient &http, std::vector<std::string> headers,
+                     NoteConfigVersion noteConfigVersion);
 
     /** Returns whether to forward to the coordinator at the address now; empty: there is none. */
     bool shouldForward(const std::string &address, Instant now);
@@ -46,6 +52,7 @@
 private:
     HttpClient &http;
     const std::vector<std::string> headers;
+    const NoteConfigVersion noteConfigVersion;
     CircuitBreaker breaker;
     std::string address;
 };
--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <utility>
 #include <vector>
@@ -114,7 +115,12 @@
                   this->reportRefusal(request, status, reason);
               }
           })
-    , relay(this->http, {"host", platform::names::deadlineHeader})
+    , relay(this->http,
+            {"host", platform::names::deadlineHeader, platform::names::configVersionHeader},
+            [this](const HttpResponse &response) {
+                this->noteConfigVersion(response.headers);
+                return this->node.config().outdated();
+            })
     , timer(context)
     , signals(context, SIGTERM, SIGHUP)
 {
@@ -442,7 +448,7 @@
 void EntryInstance::serveClient(const HttpRequest &request, const Respond &respond, bool forwarded)
 {
     const std::uint64_t number = ++this->lastRequest;
-    const Respond finish = [this, respond, since = this->now()](HttpResponse response) {
+    const Respond finish = [this, respond, forwarded, since = this->now()](HttpResponse response) {
         this->lastResponseAt = this->now();
         this->metrics.count("godwitfall_answers_total",
                             "status=\"" + std::to_string(response.status) + "\"");
@@ -451,12 +457,23 @@
         if (this->stopping) {
             response.headers["Connection"] = "close";
         }
+        if (forwarded) {
+            response.headers[platform::names::configVersionHeader] =
+                std::to_string(this->node.config().version());
+        }
         respond(std::move(response));
     };
     if (this->lastAnswersGiven) {
         finish(closingResponse(503, "not accepted: this instance is stopping"));
         return;
     }
+    if (forwarded) {
+        this->noteConfigVersion(request.headers);
+        if (this->node.config().outdated()) {
+            finish(closingResponse(503, "not accepted: this instance's configuration is older"));
+            return;
+        }
+    }
     this->openRequests.emplace(number, finish);
     const Respond answer = [this, number](HttpResponse response) {
         const auto request = this->openRequests.extract(number);
@@ -473,13 +490,24 @@
         return;
     }
     this->metrics.count("godwitfall_forwards_total");
+    HttpRequest marked = request;
+    marked.headers[platform::names::configVersionHeader] =
+        std::to_string(this->node.config().version());
     this->relay.forward(
-        request, this->jobApi.knowsJob(request), [this] { return this->now(); }, answer,
+        marked, this->jobApi.knowsJob(request), [this] { return this->now(); }, answer,
         [this, request, answer](bool maybeAccepted) {
             this->serveLocally(request, answer, maybeAccepted);
         });
 }
 
+void EntryInstance::noteConfigVersion(const std::map<std::string, std::string> &headers)
+{
+    const auto found = headers.find(platform::names::configVersionHeader);
+    if (found != headers.end()) {
+        this->node.noteConfigVersion(std::strtoull(found->second.c_str(), nullptr, 10));
+    }
+}
+
 void EntryInstance::serveLocally(const HttpRequest &request, const Respond &respond,
                                  bool maybeAccepted)
 {
@@ -707,6 +735,18 @@
             {{"view_age_ms", std::to_string(viewAge.count())}});
 }
 
+void EntryInstance::configOutdated()
+{
+    logLine(LogLevel::Info, "config_outdated",
+            {{"version", std::to_string(this->node.config().version())},
+             {"age_ms", std::to_string(this->node.config().age(this->now()).count())}});
+    // A read that waits for the next record may have missed it.
+    ++this->configFollower.generation;
+    this->configFollower.readInFlight = false;
+    this->configFollower.dueAt = this->now();
+    this->wake();
+}
+
 void EntryInstance::recordUnreadable(const JobRecord &record)
 {
     logLine(LogLevel::Warning, "record_unreadable",
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -66,6 +66,7 @@
     void ownershipLost(std::uint64_t epoch, const char *reason) override;
     void startsPaused(bool held, Duration viewAge) override;
     void recordUnreadable(const JobRecord &record) override;
+    void configOutdated() override;
 
     Instant now() const;
     std::int64_t unixMs() const;
@@ -98,6 +99,8 @@
 
     void serveReadiness(const HttpRequest &request, const Respond &respond);
     void serveClient(const HttpRequest &request, const Respond &respond, bool forwarded);
+    /** Notes the sender's version of the configuration, if the headers tell it. */
+    void noteConfigVersion(const std::map<std::string, std::string> &headers);
     /** Handles the request with this instance's own view and appends. */
     void serveLocally(const HttpRequest &request, const Respond &respond, bool maybeAccepted);
     void waitForSignals();
--- a/src/libgodwitfall/jobs/configview.cpp
+++ b/src/libgodwitfall/jobs/configview.cpp
@@ -18,6 +18,15 @@
     return true;
 }
 
+bool ConfigView::noteVersion(std::uint64_t known)
+{
+    if (known <= std::max(this->newestKnown, this->version())) {
+        return false;
+    }
+    this->newestKnown = known;
+    return true;
+}
+
 void ConfigView::readTo(Instant asOf)
 {
     this->viewedAt = std::max(this->viewedAt, asOf);
--- a/src/libgodwitfall/jobs/configview.h
+++ b/src/libgodwitfall/jobs/configview.h
@@ -24,6 +24,12 @@
     /** Puts the configuration into force; returns false, without effect, unless it is newer. */
     bool apply(const JobConfig &newer);
 
+    /** Notes that the version exists; returns whether it is the first newer one that is known. */
+    bool noteVersion(std::uint64_t known);
+
+    /** Returns whether a newer version than the one in force is known to exist. */
+    bool outdated() const { return this->newestKnown > this->version(); }
+
     /** Records that every version stored at the time has been read. */
     void readTo(Instant asOf);
 
@@ -31,11 +37,15 @@
     Duration age(Instant now) const { return now - this->viewedAt; }
 
     /** Returns whether the view is recent enough to say that a queue does not exist. */
-    bool mayDenyQueue(Instant now) const { return this->age(now) <= this->longestDenialAge; }
+    bool mayDenyQueue(Instant now) const
+    {
+        return !this->outdated() && this->age(now) <= this->longestDenialAge;
+    }
 
 private:
     const Duration longestDenialAge;
     std::optional<JobConfig> config;
+    std::uint64_t newestKnown = 0; ///< Newest version that another instance has told of.
     Instant viewedAt{-1000000};
 };
 
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -102,6 +102,13 @@
     return true;
 }
 
+void JobNode::noteConfigVersion(std::uint64_t version)
+{
+    if (this->configuration.noteVersion(version)) {
+        this->host.configOutdated();
+    }
+}
+
 bool JobNode::ready(Instant now) const
 {
     return !this->stopping && this->configuration.current() && this->viewLoaded &&
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -37,6 +37,9 @@
     virtual void startsPaused(bool paused, Duration viewAge) = 0;
 
     virtual void recordUnreadable(const JobRecord &record) = 0;
+
+    /** Another instance has a newer configuration, which is to be read at once. */
+    virtual void configOutdated() = 0;
 };
 
 /** Identity and limits of the process that runs a node. */
@@ -93,6 +96,9 @@
     /** Puts the configuration into force; returns false, without effect, unless it is newer. */
     bool setConfig(const JobConfig &config);
 
+    /** Notes the version of another instance's configuration. */
+    void noteConfigVersion(std::uint64_t version);
+
     /** Notes that every version of the configuration stored at the time was read. */
     void configReadTo(Instant asOf) { this->configuration.readTo(asOf); }
     const ConfigView &config() const { return this->configuration; }
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -32,6 +32,7 @@
     void ownershipLost(std::uint64_t, const char *) override { this->needsReload = true; }
     void startsPaused(bool, Duration) override {}
     void recordUnreadable(const JobRecord &) override {}
+    void configOutdated() override {}
 
     bool needsProgress = false;
     bool needsWorkers = false;
--- a/tests/net/test_relay.cpp
+++ b/tests/net/test_relay.cpp
@@ -17,6 +17,7 @@
         Fate fate;       ///< If there is no response.
         bool knownHere;
         RelayDecision decision;
+        bool newerConfig = false; ///< The coordinator's configuration is newer.
     };
     const Fate none = Fate::Invalid;
     for (const Case &given :
@@ -27,6 +28,7 @@
           Case{"outcome unknown", "POST", 504, none, false,
                RelayDecision::ServeLocallyMaybeAccepted},
           Case{"older configuration", "POST", 404, none, false, RelayDecision::ServeLocally},
+          Case{"queue removed", "POST", 404, none, false, RelayDecision::Relay, true},
           Case{"not reached", "POST", 0, Fate::NotDone, false, RelayDecision::ServeLocally},
           Case{"response lost", "POST", 0, Fate::Unknown, false,
                RelayDecision::ServeLocallyMaybeAccepted},
@@ -43,7 +45,8 @@
             response.status = given.status;
             result = response;
         }
-        EXPECT_EQ(relayDecision(given.method, result, given.knownHere), given.decision)
+        EXPECT_EQ(relayDecision(given.method, result, given.knownHere, given.newerConfig),
+                  given.decision)
             << given.name;
     }
 }
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -14,6 +14,7 @@
 
 #include "entryinstance.h"
 #include "httpclient.h"
+#include "httpserver.h"
 #include "jobsimulation.h"
 #include "platform/names.h"
 #include "platformstore.h"
@@ -244,6 +245,109 @@
     EXPECT_GT(statuses[404], 0);
 }
 
+/** Another instance that coordinates: answers what is forwarded to it with its version. */
+class CoordinatorStandIn
+{
+public:
+    CoordinatorStandIn(boost::asio::io_context &context, soak::PlatformStore &store)
+        : server(context, HttpLimits(), [this](const HttpRequest &request, const Respond &respond) {
+            this->requests.push_back(request);
+            HttpResponse response;
+            response.status = this->status;
+            response.body = R"({"waiting":7})";
+            response.headers["X-Config-Version"] = std::to_string(this->version);
+            respond(std::move(response));
+        })
+    {
+        EXPECT_TRUE(this->server.listen(address));
+        jobs::Ownership ownership;
+        ownership.set_epoch(5);
+        ownership.set_instance("other");
+        ownership.set_address(address);
+        store.put(platform::names::jobTopic, JobTable::ownerKey, ownership.SerializeAsString());
+    }
+
+    static constexpr const char *address = "127.17.4.9:7302";
+    int version = 1;
+    unsigned status = 200;
+    std::vector<HttpRequest> requests;
+
+private:
+    HttpServer server;
+};
+
+// Guards against an instance that passes on what the coordinator decided by a newer configuration,
+// and then answers 404 by its own.
+TEST_F(EntryInstanceTest, AnswersByNoOlderConfigurationThanTheCoordinatorDid)
+{
+    CoordinatorStandIn coordinator(this->context, this->store);
+    unsigned status = 0;
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200 || this->store.owner().empty()) {
+            return false;
+        }
+        // Its read of the configuration waits, and is not woken.
+        this->timer.expires_after(std::chrono::milliseconds(300));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            this->store.wakesReads = false;
+            this->putConfig(2, {"plan", "added"});
+            coordinator.version = 2;
+            this->pollJob(lastJob, [&](unsigned relayed) {
+                EXPECT_EQ(relayed, 200U);
+                this->pollQueue("added", [&](unsigned answered) {
+                    status = answered;
+                    this->context.stop();
+                    return true;
+                });
+                return true;
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(coordinator.requests.front().header("x-config-version"), "1");
+    EXPECT_EQ(status, 200U);
+}
+
+// Guards against a coordinator that runs what it is forwarded by an older configuration than the
+// instance has that took the request.
+TEST_F(EntryInstanceTest, RefusesForwardedRequestsUntilItHasReadTheirConfiguration)
+{
+    std::vector<unsigned> statuses;
+    const auto forward = [&](std::function<void()> then) {
+        HttpCall call;
+        call.step = "forward";
+        call.address = testSettings().peerAddress;
+        call.method = "GET";
+        call.target = "/plan/";
+        call.headers["Host"] = "a.example";
+        call.headers["X-Config-Version"] = "2";
+        this->client.call(std::move(call), [&, then](const Result<HttpResponse> &result) {
+            statuses.push_back(result ? result->status : 0);
+            then();
+        });
+    };
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200) {
+            return false;
+        }
+        this->timer.expires_after(std::chrono::milliseconds(300));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            this->store.wakesReads = false;
+            this->putConfig(2, {"plan", "added"});
+            forward([&] {
+                this->timer.expires_after(std::chrono::milliseconds(100));
+                this->timer.async_wait([&](const boost::system::error_code &) {
+                    forward([&] { this->context.stop(); });
+                });
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(statuses, (std::vector<unsigned>{503, 200}));
+}
+
 TEST_F(EntryInstanceTest, SendsLastResponseBeforeShutdown)
 {
     // The response is ready only when the shutdown has nothing else left to wait for.
--- a/tests/soak/platformstore.cpp
+++ b/tests/soak/platformstore.cpp
@@ -258,6 +258,9 @@
 
 void PlatformStore::serveWaiting(const std::string &name)
 {
+    if (!this->wakesReads) {
+        return;
+    }
     const Topic &topic = this->topics[name];
     this->waiting.remove_if([&](const Waiting &read) {
         if (read.topic != name || read.from >= topic.store.log().size()) {
