Tell the version of the configuration in ownership records

What callers saw: nothing yet; found by reading, as the same cause at a takeover. A successor ordered by its own configuration, and nothing told it that its predecessor went by a newer one: the instance that claims may be one whose read has missed the newest version.

Evidence: OwnershipRecordsTellTheVersionOfTheConfiguration was red: the second instance did not know of version 2.

Why this works: every instance reads these records, twice a second in calm seconds, so each learns of a version within about a second even if its own read of the configuration has missed it, and reads it at once. Starts do not wait for it: a store that refuses the configuration only would stop all work.

--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -62,6 +62,9 @@
     if (change == JobTable::Change::Malformed) {
         this->host.recordUnreadable(record);
     }
+    if (change == JobTable::Change::Owner) {
+        this->noteConfigVersion(this->table.owner().configVersion);
+    }
     if (this->ownsLog() && change == JobTable::Change::Owner &&
         !this->lease.owns(this->table.owner())) {
         this->stopCoordinating("another instance claimed");
@@ -289,6 +292,7 @@
     message.set_released(released);
     message.set_address(this->settings.address);
     message.set_processors(static_cast<float>(this->settings.processors));
+    message.set_config_version(this->configuration.version());
     if (released) {
         for (const auto &[worker, left] : this->coordinator.silentWorkers(now)) {
             jobs::SilentWorker &silent = *message.add_silent();
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -180,6 +180,7 @@
     this->ownership.released = message.released();
     this->ownership.lastSeenAt = now;
     this->ownership.address = message.address();
+    this->ownership.configVersion = message.config_version();
     this->ownership.silentUntil.clear();
     for (const jobs::SilentWorker &silent : message.silent()) {
         this->ownership.silentUntil[silent.worker()] = now + Duration(silent.lapses_in_ms());
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -26,10 +26,11 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     bool released = false;
-    Instant lastSeenAt;      ///< When a record of the epoch was last read.
-    std::string address;     ///< Where other instances reach the owner.
-    double processors = 0.0; ///< That it may use, in cores; 0: not reported.
-    Instant since;           ///< When its epoch was first read.
+    Instant lastSeenAt;              ///< When a record of the epoch was last read.
+    std::string address;             ///< Where other instances reach the owner.
+    double processors = 0.0;         ///< That it may use, in cores; 0: not reported.
+    Instant since;                   ///< When its epoch was first read.
+    std::uint64_t configVersion = 0; ///< Of the configuration that it goes by.
     /** Of a released owner: when the leases of workers that did not reply to it have lapsed. */
     std::map<std::string, Instant> silentUntil;
 };
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -32,11 +32,12 @@
     void ownershipLost(std::uint64_t, const char *) override { this->needsReload = true; }
     void startsPaused(bool, Duration) override {}
     void recordUnreadable(const JobRecord &) override {}
-    void configOutdated() override {}
+    void configOutdated() override { this->needsConfig = true; }
 
     bool needsProgress = false;
     bool needsWorkers = false;
     bool needsReload = true;
+    bool needsConfig = false;
 };
 
 /** Probabilities of faults, each in parts of a thousand. */
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -444,6 +444,48 @@
     EXPECT_FALSE(node.coordinates());
 }
 
+// Guards against: an instance with an outdated configuration, which may be the next to coordinate,
+// did not learn from the coordinator that a newer one exists.
+TEST(JobNodeTest, OwnershipRecordsTellTheVersionOfTheConfiguration)
+{
+    ImmediateLog log;
+    OrderRecorder orders;
+    RecordingHost hosts[2];
+    Random random(1);
+    JobNode first(JobNodeSettings{"a", 1, {}, 1.0, WorkerBounds(), Duration(120000)}, log, orders,
+                  hosts[0], random);
+    JobNode second(JobNodeSettings{"b", 2, {}, 0.1, WorkerBounds(), Duration(120000)}, log, orders,
+                   hosts[1], random);
+    JobConfig config;
+    config.version = 1;
+    first.setConfig(config);
+    second.setConfig(config);
+    const auto run = [&](std::int64_t from, std::int64_t to) {
+        for (std::int64_t at = from; at < to; at += 10) {
+            for (const JobRecord &entry : std::exchange(log.stored, {})) {
+                first.applyRecord(record(entry.key, entry.value, 1), Instant(at));
+                second.applyRecord(record(entry.key, entry.value, 1), Instant(at));
+            }
+            first.logReadTo(1, Instant(at));
+            second.logReadTo(1, Instant(at));
+            if (std::exchange(hosts[0].needsProgress, false)) {
+                first.progressLoaded();
+            }
+            first.work(Instant(at), at);
+        }
+    };
+    run(1000, 3000);
+    ASSERT_TRUE(first.coordinates());
+    EXPECT_FALSE(second.config().outdated());
+    config.version = 2;
+    first.setConfig(config);
+    run(3000, 3000 + JobNode::ownershipInterval.count() + 50);
+    EXPECT_TRUE(second.config().outdated());
+    EXPECT_TRUE(hosts[1].needsConfig);
+    second.setConfig(config);
+    EXPECT_FALSE(second.config().outdated());
+}
+
 // Guards against: a planned stop of the coordinator began the wait for the leases of workers that
 // had been silent for seconds anew, so their long-running tasks stood still for over eleven
 // seconds.
