Take no configuration with an invalid field

What callers saw: nothing on the platform, whose store takes only valid configurations; found by reading. A record of another writer, or one that the parser takes for another than it is, went into force: an odd value counted as 0 or as absent, a route without prefix matched every path, and a negative version counted as one that no later version is newer than, so that the instance kept it for good.

As a newer version exists that can't be read, queues that are unknown are not denied until a readable one follows.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -307,7 +307,7 @@
     } else if (&follower == &this->progressFollower) {
         this->progressWanted = false;
         this->node.progressLoaded();
-    } else if (&follower == &this->configFollower) {
+    } else if (&follower == &this->configFollower && this->configReadable) {
         this->node.configReadTo(asOf);
     }
 }
@@ -353,6 +353,7 @@
         return;
     }
     const Result<JobConfig> parsed = platform::parseConfig(record.value);
+    this->configReadable = parsed.has_value();
     if (!parsed) {
         logLine(LogLevel::Warning, "config_unreadable", {{"why", parsed.error().text()}});
         return;
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -132,6 +132,7 @@
     Follower progressFollower; ///< Loads once in each takeover.
     bool progressWanted = false;
     Follower configFollower;
+    bool configReadable = true; ///< The newest configuration in the store is valid.
     Follower workerFollower;
     bool wakePosted = false;
     Instant loadReportedAt;
--- a/tests/platform/test_codec.cpp
+++ b/tests/platform/test_codec.cpp
@@ -36,6 +36,66 @@
     }
 }
 
+// Guards against invalid configurations that are put into force: an odd value counted as 0 or as
+// absent, and a negative version as one that no later version is newer than.
+TEST(ConfigTest, RejectsInvalidConfigurations)
+{
+    const std::string route = R"({"name":"plan","host":"a.example","path_prefix":"/p/",)"
+                              R"("service":"s"})";
+    const std::string service = R"({"name":"s","enforces_capacity":true})";
+    const auto body = [](const std::string &version, const std::string &routes,
+                         const std::string &services) {
+        return R"({"version":)" + version + R"(,"routes":[)" + routes + R"(],"services":[)" +
+               services + "]}";
+    };
+    const auto routeWith = [&](const std::string &from, const std::string &to) {
+        std::string changed = route;
+        changed.replace(changed.find(from), from.size(), to);
+        return body("7", changed, service);
+    };
+    struct Case
+    {
+        std::string body;
+        const char *reason; ///< Empty: accepted.
+    };
+    for (const Case &given : {
+             Case{body("7", route, service), ""},
+             Case{body("7", "", ""), ""},
+             Case{body("18446744073709551615", route, service), "version"},
+             Case{body("-1", route, service), "version"},
+             Case{body("0", route, service), "version"},
+             Case{body("1.5", route, service), "version"},
+             Case{body("1e30", route, service), "version"},
+             Case{body("\"7\"", route, service), "version"},
+             Case{R"({"routes":[],"services":[]})", "version"},
+             Case{R"({"version":7,"services":[]})", "routes"},
+             Case{R"({"version":7,"routes":{},"services":[]})", "routes"},
+             Case{body("7", "5", service), "path_prefix"},
+             Case{body("7", route + "," + route, service), "twice"},
+             Case{body("7", route, "5"), "name"},
+             Case{routeWith(R"("name":"plan")", R"("name":"")"), "name"},
+             Case{routeWith(R"("host":"a.example")", R"("host":5)"), "host"},
+             Case{routeWith(R"("path_prefix":"/p/")", R"("path_prefix":"")"), "path_prefix"},
+             Case{routeWith(R"("service":"s")", R"("service":null)"), "service"},
+             Case{routeWith("}", R"(,"priority":-1})"), "priority"},
+             Case{routeWith("}", R"(,"priority":"high"})"), "priority"},
+             Case{routeWith("}", R"(,"max_attempts":99999999999})"), "max_attempts"},
+             Case{routeWith("}", R"(,"stretch":-2.0})"), "stretch"},
+             Case{routeWith("}", R"(,"target_latency_ms":1e30})"), "target_latency_ms"},
+             Case{routeWith("}", R"(,"advice":7})"), "advice"},
+             Case{routeWith("}", R"(,"advice":{"decide_ms":-5}})"), "decide_ms"},
+             Case{R"({"version":7,"routes":[],"services":[],"limits":{"body_bytes":-1}})",
+                  "body_bytes"},
+         }) {
+        const Result<JobConfig> config = parseConfig(given.body);
+        EXPECT_EQ(config.has_value(), *given.reason == '\0') << given.body;
+        if (!config) {
+            EXPECT_NE(config.error().detail.find(given.reason), std::string::npos)
+                << config.error().detail;
+        }
+    }
+}
+
 TEST(AdviceTest, FormatsRequestsAndParsesReplies)
 {
     const JobId job("5c0e7a21d94b36f8");
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -221,6 +221,39 @@
     EXPECT_EQ(lastStatus, 200U);
 }
 
+// Guards against 404 for a queue of a version that the instance can't read, and against a version
+// that nothing is newer than.
+TEST_F(EntryInstanceTest, KeepsItsConfigurationWhenTheNextOneIsInvalid)
+{
+    std::vector<unsigned> statuses;
+    const auto ask = [&](const std::string &queue, std::function<void()> then) {
+        this->timer.expires_after(
+            std::chrono::milliseconds(testSettings().configApplyTime.count()));
+        this->timer.async_wait([this, &statuses, queue, then](const boost::system::error_code &) {
+            this->pollQueue(queue, [&statuses, then](unsigned status) {
+                statuses.push_back(status);
+                then();
+                return true;
+            });
+        });
+    };
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200) {
+            return false;
+        }
+        this->putConfig(-3, {"added"});
+        ask("plan", [&] {
+            ask("added", [&] {
+                this->putConfig(4, {"plan", "added"});
+                ask("added", [&] { this->context.stop(); });
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(statuses, (std::vector<unsigned>{200, 503, 200}));
+}
+
 // Guards against calm instances that say, now and then, that they can't tell of a queue.
 TEST_F(EntryInstanceTest, DeniesUnknownQueuesWhileItReadsTheStore)
 {
