Give up tasks that crash the workers that start them

Cause: max_attempts counts ends that a worker lists as failed. A run that is lost with its worker cost its task nothing.

What is counted: a worker has crashed when another incarnation answers in its place, or when it has gone without a word until its leases lapsed; not when it drains, replies, or its whole zone is silent. Each of its runs that may be the cause is noted by its number in the record of the job, so that successors count on and a crash counts once: runs that began less than 5 s before its last reply, or that no report has listed. At work for 5 s, a task is taken for harmless and its earlier crashes are discarded.

Innocent ones: tasks that were lost in a crash are placed apart from each other, from the second crash on also from tasks that have just begun, so that the next crash tells the cause. By cost, not by rule: nothing waits for a worker of its own. A job is given up, as failed, after the third crash if its task was the only one that may have been the cause, else after the fourth; the platform allows two starts after the third.

Evidence: test_crashes was red (three more starts after three crashes). 700 random schedules with up to six deadly jobs of 24, takeovers, lost and late orders hold: deadly jobs fail, all others are completed; with three crashes for all, one innocent job failed (the property caught it).

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -590,6 +590,19 @@
 
 // Notifications from the coordinator
 
+void EntryInstance::crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                                 std::size_t crashes, bool givenUp)
+{
+    this->metrics.count("godwitfall_crashes_counted_total",
+                        std::string("task=\"") + (givenUp ? "given_up\"" : "kept\""));
+    logLine(givenUp ? LogLevel::Warning : LogLevel::Info,
+            givenUp ? "task_given_up" : "crash_counted",
+            {{"task", platform::taskName(task)},
+             {"run", std::to_string(run)},
+             {"worker", worker.value()},
+             {"crashes", std::to_string(crashes)}});
+}
+
 void EntryInstance::taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                                  RunOutcome outcome)
 {
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -54,6 +54,8 @@
         Instant requestedAt;          ///< When the pending or the last applied read was sent.
     };
 
+    void crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                      std::size_t crashes, bool givenUp) override;
     void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                       RunOutcome outcome) override;
     void jobFinished(const Job &job) override;
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -380,6 +380,7 @@
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
     task->metric = running.metric;
+    this->clearCrashes(worker, *job, running.task, *task, now);
     if (task->phase == TaskPhase::Unconfirmed && job->stepSpec(running.task.step).fills()) {
         // A former coordinator may have lowered its pace.
         this->setPace(worker, running.task, *task, 100, now);
@@ -476,8 +477,7 @@
     // worker discards it, so it has to be counted here.
     if (ended.how == RunEnd::Done) {
         this->finishTask(job, ended.task, task, now);
-    } else if (ended.how == RunEnd::Failed &&
-               this->countFailure(job, ended.task, task, ended.run)) {
+    } else if (ended.how == RunEnd::Failed && this->countFailure(job, ended.task, ended.run)) {
         this->closeJob(job, Job::State::FAILED, now);
     }
 }
@@ -535,12 +535,14 @@
 
 void Coordinator::returnTasksOf(WorkerState &worker, Instant now)
 {
+    const JobSet hopeless = this->countCrash(worker);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (worker.tasks.contains(ref)) {
             this->returnTask(*job, ref, *job->task(ref), RunOutcome::WorkerGone, now);
         }
     }
+    this->giveUp(hopeless, now);
 }
 
 Instant Coordinator::runLapsesAt(const WorkerState &worker, const Task &task) const
@@ -554,6 +556,10 @@
     if (worker.tasks.empty() || now <= worker.lapsesAt(this->bounds)) {
         return;
     }
+    // A worker that left as announced, was cut off with its zone, or replies has not crashed.
+    const bool crashed = !worker.entry.draining && !worker.zoneUnresponsive &&
+                         now - worker.lastSeenAt > renewalTimeout;
+    const JobSet hopeless = crashed ? this->countCrash(worker) : JobSet();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
@@ -562,6 +568,7 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
+    this->giveUp(hopeless, now);
 }
 
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
@@ -569,6 +576,7 @@
     this->observer.workerRestarted(worker.entry.id);
     worker.entry.incarnationStartMs = incarnationStartMs;
     this->removeUnlistedOrphans(worker, {});
+    const JobSet hopeless = this->countCrash(worker);
     worker.beginIncarnation(now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
@@ -588,6 +596,7 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
+    this->giveUp(hopeless, now);
 }
 
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -44,6 +44,10 @@
 {
 public:
     virtual ~CoordinatorObserver() = default;
+    /** A worker crashed, and the run is one of those that may be the cause; crashes: of workers
+     * under the task so far; givenUp: its job fails for it. */
+    virtual void crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                              std::size_t crashes, bool givenUp) = 0;
     /** A run ended without completing its task, which may be placed again. */
     virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                               RunOutcome outcome) = 0;
@@ -106,6 +110,15 @@
      * time is added. */
     static constexpr Duration stallTime{2500};
 
+    /** Crashes of workers under a task after which its job fails, if it was the only one that may
+     * have been the cause of the last. */
+    static constexpr std::size_t crashesToGiveUpAlone = 3;
+    /** The same beside others; the platform allows two starts after the third crash, the second of
+     * which is left for a crash that a former coordinator has not recorded. */
+    static constexpr std::size_t crashesToGiveUp = 4;
+    /** Time that a run has been at work from which it is not taken for the cause of a crash. */
+    static constexpr Duration harmlessAge{5000};
+
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
     static constexpr Duration delayToReport{3000};
@@ -326,9 +339,26 @@
      * failures. */
     void eject(WorkerState &worker, Duration length, Instant now);
 
+    /** Returns the task in which what concerns the whole gang is counted: its first member. */
+    static Task &countedTask(Job &job, const TaskRef &ref);
+    /** Returns whether the task's run may be why the worker crashed. */
+    bool mayHaveCrashed(const WorkerState &worker, const TaskRef &ref, const Task &task) const;
+    /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
+     * to be given up. */
+    JobSet countCrash(const WorkerState &worker);
+    /** Closes the jobs as failed. */
+    void giveUp(const JobSet &hopeless, Instant now);
+    /** Places the waiting tasks of the step under which workers have crashed, apart from others,
+     * as far as workers can take them. */
+    void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
+                       PlacementRequest request, Instant now);
+    /** Discards the task's crashes once its run has been at work for harmlessAge. */
+    void clearCrashes(WorkerState &worker, Job &job, const TaskRef &ref, const Task &task,
+                      Instant now);
+
     void finishTask(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Counts a failed run, once; returns whether the task has used up its attempts. */
-    bool countFailure(Job &job, const TaskRef &ref, Task &task, std::uint32_t run);
+    bool countFailure(Job &job, const TaskRef &ref, std::uint32_t run);
     void failTask(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Ends the task's run and sets the task to wait for its next placement. */
     void returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -47,12 +47,9 @@
     }
 }
 
-bool Coordinator::countFailure(Job &job, const TaskRef &ref, Task &task, std::uint32_t run)
+bool Coordinator::countFailure(Job &job, const TaskRef &ref, std::uint32_t run)
 {
-    // The attempts of a gang are counted in its first member.
-    Task &counted =
-        job.stepSpec(ref.step).gang() ? job.stepRun(ref.occurrence, ref.step).tasks.front() : task;
-    std::vector<std::uint32_t> &failed = counted.failedRuns;
+    std::vector<std::uint32_t> &failed = this->countedTask(job, ref).failedRuns;
     if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
         failed.push_back(run);
         this->markDirty(job);
@@ -67,7 +64,7 @@
         this->returnTask(job, ref, task, RunOutcome::Failed, now);
         return;
     }
-    const bool attemptsUsedUp = this->countFailure(job, ref, task, task.run);
+    const bool attemptsUsedUp = this->countFailure(job, ref, task.run);
     this->returnTask(job, ref, task, RunOutcome::Failed, now);
     if (attemptsUsedUp) {
         this->closeJob(job, Job::State::FAILED, now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -317,6 +317,7 @@
     const PlacementRequest request{job, run.occurrence, run.step, {}, allowInterference};
     const std::vector<WorkerState *> workersOfJob =
         this->allowed(job, run.occurrence, run.step, now);
+    this->placeSuspects(job, run, workersOfJob, request, now);
     WorkerSearch search(this->policy, workersOfJob, request, now);
     ++this->searches;
     std::int64_t freeSlots = -1;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -21,6 +21,12 @@
     byte = static_cast<char>(static_cast<unsigned char>(byte) | 1U << (index % bitsPerByte));
 }
 
+void addRuns(jobs::TaskRuns &message, std::uint32_t index, const std::vector<std::uint32_t> &runs)
+{
+    message.set_index(index);
+    message.mutable_runs()->Assign(runs.begin(), runs.end());
+}
+
 jobs::StepProgress progressOf(const StepRun &run)
 {
     jobs::StepProgress message;
@@ -46,11 +52,10 @@
             late.set_run(start.run);
         }
         if (!task.failedRuns.empty()) {
-            jobs::Failures &failed = *message.add_failed();
-            failed.set_index(index);
-            for (const std::uint32_t number : task.failedRuns) {
-                failed.add_runs(number);
-            }
+            addRuns(*message.add_failed(), index, task.failedRuns);
+        }
+        if (!task.crashedRuns.empty()) {
+            addRuns(*message.add_crashed(), index, task.crashedRuns);
         }
     }
     message.set_done(std::move(done));
@@ -146,6 +151,13 @@
     return &found->second.tasks[ref.index];
 }
 
+std::size_t Job::crashesUnder(const TaskRef &ref) const
+{
+    const StepRun *run = this->findStepRun(ref.occurrence, ref.step);
+    const std::uint32_t counted = this->stepSpec(ref.step).gang() ? 0 : ref.index;
+    return run && counted < run->tasks.size() ? run->tasks[counted].crashedRuns.size() : 0;
+}
+
 bool Job::dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const
 {
     const auto &after = this->stepSpec(step).after();
@@ -241,12 +253,18 @@
                     LateStart{late.worker(), late.run(), now});
             }
         }
-        for (const jobs::Failures &failed : message.failed()) {
+        for (const jobs::TaskRuns &failed : message.failed()) {
             if (failed.index() < run.tasks.size()) {
                 run.tasks[failed.index()].failedRuns.assign(failed.runs().begin(),
                                                             failed.runs().end());
             }
         }
+        for (const jobs::TaskRuns &crashed : message.crashed()) {
+            if (crashed.index() < run.tasks.size()) {
+                run.tasks[crashed.index()].crashedRuns.assign(crashed.runs().begin(),
+                                                              crashed.runs().end());
+            }
+        }
     }
 }
 
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -61,7 +61,9 @@
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t run = 0;                 ///< Number of the newest start; 0 before the first.
     std::vector<std::uint32_t> failedRuns; ///< Run numbers of the failed attempts that count.
-    std::string worker;                    ///< Where it is placed; empty when not placed.
+    /** Run numbers under which a worker crashed and that may be the cause. */
+    std::vector<std::uint32_t> crashedRuns;
+    std::string worker; ///< Where it is placed; empty when not placed.
     /** When the incarnation of that worker began, in ms since 1970; 0: unknown. */
     std::int64_t workerIncarnationStartMs = 0;
     std::string checkpoint;
@@ -158,6 +160,9 @@
         return this->runs;
     }
 
+    /** Returns how many workers have crashed under the task, or under its gang. */
+    std::size_t crashesUnder(const TaskRef &ref) const;
+
     /** Returns whether all steps that the step depends on are done. */
     bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
 
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -13,6 +13,11 @@
 /** Added for each job that recently failed on the worker. */
 constexpr double failureCost = 0.3;
 
+/** Added for each task that a suspect is to be kept apart from; exceeds any other difference. */
+constexpr double suspectCost = 100.0;
+/** Crashes from which a task is also kept apart from tasks that have just begun. */
+constexpr std::size_t crashesToIsolate = 2;
+
 /** Weight of the interference cost against a share of a worker's processors. */
 constexpr double interferenceWeight = 1.0;
 /** Interference cost beyond which workers count as equal. */
@@ -186,6 +191,26 @@
                       std::min(maxInterferenceCost, this->interferenceCost(worker, step, now));
 }
 
+double PlacementPolicy::separationCost(const WorkerState &worker, const PlacementRequest &request)
+{
+    if (request.crashes == 0) {
+        const bool awaitsVerdict =
+            std::any_of(worker.suspects.begin(), worker.suspects.end(), [&](const TaskRef &ref) {
+                return worker.tasks.at(ref)->crashesUnder(ref) >= crashesToIsolate;
+            });
+        return awaitsVerdict ? suspectCost : 0.0;
+    }
+    double others = static_cast<double>(worker.suspects.size());
+    if (request.crashes >= crashesToIsolate) {
+        for (const auto &[ref, job] : worker.tasks) {
+            const Task &task = *job->task(ref);
+            const bool settled = task.phase == TaskPhase::Running && task.listed;
+            others += settled ? 0.0 : 1.0;
+        }
+    }
+    return suspectCost * others;
+}
+
 WorkerState *PlacementPolicy::choose(const std::vector<WorkerState *> &candidates,
                                      const PlacementRequest &request, Instant now) const
 {
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -17,6 +17,7 @@
     std::uint32_t step = 0;
     std::string onlyRack;           ///< Only workers of this rack; empty: any.
     bool allowInterference = false; ///< Also where it slows serving tasks; else the task waits.
+    std::size_t crashes = 0;        ///< Workers that have crashed under the task.
 };
 
 /**
@@ -65,6 +66,10 @@
     /** Returns a lower bound of the cost; inexpensive. */
     double costLowerBound(const WorkerState &worker, const jobs::StepSpec &step) const;
 
+    /** Returns a cost that keeps tasks under which workers have crashed apart from each other and
+     * from tasks that have just begun, so that the next crash tells which one is the cause. */
+    static double separationCost(const WorkerState &worker, const PlacementRequest &request);
+
     /** Returns whether costLowerBound() is the cost itself for steps like this one. */
     static bool lowerBoundIsExact(const jobs::StepSpec &step)
     {
--- a/src/libgodwitfall/jobs/workersearch.cpp
+++ b/src/libgodwitfall/jobs/workersearch.cpp
@@ -17,13 +17,19 @@
 {
     for (std::size_t order = 0; order < candidates.size(); ++order) {
         if (policy.admits(*candidates[order], this->request, now)) {
-            this->heap.push_back(Entry{policy.costLowerBound(*candidates[order], this->step),
-                                       this->boundsAreExact, order, candidates[order]});
+            this->heap.push_back(Entry{this->lowerBound(*candidates[order]), this->boundsAreExact,
+                                       order, candidates[order]});
         }
     }
     std::make_heap(this->heap.begin(), this->heap.end(), comesLater);
 }
 
+double WorkerSearch::lowerBound(const WorkerState &worker) const
+{
+    return this->policy.costLowerBound(worker, this->step) +
+           PlacementPolicy::separationCost(worker, this->request);
+}
+
 bool WorkerSearch::comesLater(const Entry &left, const Entry &right)
 {
     return std::tie(left.cost, left.order) > std::tie(right.cost, right.order);
@@ -39,8 +45,8 @@
 {
     if (WorkerState *previous = std::exchange(this->last.worker, nullptr)) {
         if (this->policy.admits(*previous, this->request, this->now)) {
-            this->push(Entry{this->policy.costLowerBound(*previous, this->step),
-                             this->boundsAreExact, this->last.order, previous});
+            this->push(Entry{this->lowerBound(*previous), this->boundsAreExact, this->last.order,
+                             previous});
         }
     }
     while (!this->heap.empty()) {
@@ -53,7 +59,8 @@
         }
         ++this->evaluations;
         if (this->policy.tolerates(*best.worker, this->request, this->now)) {
-            best.cost = this->policy.cost(*best.worker, this->step, this->now);
+            best.cost = this->policy.cost(*best.worker, this->step, this->now) +
+                        PlacementPolicy::separationCost(*best.worker, this->request);
             best.exact = true;
             this->push(best);
         }
--- a/src/libgodwitfall/jobs/workersearch.h
+++ b/src/libgodwitfall/jobs/workersearch.h
@@ -36,6 +36,7 @@
         WorkerState *worker = nullptr;
     };
 
+    double lowerBound(const WorkerState &worker) const;
     static bool comesLater(const Entry &left, const Entry &right);
     void push(const Entry &entry);
 
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -85,6 +85,9 @@
     if (!this->tasks.emplace(ref, &job).second) {
         return;
     }
+    if (job.crashesUnder(ref) > 0) {
+        this->suspects.insert(ref);
+    }
     const jobs::StepSpec &step = job.stepSpec(ref.step);
     this->invalidatePlacementCosts();
     this->reserved += reservedBy(step);
@@ -105,6 +108,7 @@
     if (step.fills()) {
         this->bestEffortMilliCores -= step.milli_cores();
     }
+    this->suspects.erase(ref);
     this->tasks.erase(found);
 }
 
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -180,7 +180,8 @@
 
     std::vector<UnansweredStart> unanswered; ///< Starts of the last longestOrderDelay.
     std::map<TaskRef, Job *> tasks;
-    Resources reserved; ///< Without the processors of best-effort tasks.
+    std::set<TaskRef> suspects; ///< Of tasks: those under which workers have crashed.
+    Resources reserved;         ///< Without the processors of best-effort tasks.
     std::int64_t bestEffortMilliCores = 0;
 
     Instant ejectedUntil;
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -106,8 +106,13 @@
         const bool fails = this->simulation.fails && this->simulation.fails(order.task, order.run);
         this->deliver(
             order.target.worker,
-            [order, workMs, fails](SimWorker &worker) {
-                return worker.start(order, workMs, fails);
+            [this, order, workMs, fails](SimWorker &worker) {
+                const OrderOutcome outcome = worker.start(order, workMs, fails);
+                if (outcome == OrderOutcome::Accepted && this->simulation.deadly &&
+                    this->simulation.deadly(order.task)) {
+                    this->simulation.crashUnder(order.target.worker, order.task);
+                }
+                return outcome;
             },
             [this, order](OrderOutcome outcome) {
                 this->node->coordination().startAnswered(order.target.worker, order.task, order.run,
@@ -255,6 +260,27 @@
     this->events.push(Event{this->nowMs + milliseconds, ++this->eventOrder, std::move(action)});
 }
 
+void JobSimulation::crashUnder(const WorkerId &worker, const TaskRef &task)
+{
+    constexpr int crashesBeforeBound = 3;
+    constexpr int startsBeyondBound = 3;
+    constexpr std::int64_t crashesAfterMs = 10;
+    constexpr std::int64_t downMs = 3200;
+    if (!this->fleet.delayedOrder && this->fleet.crashes[task] >= crashesBeforeBound &&
+        ++this->fleet.startsAfterCrashes[task] == startsBeyondBound) {
+        this->fleet.broken.push_back("three more starts after three crashes under " +
+                                     task.job.value());
+    }
+    const std::size_t index = std::stoul(worker.value().substr(1));
+    const std::int64_t incarnation = this->incarnationOf(worker);
+    this->after(crashesAfterMs, [this, worker, index, task, incarnation] {
+        if (this->workers[index]->up && this->incarnationOf(worker) == incarnation) {
+            ++this->fleet.crashes[task];
+            this->crashWorker(index, downMs);
+        }
+    });
+}
+
 bool JobSimulation::chance(int perThousand)
 {
     return perThousand > 0 && static_cast<int>(this->random() % 1000) < perThousand;
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -21,6 +21,8 @@
 class RecordingHost : public JobNodeHost
 {
 public:
+    void crashCounted(const TaskRef &, std::uint32_t, const WorkerId &, std::size_t, bool) override
+    {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
     void jobFinished(const Job &) override {}
     void workerEjected(const WorkerId &, Duration) override {}
@@ -150,6 +152,9 @@
     /** Returns whether the run fails; unset: none does. */
     std::function<bool(const TaskRef &, std::uint32_t run)> fails;
 
+    /** Returns whether the task crashes each worker that starts it; unset: none does. */
+    std::function<bool(const TaskRef &)> deadly;
+
 private:
     struct Instance;
     struct Event
@@ -164,6 +169,8 @@
     };
 
     void after(std::int64_t milliseconds, std::function<void()> action);
+    /** Crashes the worker that has started the deadly task; checks the bound on its starts. */
+    void crashUnder(const WorkerId &worker, const TaskRef &task);
     bool chance(int perThousand);
     void cancelAt(Instance &instance, const JobId &id);
     void bringUp(Instance &instance);
