Start nothing on a worker whose capacity has shrunk below what it runs

Found by tests: a start that was placed before the registry told of the smaller capacity was sent after it, also when it was tried again; and a run that a delayed order had begun, on a worker where no record places it, was not counted, so that the next start went beside it.

Evidence: the three tests of ShrinkingWorkerTest were red.

Why this works: what is placed on a worker and what it lists is compared with its newest capacity at each start and each further try. A start that no longer fits is placed anew, or stopped if a try may still be carried out; what is being stopped counts until its end is listed.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -325,6 +325,7 @@
     }
     ++this->reports;
     this->removeUnlistedOrphans(*worker, report.running);
+    worker->unplaced = Resources();
     for (const RunningTask &running : report.running) {
         this->applyRunning(*worker, running, now);
     }
@@ -365,6 +366,9 @@
     Task *task = job ? job->task(running.task) : nullptr;
     const bool known = task && task->worker == worker.entry.id.value() && task->run == running.run;
     if (!known) {
+        if (job && static_cast<int>(running.task.step) < job->spec().steps_size()) {
+            worker.addUnplacedRun(job->stepSpec(running.task.step));
+        }
         OrphanRun &orphan = this->orphans[{running.task, worker.entry.id.value()}];
         if (orphan.run != running.run || now - orphan.stoppedAt > orphanStopGap) {
             orphan = OrphanRun{running.run, now};
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -45,7 +45,9 @@
     open.run = task.run;
     open.worker = WorkerId(task.worker);
     open.retryAt = now + orderRetry;
-    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now)) {
+    // Its capacity may have shrunk since the task was placed.
+    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now) ||
+        worker->overcommitted()) {
         this->abandonStart(job, ref, task, now);
         return;
     }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -421,7 +421,7 @@
             continue;
         }
         std::int64_t missing =
-            worker->reserved.milliCores + step.milli_cores() - worker->entry.capacity.milliCores;
+            worker->used().milliCores + step.milli_cores() - worker->entry.capacity.milliCores;
         std::vector<TaskRef> victims;
         for (const auto &[ref, other] : worker->tasks) {
             const jobs::StepSpec &otherStep = other->stepSpec(ref.step);
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -34,6 +34,7 @@
     this->holdDue = now;
     this->earlierLeasesLapse = now;
     this->latestLeaseEndMs = 0;
+    this->unplaced = Resources();
     this->incarnationKnownSince = now;
     this->formerIncarnationOrdersUntil = this->unansweredUntil;
 }
@@ -96,6 +97,11 @@
     }
 }
 
+void WorkerState::addUnplacedRun(const jobs::StepSpec &step)
+{
+    this->unplaced += reservedBy(step);
+}
+
 void WorkerState::release(const TaskRef &ref)
 {
     const auto found = this->tasks.find(ref);
@@ -114,7 +120,7 @@
 
 bool WorkerState::fits(const jobs::StepSpec &step) const
 {
-    return (this->reserved + reservedBy(step)).fitsIn(this->entry.capacity);
+    return (this->used() + reservedBy(step)).fitsIn(this->entry.capacity);
 }
 
 double WorkerState::shareOf(double milliCores) const
@@ -132,9 +138,9 @@
         return need > 0 ? free / static_cast<std::int64_t>(need)
                         : std::numeric_limits<std::int64_t>::max();
     };
-    return std::min(
-        times(this->entry.capacity.milliCores - this->reserved.milliCores, step.milli_cores()),
-        times(this->entry.capacity.memoryMb - this->reserved.memoryMb, step.memory_mb()));
+    const Resources free = this->entry.capacity - this->used();
+    return std::min(times(free.milliCores, step.milli_cores()),
+                    times(free.memoryMb, step.memory_mb()));
 }
 
 std::vector<BestEffortShare> WorkerState::pacedBestEffortShares() const
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -138,13 +138,22 @@
     /** Removes the task and frees its resources. */
     void release(const TaskRef &ref);
 
-    /** Returns whether a task of the step fits next to the reserved resources. */
+    /** Counts the resources of a run that the worker lists and no record places there. */
+    void addUnplacedRun(const jobs::StepSpec &step);
+
+    /** Returns whether what is placed on the worker, or runs there, exceeds its capacity. */
+    bool overcommitted() const { return !this->used().fitsIn(this->entry.capacity); }
+
+    /** Returns the resources of what is placed on the worker or runs there. */
+    Resources used() const { return this->reserved + this->unplaced; }
+
+    /** Returns whether a task of the step fits next to the used resources. */
     bool fits(const jobs::StepSpec &step) const;
 
     /** Returns what share of the worker's processors the milli-cores are. */
     double shareOf(double milliCores) const;
 
-    /** Returns how many tasks of the step fit next to the reserved resources, by processors and
+    /** Returns how many tasks of the step fit next to the used resources, by processors and
      * memory; 0 while the worker takes no tasks. */
     std::int64_t freeSlots(const jobs::StepSpec &step) const;
 
@@ -182,6 +191,7 @@
     std::map<TaskRef, Job *> tasks;
     std::set<TaskRef> suspects; ///< Of tasks: those under which workers have crashed.
     Resources reserved;         ///< Without the processors of best-effort tasks.
+    Resources unplaced; ///< The same of runs that no record places here, as of its last report.
     std::int64_t bestEffortMilliCores = 0;
 
     Instant ejectedUntil;
