Use no worker whose entry is odd

What operators of systems like this one reported: one odd entry of another writer among those of the workers (deeply nested, a number too large, a port out of range), and the machines that read the list ended again and again, or stopped following it.

Can it happen here: an instance neither ends nor stops following the list, FollowsTheWorkersBesideOddEntries shows it. But of the entry itself some was taken: a port of 70000 became 4464, so that orders went to a port that nobody named; 9e18 thousandths of a core overflowed sums; a birth in the distant future made all later reports of the worker count as those of an earlier incarnation; and where an odd entry replaced a worker's own, the worker stayed in use (LIMIT: also one whose capacity shrank to nothing).

A capacity of 0 is a worker without room.

--- a/src/godwitfall/address.h
+++ b/src/godwitfall/address.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <charconv>
+#include <cstdint>
+#include <string>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +21,13 @@
         return tl::unexpected(
             Error{Fate::NotDone, "read address", address, "is not an IP number and a port"});
     }
-    const auto port = static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1));
+    std::uint16_t port = 0;
+    const char *const textEnd = address.data() + address.size();
+    const auto [end, problem] = std::from_chars(address.data() + colon + 1, textEnd, port);
+    if (problem != std::errc() || end != textEnd || port == 0) {
+        return tl::unexpected(
+            Error{Fate::NotDone, "read address", address, "the port is not a number up to 65535"});
+    }
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -383,7 +383,9 @@
     if (entry) {
         this->node.coordination().setWorker(*entry, this->now());
     } else {
-        logLine(LogLevel::Debug, "worker_entry_unusable", {{"why", entry.error().text()}});
+        // What was known of the worker no longer holds; the registry may list it again.
+        this->node.coordination().removeWorker(WorkerId(record.key), this->now());
+        logLine(LogLevel::Info, "worker_entry_unusable", {{"why", entry.error().text()}});
     }
 }
 
--- a/tests/net/test_httpserver.cpp
+++ b/tests/net/test_httpserver.cpp
@@ -6,11 +6,24 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include "address.h"
 #include "httpclient.h"
 
 namespace godwitfall {
 namespace {
 
+TEST(EndpointTest, RejectsPortsOutOfRange)
+{
+    for (const char *good : {"127.0.0.1:1", "127.0.0.1:65535", "::1:80"}) {
+        EXPECT_TRUE(parseEndpoint(good)) << good;
+    }
+    for (const char *bad :
+         {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:-1",
+          "127.0.0.1:80x", "127.0.0.1: 80", "127.0.0.1:99999999999999999999", "host:80"}) {
+        EXPECT_FALSE(parseEndpoint(bad)) << bad;
+    }
+}
+
 namespace asio = boost::asio;
 
 constexpr const char *address = "127.0.99.1:17411";
--- a/tests/platform/test_codec.cpp
+++ b/tests/platform/test_codec.cpp
@@ -130,6 +130,52 @@
     }
 }
 
+// Guards against an entry of another writer with a number too large or a port out of range: sums
+// overflow, and orders go to a port that nobody named.
+TEST(WorkerEntryTest, RejectsNumbersOutOfRange)
+{
+    const auto entry = [](const std::string &address, const std::string &capacity,
+                          const std::string &more) {
+        return R"({"service":"s","address":")" + address +
+               R"(","zone":"z","state":"ready","capacity":)" + capacity + more + "}";
+    };
+    const std::string address = "10.0.0.1:80";
+    const std::string capacity = R"({"cpu":16000,"mem_mb":1,"gpu":0})";
+    struct Case
+    {
+        std::string body;
+        bool accepted = false;
+    };
+    for (const Case &given : {
+             Case{entry(address, capacity, ""), true},
+             Case{entry(address, R"({"cpu":0,"mem_mb":0,"gpu":0})", ""), true},
+             Case{entry(address, R"({"cpu":16000})", ""), true},
+             Case{entry(address, "{}", "")},
+             Case{entry(address, "7", "")},
+             Case{entry(address, R"({"cpu":9000000000000000000})", "")},
+             Case{entry(address, R"({"cpu":1e300})", "")},
+             Case{entry(address, R"({"cpu":1e999})", "")},
+             Case{entry(address, R"({"cpu":-1})", "")},
+             Case{entry(address, R"({"cpu":"many"})", "")},
+             Case{entry(address, R"({"cpu":1,"mem_mb":9000000000000000000})", "")},
+             Case{entry(address, R"({"cpu":1,"gpu":-4})", "")},
+             Case{entry(address, capacity, R"(,"born":9000000000000000000)")},
+             Case{entry(address, capacity, R"(,"born":-5)")},
+             Case{entry(address, capacity, R"(,"born":"now")")},
+             Case{entry(address, capacity, R"(,"remaining_ms":1e30)")},
+             Case{entry("10.0.0.1:70000", capacity, "")},
+             Case{entry("10.0.0.1:-1", capacity, "")},
+             Case{entry("10.0.0.1:0", capacity, "")},
+             Case{entry("10.0.0.1:", capacity, "")},
+             Case{entry("10.0.0.1:80x", capacity, "")},
+             Case{entry("10.0.0.1:99999999999999999999", capacity, "")},
+             Case{entry("10.0.0.999:80", capacity, "")},
+             Case{entry("worker:80", capacity, "")},
+         }) {
+        EXPECT_EQ(parseWorkerEntry("i-1", given.body).has_value(), given.accepted) << given.body;
+    }
+}
+
 TEST(ReportTest, ParsesRunningAndEndedTasks)
 {
     const Result<WorkerReport> report =
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -381,6 +381,85 @@
     EXPECT_EQ(statuses, (std::vector<unsigned>{503, 200}));
 }
 
+/** A worker that takes every order and lists what was started as running. */
+class WorkerStandIn
+{
+public:
+    explicit WorkerStandIn(boost::asio::io_context &context)
+        : server(context, HttpLimits(), [this](const HttpRequest &request, const Respond &respond) {
+            this->holds += request.target == platform::names::hold ? 1 : 0;
+            this->starts += request.target == platform::names::runStart ? 1 : 0;
+            HttpResponse response;
+            response.body = R"({"clock_ms":482113,"born":5,"running":[],"ended":[]})";
+            respond(std::move(response));
+        })
+    {
+        EXPECT_TRUE(this->server.listen(address));
+    }
+
+    static std::string entry()
+    {
+        return std::string(R"({"service":"orchard","address":")") + address +
+               R"(","zone":"z1","state":"ready","born":5,)"
+               R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"]})";
+    }
+
+    static constexpr const char *address = "127.17.5.1:7300";
+    int holds = 0;
+    int starts = 0;
+
+private:
+    HttpServer server;
+};
+
+// Guards against one odd entry of another writer among those of the workers, for which an instance
+// ends or stops following the list.
+TEST_F(EntryInstanceTest, FollowsTheWorkersBesideOddEntries)
+{
+    WorkerStandIn worker(this->context);
+    const std::string nested(200000, '[');
+    for (const auto &[key, value] : std::map<std::string, std::string>{
+             {"a-nested", nested},
+             {"b-nested", R"({"service":"orchard","labels":)" + nested},
+             {"c-number", R"({"service":"orchard","address":"127.17.5.2:7300","state":"ready",)"
+                          R"("born":1e999,"capacity":{"cpu":99999999999999999999}})"},
+             {"d-port", R"({"service":"orchard","address":"127.17.5.2:99999","state":"ready",)"
+                        R"("capacity":{"cpu":16000}})"},
+             {"e-bytes", std::string("\xff\x00\xfe", 3)}}) {
+        this->store.put(platform::names::workerTopic, key, value);
+    }
+    const auto until = [this](std::function<bool()> reached, std::function<void()> then) {
+        const Clock::time_point giveUpAt = Clock::now() + std::chrono::seconds(5);
+        this->pollQueue("plan", [=](unsigned) {
+            const bool over = reached() || Clock::now() > giveUpAt;
+            if (over) {
+                then();
+            }
+            return over;
+        });
+    };
+    this->store.put(platform::names::workerTopic, "w1", WorkerStandIn::entry());
+    until([&] { return worker.holds > 2; },
+          [&] {
+              this->store.put(platform::names::workerTopic, "f-number", R"({"born":1e999})");
+              this->store.put(platform::names::workerTopic, "w1", nested);
+              const int before = worker.holds;
+              this->timer.expires_after(std::chrono::seconds(1));
+              this->timer.async_wait([&, before](const boost::system::error_code &) {
+                  EXPECT_LT(worker.holds, before + 10) << "an odd entry names no worker to use";
+                  const int idle = worker.holds;
+                  this->store.put(platform::names::workerTopic, "w1", WorkerStandIn::entry());
+                  until([&, idle] { return worker.holds > idle + 2; },
+                        [&, idle] {
+                            EXPECT_GT(worker.holds, idle + 2) << "its entry is back";
+                            this->context.stop();
+                        });
+              });
+          });
+    this->context.run();
+    EXPECT_GT(worker.holds, 2);
+}
+
 TEST_F(EntryInstanceTest, SendsLastResponseBeforeShutdown)
 {
     // The response is ready only when the shutdown has nothing else left to wait for.
