Outlive addresses of peers that can't be connected

What operators of systems like this one reported: one odd entry in a list, with a port out of range, and the machines that read it ended again and again. It happens here, in the gateway: a peer_address of the list of instances whose port is 99999, or that has none, ended the process of every instance with the first message to that peer; a restart reads the same list.

Cause: ZeroMQ throws on such an address, in the thread of the link, where nothing catches it.

Evidence: OutlivesAddressesThatCannotBeConnected ended with 'terminate called after throwing an instance of zmq::error_t'.

Why this works: addresses are read as all others are, and what ZeroMQ still refuses is logged (peer_address_unusable); the message is dropped, as to a peer that can't be reached.

--- a/src/godwitfall/peerlink.cpp
+++ b/src/godwitfall/peerlink.cpp
@@ -5,6 +5,7 @@
 
 #include <zmq.hpp>
 
+#include "address.h"
 #include "logging.h"
 
 namespace godwitfall {
@@ -34,6 +35,33 @@
         this->incoming.set(zmq::sockopt::rcvhwm, backlogMessages);
     }
 
+    /** Returns the socket to the peer, or null if the address can't be connected. */
+    zmq::socket_t *peerAt(const std::string &address)
+    {
+        const auto known = this->peers.find(address);
+        if (known != this->peers.end()) {
+            return &known->second;
+        }
+        if (const auto endpoint = parseEndpoint(address); !endpoint) {
+            logLine(LogLevel::Warning, "peer_address_unusable", {{"why", endpoint.error().text()}});
+            return nullptr;
+        }
+        if (this->peers.size() >= maxPeers) {
+            this->peers.clear();
+        }
+        zmq::socket_t socket(this->context, zmq::socket_type::push);
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, backlogMessages);
+        try {
+            socket.connect("tcp://" + address);
+        } catch (const zmq::error_t &failure) {
+            logLine(LogLevel::Warning, "peer_address_unusable",
+                    {{"why", address + ": " + failure.what()}});
+            return nullptr;
+        }
+        return &this->peers.emplace(address, std::move(socket)).first->second;
+    }
+
     zmq::context_t context{1};
     zmq::socket_t incoming;
     zmq::socket_t outgoing;
@@ -105,17 +133,9 @@
             zmq::message_t body;
             (void)all.outgoing.recv(body);
             const std::string target = address.to_string();
-            if (!all.peers.contains(target)) {
-                if (all.peers.size() >= maxPeers) {
-                    all.peers.clear();
-                }
-                zmq::socket_t socket(all.context, zmq::socket_type::push);
-                socket.set(zmq::sockopt::linger, 0);
-                socket.set(zmq::sockopt::sndhwm, backlogMessages);
-                socket.connect("tcp://" + target);
-                all.peers.emplace(target, std::move(socket));
+            if (zmq::socket_t *peer = all.peerAt(target)) {
+                (void)peer->send(body, zmq::send_flags::dontwait);
             }
-            (void)all.peers.at(target).send(body, zmq::send_flags::dontwait);
         }
         if ((items[0].revents & ZMQ_POLLIN) != 0) {
             zmq::message_t body;
