Leave odd entries out of the gateway's list, not the whole list

It happens here, in the gateway: a number too large, a field of another type or deep nesting in one entry made the whole list of workers and instances unreadable, so that an instance kept the last one for as long as the entry stood there.

Why this works: the list is split into its entries by strings and brackets alone, and each is parsed by itself; the parser of protobuf bounds the nesting. Workers and instances without a proper address are left out too. The log names each (list_entry_unusable).

--- a/src/godwitfall/platformclient.cpp
+++ b/src/godwitfall/platformclient.cpp
@@ -1,6 +1,8 @@
 #include "platformclient.h"
 
+#include "instancelist.h"
 #include "jsoncodec.h"
+#include "logging.h"
 
 namespace godwitfall {
 
@@ -16,9 +18,9 @@
     return stream == Stream::State ? "/v1/streams/state" : "/v1/streams/snapshots";
 }
 
-template <class Message>
-Result<Message> decode(const Result<HttpResponse> &response, const std::string &step,
-                       const std::string &peer)
+/** Returns an error unless the response has a body to read. */
+Result<void> checkStatus(const Result<HttpResponse> &response, const std::string &step,
+                         const std::string &peer)
 {
     if (!response) {
         return tl::unexpected(response.error());
@@ -29,6 +31,16 @@
         return tl::unexpected(Error{refused ? Fate::NotDone : Fate::Unknown, step, peer,
                                     "HTTP status " + std::to_string(response->status)});
     }
+    return {};
+}
+
+template <class Message>
+Result<Message> decode(const Result<HttpResponse> &response, const std::string &step,
+                       const std::string &peer)
+{
+    if (const auto checked = checkStatus(response, step, peer); !checked) {
+        return tl::unexpected(checked.error());
+    }
     Message message;
     if (const auto read = fromJson(response->body, message, step, peer); !read) {
         return tl::unexpected(Error{Fate::Unknown, step, peer, read.error().detail});
@@ -88,9 +100,23 @@
     call.target = "/v1/instances";
     call.timeout = replyTimeout;
     this->client.call(std::move(call), [this, requestedAt](const Result<HttpResponse> &response) {
-        this->handlers.list(requestedAt,
-                            decode<wire::InstanceList>(response, "fetch list", this->listAddress));
+        this->handlers.list(requestedAt, this->decodeList(response));
     });
 }
 
+Result<wire::InstanceList> PlatformClient::decodeList(const Result<HttpResponse> &response) const
+{
+    if (const auto checked = checkStatus(response, "fetch list", this->listAddress); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    Result<ParsedInstanceList> parsed = parseInstanceList(response->body, this->listAddress);
+    if (!parsed) {
+        return tl::unexpected(parsed.error());
+    }
+    for (const std::string &why : parsed->unusable) {
+        logLine(LogLevel::Warning, "list_entry_unusable", {{"why", why}});
+    }
+    return std::move(parsed->list);
+}
+
 } // namespace godwitfall
--- a/src/godwitfall/platformclient.h
+++ b/src/godwitfall/platformclient.h
@@ -27,6 +27,9 @@
     void fetchList(Instant requestedAt);
 
 private:
+    /** Parses the list; logs the entries that are left out. */
+    Result<wire::InstanceList> decodeList(const Result<HttpResponse> &response) const;
+
     HttpClient &client;
     const std::string logAddress;
     const std::string listAddress;
