Blame the tasks that began last before a crash, and none that has been at work

Cause: two faults of the count. A crash was counted when a hold told of the next incarnation, not when the answer to a start or a stop did so first, which took the task off its worker. And everything on the worker that was younger than 5 s was blamed, 13 tasks in a burst.

Of the tasks on the worker those are blamed that were placed within a second of the last one that it took, as such a task crashes each worker that starts it; the record of a placement has its time, so a successor tells as much. A task that has been at work for 5 s is harmless for good, and the record says so. As fewer are blamed together, more are the only ones, which are given up after the third crash already.

--- a/src/libgodwitfall/jobs/configview.cpp
+++ b/src/libgodwitfall/jobs/configview.cpp
@@ -20,7 +20,7 @@
 
 bool ConfigView::noteVersion(std::uint64_t known)
 {
-    if (known <= std::max(this->newestKnown, this->version())) {
+    if (known <= this->newestVersion()) {
         return false;
     }
     this->newestKnown = known;
--- a/src/libgodwitfall/jobs/configview.h
+++ b/src/libgodwitfall/jobs/configview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -27,6 +28,9 @@
     /** Notes that the version exists; returns whether it is the first newer one that is known. */
     bool noteVersion(std::uint64_t known);
 
+    /** Returns the newest version that is known to exist. */
+    std::uint64_t newestVersion() const { return std::max(this->newestKnown, this->version()); }
+
     /** Returns whether a newer version than the one in force is known to exist. */
     bool outdated() const { return this->newestKnown > this->version(); }
 
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -384,7 +384,7 @@
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
     task->metric = running.metric;
-    this->clearCrashes(worker, *job, running.task, *task, now);
+    this->noteAtWork(worker, *job, running.task, *task, now);
     if (task->phase == TaskPhase::Unconfirmed && job->stepSpec(running.task.step).fills()) {
         // A former coordinator may have lowered its pace.
         this->setPace(worker, running.task, *task, 100, now);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -116,8 +116,14 @@
     /** The same beside others; the platform allows two starts after the third crash, the second of
      * which is left for a crash that a former coordinator has not recorded. */
     static constexpr std::size_t crashesToGiveUp = 4;
-    /** Time that a run has been at work from which it is not taken for the cause of a crash. */
+    /** Time that a run has been at work from which its task is not taken for the cause of crashes.
+     */
     static constexpr Duration harmlessAge{5000};
+    /** The same from the placement by a former coordinator; allows for the time until the loss of
+     * the worker shows. */
+    static constexpr Duration adoptedHarmlessAge{20000};
+    /** Longest time from the start of a task until its worker crashes for it. */
+    static constexpr Duration crashDelay{1000};
 
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
@@ -341,8 +347,10 @@
 
     /** Returns the task in which what concerns the whole gang is counted: its first member. */
     static Task &countedTask(Job &job, const TaskRef &ref);
-    /** Returns whether the task's run may be why the worker crashed. */
-    bool mayHaveCrashed(const WorkerState &worker, const TaskRef &ref, const Task &task) const;
+    /** Returns whether the task's run may have begun on its worker and crashed it. */
+    bool mayBeCause(const TaskRef &ref, const Task &task) const;
+    /** Returns the tasks that may be why the worker crashed: those that began last. */
+    std::vector<std::pair<TaskRef, Job *>> causesOfCrash(const WorkerState &worker) const;
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
      * to be given up. */
     JobSet countCrash(const WorkerState &worker);
@@ -352,9 +360,9 @@
      * as far as workers can take them. */
     void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
                        PlacementRequest request, Instant now);
-    /** Discards the task's crashes once its run has been at work for harmlessAge. */
-    void clearCrashes(WorkerState &worker, Job &job, const TaskRef &ref, const Task &task,
-                      Instant now);
+    /** Takes the task for harmless, and discards its crashes, once its run has been at work for
+     * harmlessAge. */
+    void noteAtWork(WorkerState &worker, Job &job, const TaskRef &ref, Task &task, Instant now);
 
     void finishTask(Job &job, const TaskRef &ref, Task &task, Instant now);
     /** Counts a failed run, once; returns whether the task has used up its attempts. */
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -11,12 +11,14 @@
     return job.stepSpec(ref.step).gang() ? run.tasks.front() : run.tasks[ref.index];
 }
 
-bool Coordinator::mayHaveCrashed(const WorkerState &worker, const TaskRef &ref,
-                                 const Task &task) const
+bool Coordinator::mayBeCause(const TaskRef &ref, const Task &task) const
 {
+    if (task.harmless) {
+        return false;
+    }
     switch (task.phase) {
     case TaskPhase::Running:
-        return !task.listed || worker.lastSeenAt - task.since < harmlessAge;
+        return true;
     case TaskPhase::Starting: {
         // A start that certainly did not reach the worker has done nothing there.
         const auto start = this->starts.find(ref);
@@ -25,7 +27,7 @@
     case TaskPhase::Stopping:
         return !task.listed;
     case TaskPhase::Unconfirmed:
-        return true;
+        return this->unixMs - task.placedMs < adoptedHarmlessAge.count();
     case TaskPhase::Waiting:
     case TaskPhase::Recording:
     case TaskPhase::Done:
@@ -34,14 +36,28 @@
     return false;
 }
 
-Coordinator::JobSet Coordinator::countCrash(const WorkerState &worker)
+std::vector<std::pair<TaskRef, Job *>> Coordinator::causesOfCrash(const WorkerState &worker) const
 {
-    std::vector<std::pair<TaskRef, Job *>> causes;
+    std::vector<std::pair<TaskRef, Job *>> begun;
+    std::int64_t latestMs = 0;
     for (const auto &[ref, job] : worker.tasks) {
-        if (this->mayHaveCrashed(worker, ref, *job->task(ref))) {
-            causes.emplace_back(ref, job);
+        const Task &task = *job->task(ref);
+        if (this->mayBeCause(ref, task)) {
+            begun.emplace_back(ref, job);
+            latestMs = task.startTaken ? std::max(latestMs, task.placedMs) : latestMs;
         }
     }
+    // Of a start that had no reply nothing tells whether the worker crashed before it or after.
+    std::erase_if(begun, [&](const auto &entry) {
+        const Task &task = *entry.second->task(entry.first);
+        return task.startTaken && task.placedMs < latestMs - crashDelay.count();
+    });
+    return begun;
+}
+
+Coordinator::JobSet Coordinator::countCrash(const WorkerState &worker)
+{
+    const std::vector<std::pair<TaskRef, Job *>> causes = this->causesOfCrash(worker);
     const std::size_t enough = causes.size() == 1 ? crashesToGiveUpAlone : crashesToGiveUp;
     JobSet hopeless;
     for (const auto &[ref, job] : causes) {
@@ -70,11 +86,15 @@
     }
 }
 
-void Coordinator::clearCrashes(WorkerState &worker, Job &job, const TaskRef &ref, const Task &task,
-                               Instant now)
+void Coordinator::noteAtWork(WorkerState &worker, Job &job, const TaskRef &ref, Task &task,
+                             Instant now)
 {
-    std::vector<std::uint32_t> &crashed = this->countedTask(job, ref).crashedRuns;
-    if (!crashed.empty() && task.phase == TaskPhase::Running && now - task.since >= harmlessAge) {
+    if (task.harmless || task.phase != TaskPhase::Running || now - task.since < harmlessAge) {
+        return;
+    }
+    task.harmless = true;
+    std::vector<std::uint32_t> &crashed = countedTask(job, ref).crashedRuns;
+    if (!crashed.empty()) {
         crashed.clear();
         worker.suspects.erase(ref);
         this->markDirty(job);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -149,6 +149,9 @@
     } else {
         this->abandonStart(*job, ref, *task, now);
     }
+    if (outcome == OrderOutcome::OtherIncarnation) {
+        this->giveUp(this->countCrash(*worker), now);
+    }
 }
 
 void Coordinator::confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now)
@@ -267,10 +270,13 @@
     open.inFlight = false;
     open.retryAt = now + orderRetry;
     if (outcome == OrderOutcome::OtherIncarnation) {
+        const WorkerState *worker = this->findWorker(id);
+        const JobSet hopeless = worker ? this->countCrash(*worker) : JobSet();
         Job *job = this->table.find(ref.job);
         if (Task *task = job ? job->task(ref) : nullptr) {
             this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
         }
+        this->giveUp(hopeless, now);
         return;
     }
     const bool settled = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Superseded ||
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -540,6 +540,7 @@
     });
     task.worker = worker.entry.id.value();
     task.workerIncarnationStartMs = worker.entry.incarnationStartMs;
+    task.placedMs = this->unixMs;
     task.since = now;
     task.percent = 0;
     worker.assign(ref, job);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -33,6 +33,7 @@
     message.set_occurrence(run.occurrence);
     message.set_step(run.step);
     std::string done((run.tasks.size() + bitsPerByte - 1) / bitsPerByte, '\0');
+    std::string harmless;
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
         const Task &task = run.tasks[index];
         message.add_runs(task.run);
@@ -43,8 +44,13 @@
             placed.set_index(index);
             placed.set_worker(task.worker);
             placed.set_worker_born_ms(task.workerIncarnationStartMs);
+            placed.set_placed_ms(task.placedMs);
             placed.set_confirmed(task.startTaken && !task.startMayArriveLate);
         }
+        if (task.harmless && task.phase != TaskPhase::Done) {
+            harmless.resize(done.size());
+            setBit(harmless, index);
+        }
         for (const LateStart &start : task.lateStarts) {
             jobs::LateStart &late = *message.add_late();
             late.set_index(index);
@@ -59,6 +65,7 @@
         }
     }
     message.set_done(std::move(done));
+    message.set_harmless(std::move(harmless));
     return message;
 }
 
@@ -230,6 +237,7 @@
             if (static_cast<int>(index) < message.runs_size()) {
                 task.run = message.runs(static_cast<int>(index));
             }
+            task.harmless = bitIsSet(message.harmless(), index);
             if (bitIsSet(message.done(), index)) {
                 task.phase = TaskPhase::Done;
                 ++run.done;
@@ -243,6 +251,7 @@
                 task.startMayArriveLate = !placed.confirmed();
                 task.worker = placed.worker();
                 task.workerIncarnationStartMs = placed.worker_born_ms();
+                task.placedMs = placed.placed_ms();
                 task.since = now;
                 task.progressAt = now;
             }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -63,9 +63,12 @@
     std::vector<std::uint32_t> failedRuns; ///< Run numbers of the failed attempts that count.
     /** Run numbers under which a worker crashed and that may be the cause. */
     std::vector<std::uint32_t> crashedRuns;
+    /** It has been at work for a while, so that it is not why workers crash that start it. */
+    bool harmless = false;
     std::string worker; ///< Where it is placed; empty when not placed.
     /** When the incarnation of that worker began, in ms since 1970; 0: unknown. */
     std::int64_t workerIncarnationStartMs = 0;
+    std::int64_t placedMs = 0; ///< When it was placed there, in ms since 1970.
     std::string checkpoint;
     std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it as running.
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
--- a/tests/jobs/test_crashes.cpp
+++ b/tests/jobs/test_crashes.cpp
@@ -159,6 +159,94 @@
     this->crash("w2", harmless + 100);
     EXPECT_TRUE(this->task(job, 0).crashedRuns.empty());
     EXPECT_TRUE(this->task(job, 0).worker.empty());
+    // Also right after its next start, which is beside the task that is the cause.
+    this->addWorkers({"w3"}, harmless + 200);
+    this->world.commitToTable(harmless + 300);
+    this->acceptStarts(harmless + 310);
+    ASSERT_EQ(this->task(job, 0).worker, "w3");
+    this->crash("w3", harmless + 400);
+    EXPECT_TRUE(this->task(job, 0).crashedRuns.empty());
+    jobs::JobProgress progress;
+    ASSERT_TRUE(progress.ParseFromString(this->world.written.back().value));
+    Job successors(job, oneTask(true));
+    successors.applyProgress(progress, Instant(1));
+    EXPECT_TRUE(successors.task(TaskRef{job, 0, 0, 0})->harmless) << "the record tells it";
+}
+
+// Guards against innocent tasks that are blamed beside the one that crashed the worker: those that
+// began before it, also for a successor.
+TEST_F(CrashedWorkerTest, BlamesTheTasksThatBeganLast)
+{
+    this->world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    this->addWorkers({"w1"}, 1000);
+    const auto start = [&](std::int64_t at) {
+        const JobId job = this->world.submit(oneTask(true), at);
+        this->world.coordinator.tick(Instant(at), at, true);
+        this->world.commitToTable(at);
+        this->acceptStarts(at + 5);
+        return job;
+    };
+    const JobId earlier = start(1010);
+    this->world.reply(WorkerId("w1"), 2500, 2000, {TaskRef{earlier, 0, 0, 0}});
+    const JobId last = start(2600);
+    this->crash("w1", 6000);
+    EXPECT_EQ(this->task(earlier, 0).crashedRuns.size(), 0U);
+    EXPECT_EQ(this->task(last, 0).crashedRuns.size(), 1U);
+}
+
+TEST_F(CrashedWorkerTest, SuccessorsBlameTheTasksThatBeganLast)
+{
+    const auto placed = [&](std::int64_t placedMs) {
+        const JobId job = this->world.submit(oneTask(true), 1000);
+        jobs::JobProgress progress;
+        progress.set_state(jobs::RUNNING);
+        jobs::StepProgress &step = *progress.add_steps();
+        step.add_runs(1);
+        step.add_placed()->set_worker("w1");
+        step.mutable_placed(0)->set_confirmed(true);
+        step.mutable_placed(0)->set_placed_ms(placedMs);
+        Job *found = nullptr;
+        this->world.table.apply(
+            record(JobTable::progressKey(job), progress.SerializeAsString(), ++this->world.offset),
+            Instant(1000), found);
+        return job;
+    };
+    constexpr std::int64_t nowMs = 1700000000000;
+    const JobId old = placed(nowMs - 3600000);
+    const JobId earlier = placed(nowMs - 5000);
+    const JobId last = placed(nowMs - 3000);
+    this->world.coordinator.begin(2, Instant(1000), nowMs, Instant(1000));
+    this->world.coordinator.setWorker(entryOf("w1"), Instant(1000));
+    this->crash("w1", 1100);
+    EXPECT_EQ(this->task(old, 0).crashedRuns.size(), 0U);
+    EXPECT_EQ(this->task(earlier, 0).crashedRuns.size(), 0U);
+    EXPECT_EQ(this->task(last, 0).crashedRuns.size(), 1U);
+}
+
+// Guards against crashes that are not counted, as the answer to another order than a hold tells of
+// the next incarnation first.
+TEST_F(CrashedWorkerTest, CountsCrashesThatAnyOrderTellsOf)
+{
+    this->world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    this->addWorkers({"w1"}, 1000);
+    const JobId lost = this->world.submit(oneTask(false), 1000);
+    const JobId beside = this->world.submit(oneTask(false), 1000);
+    this->world.commit(1010);
+    const WorkerId worker("w1");
+    const auto answerStart = [&](const JobId &job, std::int64_t at, OrderOutcome outcome) {
+        this->world.coordinator.startAnswered(worker, TaskRef{job, 0, 0, 0}, 1, Instant(at),
+                                              outcome);
+    };
+    answerStart(beside, 1020, OrderOutcome::Accepted);
+    // The worker crashes before its reply arrives; another incarnation answers the next try.
+    answerStart(lost, 1020, OrderOutcome::Unanswered);
+    answerStart(lost, 1300, OrderOutcome::OtherIncarnation);
+    EXPECT_EQ(this->task(lost, 0).crashedRuns.size(), 1U);
+    EXPECT_EQ(this->task(beside, 0).crashedRuns.size(), 1U);
+    this->world.coordinator.stopAnswered(worker, TaskRef{lost, 0, 0, 0}, 1, Instant(1400),
+                                         OrderOutcome::OtherIncarnation);
+    EXPECT_EQ(this->task(lost, 0).crashedRuns.size(), 1U) << "counted once";
+    EXPECT_TRUE(this->task(lost, 0).worker.empty());
 }
 
 // Guards against tasks that are blamed when their leases lapse though the worker replies, as in an
