Forward requests with the newest version of the configuration that is known

What callers saw: nothing yet; found by reading, while the check of the soak was written. An instance that knows of a version which it has not read leaves requests to the coordinator; but it told it its own version, so that the next coordinator, which may not have read the newer one either, answered by an older configuration than the last did.

Evidence: ForwardsTheNewestVersionThatItKnowsOf was red (1 instead of 9).

Why this works: the coordinator compares with the newest version that the sender knows of, reads it at once, and refuses until it has it.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -495,7 +495,7 @@
     this->metrics.count("godwitfall_forwards_total");
     HttpRequest marked = request;
     marked.headers[platform::names::configVersionHeader] =
-        std::to_string(this->node.config().version());
+        std::to_string(this->node.config().newestVersion());
     this->relay.forward(
         marked, this->jobApi.knowsJob(request), [this] { return this->now(); }, answer,
         [this, request, answer](bool maybeAccepted) {
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -342,6 +342,35 @@
     EXPECT_EQ(status, 200U);
 }
 
+// Guards against an older answer of the next coordinator: an instance that knows of a newer version
+// has to tell it, also while it can't read it.
+TEST_F(EntryInstanceTest, ForwardsTheNewestVersionThatItKnowsOf)
+{
+    CoordinatorStandIn coordinator(this->context, this->store);
+    coordinator.version = 9;
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200 || this->store.owner().empty()) {
+            return false;
+        }
+        this->timer.expires_after(std::chrono::milliseconds(600));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            this->pollJob(lastJob, [&](unsigned) {
+                this->pollQueue("plan", [&](unsigned status) {
+                    EXPECT_EQ(status, 200U);
+                    this->context.stop();
+                    return true;
+                });
+                return true;
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    ASSERT_EQ(coordinator.requests.size(), 2U);
+    EXPECT_EQ(coordinator.requests[0].header("x-config-version"), "1");
+    EXPECT_EQ(coordinator.requests[1].header("x-config-version"), "9");
+}
+
 // Guards against a coordinator that runs what it is forwarded by an older configuration than the
 // instance has that took the request.
 TEST_F(EntryInstanceTest, RefusesForwardedRequestsUntilItHasReadTheirConfiguration)
