Check the configuration in the soak with real processes

Every 1.3 s a new version adds a queue and removes one, every third as large as a record can be; instances are asked for the newest queues all the while, also those that stop, start, freeze or are cut off.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tclap/CmdLine.h>
 
+#include "configcheck.h"
 #include "faultplan.h"
 #include "keptcallers.h"
 #include "lastingcheck.h"
@@ -34,6 +35,7 @@
 constexpr std::int64_t restartMs = 500;
 /** Pause of this process itself that counts as one of the platform. */
 constexpr std::int64_t longestPauseMs = 500;
+constexpr std::int64_t withholdAfterMs = 3000; ///< See Weakening::newConfigs.
 constexpr std::size_t slotsOfWorker = 4;
 constexpr std::size_t sparesOfExtended = 4; ///< Workers that may be lost.
 
@@ -43,6 +45,7 @@
     bool workerFence = false;
     bool workerLease = false;
     bool storeFence = false;
+    bool newConfigs = false;
 };
 
 /** Plays one seed: the platform, its callers, the faults, and the verdict. */
@@ -63,7 +66,6 @@
     void callEnded(std::size_t instance, Duration waited, bool answered);
     void listen();
     void publishWorker(std::size_t worker);
-    void publishConfig();
     void rebirthWorker(std::size_t worker);
     void writeSettings(std::size_t instance);
     void checkLasting(std::int64_t now);
@@ -89,15 +91,16 @@
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<std::unique_ptr<LinkProxy>> workerLinks;
     std::unique_ptr<FaultPlan> plan;
+    std::unique_ptr<ConfigCheck> configs;
     std::unique_ptr<OperationPlan> operations;
     LastingCheck lasting;
     std::int64_t tickedAt = 0;
     unsigned answersInStops = 0; ///< Of instances that stopped as planned, undisturbed.
-    unsigned pauses = 0;         ///< Of this process itself; while it pauses, no worker answers.
+    bool withholdConfigs = false;
+    unsigned pauses = 0; ///< Of this process itself; while it pauses, no worker answers.
     boost::asio::steady_timer timer;
     Phase phase = Phase::Faults;
     std::int64_t phaseAt = 0;
-    std::uint64_t configVersion = 0;
 };
 
 Soak::Soak(const SoakLayout &layout, std::uint64_t seed, std::int64_t faultMs,
@@ -134,6 +137,7 @@
     if (weakening.storeFence) {
         this->store.dropFence();
     }
+    this->withholdConfigs = weakening.newConfigs;
     for (std::size_t index = 0; index < layout.instances; ++index) {
         this->storeLinks.push_back(
             std::make_unique<LinkProxy>(this->context, layout.storeAddress()));
@@ -142,12 +146,17 @@
                               this->workers,
                               this->storeLinks,
                               this->workerLinks,
-                              [this] { this->publishConfig(); },
+                              [this] { this->configs->publish(this->nowMs()); },
                               [this](std::size_t worker) { this->rebirthWorker(worker); },
                               [this](std::size_t instance) {
                                   this->writeSettings(instance);
                               }};
     this->plan = std::make_unique<FaultPlan>(this->context, layout, targets, this->faultRandom);
+    this->configs =
+        std::make_unique<ConfigCheck>(this->context, layout, *this->plan, this->store, seed + 5);
+    this->configs->broken = [this](const std::string &what) {
+        this->breakPromise(what);
+    };
     this->clients.ended = [this](std::size_t instance, Duration waited, bool answered) {
         this->callEnded(instance, waited, answered);
     };
@@ -209,7 +218,7 @@
         this->workers[index]->restart(unixMs());
         this->publishWorker(index);
     }
-    this->publishConfig();
+    this->configs->publish(this->nowMs());
 }
 
 void Soak::publishWorker(std::size_t worker)
@@ -218,18 +227,6 @@
                     this->workers[worker]->registryEntry());
 }
 
-void Soak::publishConfig()
-{
-    this->configVersion += 3;
-    std::string queues = std::string(R"([{"name":"plan","host":")") + SoakLayout::queueHost +
-                         R"(","path_prefix":")" + SoakLayout::queuePrefix + R"(","service":")" +
-                         SoakLayout::serviceName + R"(","max_attempts":3,"stretch":3}])";
-    this->store.put(platform::names::configTopic, platform::names::configKey,
-                    R"({"version":)" + std::to_string(this->configVersion) + R"(,"routes":)" +
-                        queues + R"(,"services":[{"name":")" + SoakLayout::serviceName +
-                        R"(","max_connections":8,"enforces_capacity":true}]})");
-}
-
 void Soak::writeSettings(std::size_t instance)
 {
     // An instance that starts meanwhile reads the former file or the new one.
@@ -264,6 +261,12 @@
     const std::int64_t now = this->nowMs();
     this->clients.tick(now);
     this->plan->tick(now);
+    if (this->phase != Phase::Stopping) {
+        this->configs->tick(now);
+    }
+    if (this->withholdConfigs && now >= withholdAfterMs) {
+        this->store.withheldTopic = platform::names::configTopic;
+    }
     if (this->operations) {
         this->operations->tick(now);
     }
@@ -314,6 +317,9 @@
     const bool paused = now > this->tickedAt + longestPauseMs;
     this->tickedAt = now;
     this->pauses += paused ? 1 : 0;
+    if (paused) {
+        this->configs->notePause(now);
+    }
     if (this->phase == Phase::Stopping) {
         return;
     }
@@ -395,6 +401,7 @@
               << ", done " << this->ledger.done << ", answers on kept connections "
               << this->clients.keptAnswers() << ", in planned stops " << this->answersInStops
               << ", longest gap of a lasting task ms " << this->lasting.longestGap()
+              << ", answers on new and removed queues " << this->configs->answers()
               << ", pauses of the soak " << this->pauses << "\nfaults:";
     for (const auto &[name, count] : this->plan->counts()) {
         std::cout << " " << name << " " << count;
@@ -427,6 +434,8 @@
                                         "path", flags);
     TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
     TCLAP::SwitchArg workerLease("", "without-worker-lease", "workers run on past a lease", flags);
+    TCLAP::SwitchArg newConfigs("", "without-new-configs",
+                                "the store hides new configurations after some seconds", flags);
     TCLAP::SwitchArg storeFence("", "without-store-fence", "the store takes any epoch", flags);
     flags.parse(argc, argv);
     SoakLayout layout;
@@ -435,8 +444,8 @@
     layout.extended = extended.getValue();
     layout.workers += layout.extended ? sparesOfExtended : 0;
     layout.folder = folder.getValue();
-    const Weakening weakening{workerFence.getValue(), workerLease.getValue(),
-                              storeFence.getValue()};
+    const Weakening weakening{workerFence.getValue(), workerLease.getValue(), storeFence.getValue(),
+                              newConfigs.getValue()};
     try {
         Soak soak(layout, seed.getValue(), seconds.getValue() * msPerSecond, weakening);
         return soak.run() ? 0 : 1;
--- a/tests/soak/platformstore.cpp
+++ b/tests/soak/platformstore.cpp
@@ -248,6 +248,11 @@
     const std::uint64_t from = numberOf(query, "from");
     const Topic &topic = this->topics[name];
     const std::uint64_t wait = numberOf(query, "wait_ms");
+    if (name == this->withheldTopic) {
+        callAfter(this->context, Duration(static_cast<std::int64_t>(wait)),
+                  [respond, from] { respond(answerOf(200, bigEndian(from) + bigEndian(0))); });
+        return;
+    }
     if (from < topic.first || from < topic.store.log().size() || wait == 0) {
         respond(this->page(topic, from));
         return;
@@ -258,7 +263,7 @@
 
 void PlatformStore::serveWaiting(const std::string &name)
 {
-    if (!this->wakesReads) {
+    if (!this->wakesReads || name == this->withheldTopic) {
         return;
     }
     const Topic &topic = this->topics[name];
--- a/tests/soak/platformstore.h
+++ b/tests/soak/platformstore.h
@@ -49,9 +49,10 @@
     void dropFence();
 
     Mood mood = Mood::Well;
-    bool wakesReads = true; ///< Off: a read that waits is answered only when its wait is over.
-    unsigned answersLost = 0; ///< In percent of the appends; they are done all the same.
-    unsigned appendsLate = 0; ///< In percent; done seconds later, without an answer.
+    bool wakesReads = true;    ///< Off: a read that waits is answered only when its wait is over.
+    std::string withheldTopic; ///< Its records from now on stay hidden; to show that checks notice.
+    unsigned answersLost = 0;  ///< In percent of the appends; they are done all the same.
+    unsigned appendsLate = 0;  ///< In percent; done seconds later, without an answer.
     Duration latency{2};
 
 private:
