--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -653,6 +653,21 @@
     this->after(afterMs, [this] { this->addWorker(); });
 }
 
+void JobSimulation::resizeWorker(std::size_t index, std::int64_t milliCores)
+{
+    this->workers[index]->setCapacity(milliCores);
+    if (!this->unlisted.contains(index)) {
+        this->setListed(index, true);
+    }
+}
+
+void JobSimulation::trustCoordinator()
+{
+    for (const auto &worker : this->workers) {
+        worker->guardsCapacity = false;
+    }
+}
+
 void JobSimulation::disturbOrders(std::size_t index, OrderDisturbance kind,
                                   std::int64_t milliseconds)
 {
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -129,6 +129,12 @@
     /** Loses or delays about half of the orders to a worker and of their replies, for the time. */
     void disturbOrders(std::size_t index, OrderDisturbance kind, std::int64_t milliseconds);
 
+    /** Changes the capacity of a worker; the registry tells of it at once. */
+    void resizeWorker(std::size_t index, std::int64_t milliCores);
+
+    /** From now on no worker refuses what exceeds its capacity. */
+    void trustCoordinator();
+
     /** Disconnects a worker from all instances. */
     void cutWorker(std::size_t index, std::int64_t milliseconds);
 
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -8,6 +8,11 @@
 
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr std::int64_t stopMs = 200;
+constexpr std::int64_t taskMilliCores = 1000; ///< Of each task of a simulation.
+/** Time after which a capacity that has shrunk counts; the platform's, with a heartbeat. */
+constexpr std::int64_t shrinkMs = 6500;
+/** Time after which the coordinator knows of a run that a delayed order began. */
+constexpr std::int64_t reportMs = 2000;
 /** From a cancel's acknowledgement until nothing of its job may start; guaranteed by the platform.
  */
 constexpr std::int64_t cancelLimitMs = 3000;
@@ -99,9 +104,15 @@
         finished != this->highestEndedRun.end() && order.run <= finished->second) {
         return OrderOutcome::Superseded;
     }
-    if (static_cast<std::int64_t>(this->runs.size()) >= this->capacity.milliCores / 1000) {
+    if (this->guardsCapacity && static_cast<std::int64_t>(this->runs.size()) >=
+                                    this->capacity.milliCores / taskMilliCores) {
         return OrderOutcome::NoCapacity;
     }
+    if (!this->ledger.delayedOrder &&
+        (this->knownRuns() + 1) * taskMilliCores > this->allowedMilliCores()) {
+        this->ledger.broken.push_back("start over the capacity of " + this->id + ": " +
+                                      taskText(order.task));
+    }
     auto &live = this->ledger.running[order.task];
     // An incarnation without a hold yet can't know which runs were stopped or ended before it.
     const bool unreached = !this->reached;
@@ -124,6 +135,30 @@
     return OrderOutcome::Accepted;
 }
 
+void SimWorker::setCapacity(std::int64_t milliCores)
+{
+    this->formerCapacities[this->nowMs] = this->capacity.milliCores;
+    this->capacity.milliCores = milliCores;
+}
+
+std::int64_t SimWorker::allowedMilliCores() const
+{
+    std::int64_t allowed = this->capacity.milliCores;
+    for (auto former = this->formerCapacities.lower_bound(this->nowMs - shrinkMs);
+         former != this->formerCapacities.end(); ++former) {
+        allowed = std::max(allowed, former->second);
+    }
+    return allowed;
+}
+
+std::int64_t SimWorker::knownRuns() const
+{
+    return std::count_if(this->runs.begin(), this->runs.end(), [this](const auto &entry) {
+        const Run &run = entry.second;
+        return !run.startedLate || this->nowMs > run.startedAtMs + reportMs;
+    });
+}
+
 OrderOutcome SimWorker::stop(const StopOrder &order)
 {
     if (this->refusesToken(order.target.fencingToken)) {
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -59,6 +59,9 @@
 
     WorkerEntry entry() const;
 
+    /** Changes what it says of its capacity; runs go on. */
+    void setCapacity(std::int64_t milliCores);
+
     /** Returns its own steady clock, in ms. */
     std::int64_t clock() const
     {
@@ -66,8 +69,9 @@
     }
 
     bool up = true;
-    bool checksFence = true; ///< Off: accepts any token, to show that checks notice.
-    bool keepsLeases = true; ///< Off: runs continue past the lease, to show that checks notice.
+    bool guardsCapacity = true; ///< Off: takes whatever it is told to start.
+    bool checksFence = true;    ///< Off: accepts any token, to show that checks notice.
+    bool keepsLeases = true;    ///< Off: runs continue past the lease, to show that checks notice.
 
 private:
     struct Run
@@ -86,7 +90,13 @@
     void noteEnd(const RunKey &key, const Run &run);
 
     const std::string id;
-    const Resources capacity;
+    /** Returns the capacity that starts have to go by: also a former one, for a while. */
+    std::int64_t allowedMilliCores() const;
+    /** Returns the runs that the coordinator can know of. */
+    std::int64_t knownRuns() const;
+
+    Resources capacity;
+    std::map<std::int64_t, std::int64_t> formerCapacities; ///< By when they ended, in ms.
     const std::int64_t clockOffset;
     FleetLedger &ledger;
     std::int64_t nowMs = 0;
--- a/tests/jobs/test_capacity.cpp
+++ b/tests/jobs/test_capacity.cpp
@@ -1,5 +1,6 @@
 // Starts on workers whose capacity shrinks while they run.
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "coordinatorworld.h"
 
@@ -99,5 +100,45 @@
     EXPECT_EQ(this->world.task(waiting).worker, "w2");
 }
 
+// Workers that don't guard their capacity, which shrinks and grows while coordinators are lost and
+// orders are lost or delayed: no start exceeds it, and all jobs are completed.
+RC_GTEST_PROP(ShrinkingWorkersProperty, NoStartExceedsTheCapacity, ())
+{
+    constexpr std::size_t workers = 4;
+    constexpr std::int64_t fullMilliCores = 6000;
+    FaultRates rates;
+    rates.orderLost = *rc::gen::inRange(0, 20);
+    rates.replyLost = *rc::gen::inRange(0, 20);
+    rates.orderDelayed = *rc::gen::inRange(0, 10);
+    JobSimulation simulation(*rc::gen::inRange<std::uint64_t>(0, 100000), rates);
+    simulation.trustCoordinator();
+    simulation.run(1500);
+    const int losses = *rc::gen::inRange(0, 3);
+    for (int round = 0; round < 40; ++round) {
+        simulation.submit({stepOf(*rc::gen::inRange<std::uint32_t>(1, 8),
+                                  *rc::gen::inRange<std::uint32_t>(300, 3000))});
+        if (*rc::gen::inRange(0, 2) == 0) {
+            simulation.resizeWorker(*rc::gen::inRange<std::size_t>(0, workers),
+                                    *rc::gen::inRange<std::int64_t>(0, 7) * taskMilliCores);
+        }
+        if (losses > 0 && round % (40 / losses) == 7) {
+            simulation.killOwner(1000);
+        }
+        simulation.run(*rc::gen::inRange(100, 900));
+    }
+    simulation.heal();
+    for (std::size_t worker = 0; worker < workers; ++worker) {
+        simulation.resizeWorker(worker, fullMilliCores);
+    }
+    simulation.run(90000);
+    for (const std::string &violation : simulation.ledger().broken) {
+        RC_LOG() << violation << std::endl;
+    }
+    RC_ASSERT(simulation.ledger().broken.empty());
+    for (const JobId &id : simulation.accepted()) {
+        RC_ASSERT(simulation.shown(id) == jobs::COMPLETED);
+    }
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
