--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -539,14 +539,14 @@
 
 void Coordinator::returnTasksOf(WorkerState &worker, Instant now)
 {
-    const JobSet hopeless = this->countCrash(worker);
+    const JobSet toGiveUp = this->countCrash(worker);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (worker.tasks.contains(ref)) {
             this->returnTask(*job, ref, *job->task(ref), RunOutcome::WorkerGone, now);
         }
     }
-    this->giveUp(hopeless, now);
+    this->giveUp(toGiveUp, now);
 }
 
 Instant Coordinator::runLapsesAt(const WorkerState &worker, const Task &task) const
@@ -563,7 +563,7 @@
     // A worker that left as announced, was cut off with its zone, or replies has not crashed.
     const bool crashed = !worker.entry.draining && !worker.zoneUnresponsive &&
                          now - worker.lastSeenAt > renewalTimeout;
-    const JobSet hopeless = crashed ? this->countCrash(worker) : JobSet();
+    const JobSet toGiveUp = crashed ? this->countCrash(worker) : JobSet();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
@@ -572,7 +572,7 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
-    this->giveUp(hopeless, now);
+    this->giveUp(toGiveUp, now);
 }
 
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
@@ -580,7 +580,7 @@
     this->observer.workerRestarted(worker.entry.id);
     worker.entry.incarnationStartMs = incarnationStartMs;
     this->removeUnlistedOrphans(worker, {});
-    const JobSet hopeless = this->countCrash(worker);
+    const JobSet toGiveUp = this->countCrash(worker);
     worker.beginIncarnation(now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
@@ -600,7 +600,7 @@
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
     }
-    this->giveUp(hopeless, now);
+    this->giveUp(toGiveUp, now);
 }
 
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -355,7 +355,7 @@
      * to be given up. */
     JobSet countCrash(const WorkerState &worker);
     /** Closes the jobs as failed. */
-    void giveUp(const JobSet &hopeless, Instant now);
+    void giveUp(const JobSet &toGiveUp, Instant now);
     /** Places the waiting tasks of the step under which workers have crashed, apart from others,
      * as far as workers can take them. */
     void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -59,7 +59,7 @@
 {
     const std::vector<std::pair<TaskRef, Job *>> causes = this->causesOfCrash(worker);
     const std::size_t enough = causes.size() == 1 ? crashesToGiveUpAlone : crashesToGiveUp;
-    JobSet hopeless;
+    JobSet toGiveUp;
     for (const auto &[ref, job] : causes) {
         const std::uint32_t run = job->task(ref)->run;
         std::vector<std::uint32_t> &crashed = countedTask(*job, ref).crashedRuns;
@@ -71,15 +71,15 @@
         const bool givenUp = crashed.size() >= enough;
         this->observer.crashCounted(ref, run, worker.entry.id, crashed.size(), givenUp);
         if (givenUp) {
-            hopeless.insert(job);
+            toGiveUp.insert(job);
         }
     }
-    return hopeless;
+    return toGiveUp;
 }
 
-void Coordinator::giveUp(const JobSet &hopeless, Instant now)
+void Coordinator::giveUp(const JobSet &toGiveUp, Instant now)
 {
-    for (Job *job : hopeless) {
+    for (Job *job : toGiveUp) {
         if (!job->closed()) {
             this->closeJob(*job, Job::State::FAILED, now);
         }
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -271,12 +271,12 @@
     open.retryAt = now + orderRetry;
     if (outcome == OrderOutcome::OtherIncarnation) {
         const WorkerState *worker = this->findWorker(id);
-        const JobSet hopeless = worker ? this->countCrash(*worker) : JobSet();
+        const JobSet toGiveUp = worker ? this->countCrash(*worker) : JobSet();
         Job *job = this->table.find(ref.job);
         if (Task *task = job ? job->task(ref) : nullptr) {
             this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
         }
-        this->giveUp(hopeless, now);
+        this->giveUp(toGiveUp, now);
         return;
     }
     const bool settled = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Superseded ||
