Give up starts whose worker restarts while they are recorded

A start went to the next incarnation of its worker, which had restarted and replied while the record was being stored, and the record named the former one.

Why this works: such a start is not sent; the task is placed again, with a record of the incarnation that is there.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -730,7 +730,11 @@
         if (!task || task->phase != TaskPhase::Recording || task->run != start.run) {
             continue;
         }
-        if (!maySend || this->pausesStarts || this->hasOrphanRun(start.ref, now)) {
+        // A record that names a former incarnation would have successors wait for the wrong one.
+        const WorkerState *worker = this->findWorker(WorkerId(task->worker));
+        const bool restarted =
+            worker && worker->entry.incarnationStartMs != task->workerIncarnationStartMs;
+        if (!maySend || this->pausesStarts || restarted || this->hasOrphanRun(start.ref, now)) {
             this->returnTask(*job, start.ref, *task, RunOutcome::Refused, now);
             continue;
         }
--- a/tests/jobs/test_incarnations.cpp
+++ b/tests/jobs/test_incarnations.cpp
@@ -414,7 +414,7 @@
 
 // LOST. A start that goes to the next incarnation, as the worker restarted and replied while its
 // record was being stored: the record names the former one, so a successor waits 18 s for it.
-TEST(KnownRed, RecordNamesTheIncarnationThatWasSentTheStart)
+TEST(IncarnationTest, RecordNamesTheIncarnationThatWasSentTheStart)
 {
     CoordinatorWorld world;
     world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
