Go back to no older configuration than was shown through the coordinator

Why this works: an instance notes the version of what it passes on. Instances that have passed on nothing newer go on as before, in a cut too.

--- a/src/godwitfall/coordinatorrelay.cpp
+++ b/src/godwitfall/coordinatorrelay.cpp
@@ -49,10 +49,10 @@
 }
 
 CoordinatorRelay::CoordinatorRelay(HttpClient &http, std::vector<std::string> headers,
-                                   NoteConfigVersion noteConfigVersion)
+                                   ConfigCallbacks config)
     : http(http)
     , headers(std::move(headers))
-    , noteConfigVersion(std::move(noteConfigVersion))
+    , config(std::move(config))
 {}
 
 bool CoordinatorRelay::shouldForward(const std::string &coordinator, Instant now)
@@ -87,10 +87,11 @@
                         if (calledAddress == this->address) {
                             result ? this->breaker.succeeded() : this->breaker.failed(now());
                         }
-                        const bool newerConfig = result && this->noteConfigVersion(*result);
+                        const bool newerConfig = result && this->config.isNewer(*result);
                         const RelayDecision decision =
                             relayDecision(method, result, knownHere, newerConfig);
                         if (decision == RelayDecision::Relay) {
+                            this->config.passedOn(*result);
                             answer(relayed(*result));
                         } else {
                             serveLocally(decision == RelayDecision::ServeLocallyMaybeAccepted);
--- a/src/godwitfall/coordinatorrelay.h
+++ b/src/godwitfall/coordinatorrelay.h
@@ -31,13 +31,15 @@
     /** Timeout of other requests, which need appends; a slow store takes a second for two. */
     static constexpr Duration submitTimeout{1500};
 
-    /** Notes the version of the coordinator's configuration, as its response tells it; returns
-     * whether that is newer than this instance's. */
-    using NoteConfigVersion = std::function<bool(const HttpResponse &)>;
+    /** Called with the coordinator's response, which tells the version of its configuration. */
+    struct ConfigCallbacks
+    {
+        std::function<bool(const HttpResponse &)> isNewer;  ///< Than this instance's.
+        std::function<void(const HttpResponse &)> passedOn; ///< To the client.
+    };
 
     /** headers: names of the headers to forward. */
-    CoordinatorRelay(HttpClient &http, std::vector<std::string> headers,
-                     NoteConfigVersion noteConfigVersion);
+    CoordinatorRelay(HttpClient &http, std::vector<std::string> headers, ConfigCallbacks config);
 
     /** Returns whether to forward to the coordinator at the address now; empty: there is none. */
     bool shouldForward(const std::string &address, Instant now);
@@ -52,7 +54,7 @@
 private:
     HttpClient &http;
     const std::vector<std::string> headers;
-    const NoteConfigVersion noteConfigVersion;
+    const ConfigCallbacks config;
     CircuitBreaker breaker;
     std::string address;
 };
--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -54,6 +54,14 @@
     return Instant(std::int64_t(time.tv_sec) * 1000 + time.tv_nsec / 1000000);
 }
 
+/** Returns the sender's version of the configuration; 0 if the headers don't tell it. */
+std::uint64_t configVersionIn(const std::map<std::string, std::string> &headers)
+{
+    constexpr int decimal = 10;
+    const auto found = headers.find(platform::names::configVersionHeader);
+    return found == headers.end() ? 0 : std::strtoull(found->second.c_str(), nullptr, decimal);
+}
+
 HttpResponse closingResponse(unsigned status, const char *reason)
 {
     HttpResponse response;
@@ -117,10 +125,13 @@
           })
     , relay(this->http,
             {"host", platform::names::deadlineHeader, platform::names::configVersionHeader},
-            [this](const HttpResponse &response) {
-                this->noteConfigVersion(response.headers);
-                return this->node.config().outdated();
-            })
+            {[this](const HttpResponse &response) {
+                 this->node.noteConfigVersion(configVersionIn(response.headers));
+                 return this->node.config().outdated();
+             },
+             [this](const HttpResponse &response) {
+                 this->node.noteShownConfig(configVersionIn(response.headers));
+             }})
     , timer(context)
     , signals(context, SIGTERM, SIGHUP)
 {
@@ -471,7 +482,7 @@
         return;
     }
     if (forwarded) {
-        this->noteConfigVersion(request.headers);
+        this->node.noteConfigVersion(configVersionIn(request.headers));
         if (this->node.config().outdated()) {
             finish(closingResponse(503, "not accepted: this instance's configuration is older"));
             return;
@@ -503,14 +514,6 @@
         });
 }
 
-void EntryInstance::noteConfigVersion(const std::map<std::string, std::string> &headers)
-{
-    const auto found = headers.find(platform::names::configVersionHeader);
-    if (found != headers.end()) {
-        this->node.noteConfigVersion(std::strtoull(found->second.c_str(), nullptr, 10));
-    }
-}
-
 void EntryInstance::serveLocally(const HttpRequest &request, const Respond &respond,
                                  bool maybeAccepted)
 {
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -101,8 +101,6 @@
 
     void serveReadiness(const HttpRequest &request, const Respond &respond);
     void serveClient(const HttpRequest &request, const Respond &respond, bool forwarded);
-    /** Notes the sender's version of the configuration, if the headers tell it. */
-    void noteConfigVersion(const std::map<std::string, std::string> &headers);
     /** Handles the request with this instance's own view and appends. */
     void serveLocally(const HttpRequest &request, const Respond &respond, bool maybeAccepted);
     void waitForSignals();
--- a/src/libgodwitfall/jobs/configview.h
+++ b/src/libgodwitfall/jobs/configview.h
@@ -34,6 +34,13 @@
     /** Returns whether a newer version than the one in force is known to exist. */
     bool outdated() const { return this->newestKnown > this->version(); }
 
+    /** Notes that an answer by the version was passed on to a client. */
+    void noteShown(std::uint64_t version) { this->shown = std::max(this->shown, version); }
+
+    /** Returns whether clients have had an answer by a newer version than the one in force; an
+     * answer by this one would take that back. */
+    bool hasShownNewer() const { return this->shown > this->version(); }
+
     /** Records that every version stored at the time has been read. */
     void readTo(Instant asOf);
 
@@ -50,6 +57,7 @@
     const Duration longestDenialAge;
     std::optional<JobConfig> config;
     std::uint64_t newestKnown = 0; ///< Newest version that another instance has told of.
+    std::uint64_t shown = 0;       ///< Newest version of an answer that was passed on.
     Instant viewedAt{-1000000};
 };
 
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -99,6 +99,9 @@
     /** Notes the version of another instance's configuration. */
     void noteConfigVersion(std::uint64_t version);
 
+    /** Notes that an answer by the version of the configuration was passed on to a client. */
+    void noteShownConfig(std::uint64_t version) { this->configuration.noteShown(version); }
+
     /** Notes that every version of the configuration stored at the time was read. */
     void configReadTo(Instant asOf) { this->configuration.readTo(asOf); }
     const ConfigView &config() const { return this->configuration; }
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -371,6 +371,36 @@
     EXPECT_EQ(coordinator.requests[1].header("x-config-version"), "9");
 }
 
+// Guards against an instance that has passed on an answer by a newer configuration than it can
+// read, and goes back to its own when the coordinator no longer answers.
+TEST_F(EntryInstanceTest, GoesBackToNoOlderConfigurationThanItHasShown)
+{
+    CoordinatorStandIn coordinator(this->context, this->store);
+    coordinator.version = 9;
+    unsigned status = 0;
+    this->pollQueue("plan", [&](unsigned ready) {
+        if (ready != 200 || this->store.owner().empty()) {
+            return false;
+        }
+        this->timer.expires_after(std::chrono::milliseconds(600));
+        this->timer.async_wait([&](const boost::system::error_code &) {
+            this->pollJob(lastJob, [&](unsigned shown) {
+                EXPECT_EQ(shown, 200U);
+                coordinator.status = dropConnection;
+                this->pollQueue("plan", [&](unsigned answered) {
+                    status = answered;
+                    this->context.stop();
+                    return true;
+                });
+                return true;
+            });
+        });
+        return true;
+    });
+    this->context.run();
+    EXPECT_EQ(status, 503U);
+}
+
 // Guards against a coordinator that runs what it is forwarded by an older configuration than the
 // instance has that took the request.
 TEST_F(EntryInstanceTest, RefusesForwardedRequestsUntilItHasReadTheirConfiguration)
