--- a/tests/jobs/test_crashes.cpp
+++ b/tests/jobs/test_crashes.cpp
@@ -174,7 +174,7 @@
 }
 
 // Guards against innocent tasks that are blamed beside the one that crashed the worker: those that
-// began before it, also for a successor.
+// began before it.
 TEST_F(CrashedWorkerTest, BlamesTheTasksThatBeganLast)
 {
     this->world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
@@ -194,6 +194,7 @@
     EXPECT_EQ(this->task(last, 0).crashedRuns.size(), 1U);
 }
 
+// The same for a successor, which knows of the tasks by their records only.
 TEST_F(CrashedWorkerTest, SuccessorsBlameTheTasksThatBeganLast)
 {
     const auto placed = [&](std::int64_t placedMs) {
@@ -253,8 +254,11 @@
 // outage of the store; the loss of a worker that goes without a word counts.
 TEST_F(CrashedWorkerTest, BlamesTasksForLapsedLeasesOnlyIfTheWorkerIsSilent)
 {
+    // Shorter than the time at work after which a task is harmless.
+    WorkerBounds bounds;
+    bounds.longestLease = Coordinator::harmlessAge / 2;
     for (const bool replies : {true, false}) {
-        CoordinatorWorld lapsing;
+        CoordinatorWorld lapsing(bounds);
         lapsing.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
         lapsing.coordinator.setWorker(entryOf("w1"), Instant(1000));
         lapsing.reply(WorkerId("w1"), 1000, 500);
--- a/tests/net/test_httpserver.cpp
+++ b/tests/net/test_httpserver.cpp
@@ -12,6 +12,7 @@
 namespace godwitfall {
 namespace {
 
+// Guards against a port out of range that is taken for another one.
 TEST(EndpointTest, RejectsPortsOutOfRange)
 {
     for (const char *good : {"127.0.0.1:1", "127.0.0.1:65535", "::1:80"}) {
