--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -410,7 +410,9 @@
             if run.step.get("gang"):
                 members = self.world.gang(run)
                 if len(members) < run.step["count"]:
-                    if (now() - run.began) * 1000 > self.GANG_MS:
+                    if run.worked > 0:
+                        self.end(run, "broken")
+                    elif (now() - run.began) * 1000 > self.GANG_MS:
                         self.end(run, "alone")
                     continue
             run.worked += passed * 1000 * run.pace / 100
