--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -60,8 +60,14 @@
         self.port = int(port)
         self.handler = handler
         self.writers = set()
+        self.silent = set()        # Connections on which nothing arrives any more.
         self.server = None
 
+    def silence(self):
+        """Open connections go silent for good, without a reset; new ones work."""
+        self.silent |= self.writers
+        return len(self.writers)
+
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=1 << 22)
 
@@ -73,7 +79,11 @@
                 if message is None:
                     return
                 method, target, _ = message[0].split(" ", 2)
+                if writer in self.silent:
+                    continue
                 answer = await self.handler(method, target, message[1], message[2])
+                if writer in self.silent:
+                    continue
                 if answer is NO_ANSWER:
                     await asyncio.sleep(30)
                     return
@@ -88,6 +98,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def stop(self):
@@ -151,6 +162,7 @@
         self.world = world
         self.topics = {}
         self.server = Server(address, self.handle)
+        self.doors = []            # Further addresses, see Door.
         self.mood = "well"         # well, busy, silent, reset
         self.answers_lost = 0.0    # Share of the appends that are done and not answered.
         self.appends_late = 0.0    # Share that is done 1 to 6 s later, and not answered.
@@ -286,6 +298,27 @@
         return None
 
 
+class Door:
+    """An address of the store of its own, for one instance: what is cut there is cut for it alone."""
+
+    def __init__(self, store, address):
+        self.store = store
+        self.address = address
+        self.mood = "well"         # well, busy, silent, reset, mute (done, but not answered)
+        self.server = Server(address, self.handle)
+        store.doors.append(self)
+
+    async def handle(self, method, target, headers, body):
+        if self.mood == "busy":
+            return 503, b"{}"
+        if self.mood == "silent":
+            return NO_ANSWER
+        if self.mood == "reset":
+            return RESET
+        answer = await self.store.handle(method, target, headers, body)
+        return NO_ANSWER if self.mood in ("mute", "silent") else answer
+
+
 # Workers
 
 
@@ -469,7 +502,8 @@
             self.world.note("order", worker=self.name, late_s=round(delay, 1), path=target,
                             task=order.get("task"), run=order.get("run"))
             asyncio.get_running_loop().call_later(
-                delay, lambda: self.up and self.execute(target, headers, order, True))
+                delay, lambda: self.up and self.life == life and self.execute(
+                    target, headers, order, True))
             return NO_ANSWER
         answer = self.execute(target, headers, order, False)
         if self.cut:
@@ -596,6 +630,10 @@
         self.process = None
         self.wanted = True
         self.ends = []
+        self.door = None
+        if world.own_doors:
+            self.door = Door(world.store, f"127.0.{world.network}.{50 + index}:8169")
+        store = self.door.address if self.door else world.store_address
         bounds = "".join(f"{name}={value}\n" for name, value in settings.items())
         with open(self.config, "w", encoding="utf-8") as file:
             file.write(
@@ -603,7 +641,7 @@
                 f"zone={zone}\nregion=r\nlisten.front={self.front}\nlisten.ready={self.ready}\n"
                 f"internal_ports={port + 2},{port + 10}\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                 f"discovery=platform\norders=invocation\nadvice={world.advice}\n"
-                f"platform.address={world.store_address}\nplatform.form=log\n{bounds}")
+                f"platform.address={store}\nplatform.form=log\n{bounds}")
 
     async def keep(self):
         """Runs the process, and again whenever it has ended."""
@@ -744,6 +782,7 @@
         self.network = network
         self.random = random.Random(seed)
         self.store_address = f"127.0.{network}.2:8169"
+        self.own_doors = False     # Give each instance an address of the store of its own.
         self.advice = f"127.0.{network}.3:8169"
         self.store = Store(self, self.store_address)
         self.workers = {}
@@ -810,7 +849,8 @@
                        "idle_timeout_ms": 15000}}))
 
     async def start(self):
-        await self.store.server.start()
+        for server in (self.store, *self.store.doors):
+            await server.server.start()
         for worker in self.workers.values():
             await worker.start()
             self.tasks.append(asyncio.create_task(worker.beat()))
@@ -845,7 +885,8 @@
         await asyncio.sleep(0.5)
         for task in self.tasks:
             task.cancel()
-        await self.store.server.stop()
+        for server in (self.store, *self.store.doors):
+            await server.server.stop()
         for worker in self.workers.values():
             if worker.server:
                 await worker.server.stop()
