--- a/review/2/play.py
+++ b/review/2/play.py
@@ -6,7 +6,7 @@
 from world import now, route
 
 FINISH_S = 14
-LARGE = {"count": 8000, "cpu": 10, "mem_mb": 10, "estimated_ms": 1000}
+LARGE = {"count": 12000, "cpu": 10, "mem_mb": 10, "estimated_ms": 1000}
 SMALL = {"count": 4, "cpu": 1000, "mem_mb": 500, "estimated_ms": 300}
 
 
