--- a/review/4/play.py
+++ b/review/4/play.py
@@ -17,6 +17,12 @@
     return {task for worker in world.workers.values() for task in worker.running}
 
 
+def room(world):
+    """Returns for how many more tasks the workers have room."""
+    return sum((worker.capacity["cpu"] - worker.used("cpu")) // WATCH["cpu"]
+               for worker in world.workers.values())
+
+
 async def play(world):
     for index in range(WORKERS):
         world.add_worker(index, zone=f"z{index % 2 + 1}", rack=f"r{index % 2}")
@@ -47,7 +53,7 @@
         for task in tasks:
             if task in present:
                 last_run[task] = now()
-            else:
+            elif room(world) >= 2:
                 owed_from = max(last_run[task] + AWAY_S, calm_since + CALM_S)
                 worst[task] = max(worst[task], now() - owed_from)
         await asyncio.sleep(0.05)
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -43,6 +44,10 @@
 
     async def whole():
         world = World(temporary, network, seed=1, record=os.path.join(folder, "record.txt"))
+        # Also ends what it started when it is told to stop itself.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(play(world), limit)
         except asyncio.TimeoutError:
@@ -53,6 +58,8 @@
 
     try:
         code = asyncio.run(whole())
+    except asyncio.CancelledError:
+        code = COULD_NOT_RUN
     finally:
         if os.environ.get("KEEP_LOGS"):
             print("logs of the instances:", temporary)
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -796,9 +796,9 @@
                 continue
             if end["noted"]:
                 continue
-            end["noted"] = True
             if worker.lease_lapsed_since(end["at"]):
-                continue
+                continue  # Not taken note of; that stands for good.
+            end["noted"] = True
             for start in self.starts.get(row[1], []):
                 if start["at"] > end["at"]:
                     self.breaks("TWICE", why="done end noted after a later start", task=row[1],
@@ -914,6 +914,9 @@
                     instance.process.kill()
                 except ProcessLookupError:
                     pass
+        for instance in self.instances.values():
+            if instance.process:
+                await instance.process.wait()
         await asyncio.sleep(0.5)
         for task in self.tasks:
             task.cancel()
