One time-out gives up all kept connections that have gone silent

Cause: up to 32 connections are kept for each address, and a call that timed out dropped its own only. Each hold took the next silent one; after 2 s without a reply leases are not renewed and nothing is placed, so all tasks lapsed and waited until the last silent connection had failed.

OneTimeoutGivesUpAllSilentConnections fails with dropSilent() off: the second hold has no reply either.

Fix: when a response is not there in time on a kept connection, all connections to the address on which none has arrived for as long are closed, for workers, the store and other instances alike, as they share HttpClient. Time for which a server may delay its response (holds, long reads) does not count, so connections with later responses stay. Calls are repeated by who sent them, as before: holds, starts and stops are idempotent by run, appends by their number; submissions by their id.

Bounds until a silent connection is noticed, and one more after it for what replied just before the silence: holds wait + 600 ms, other orders 600 ms, appends 800 ms, reads wait + 1 s, forwarded requests their time limit.

--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
 constexpr std::chrono::milliseconds connectTimeout(1000);
 constexpr std::uint64_t maxResponseBytes = 64 * 1024 * 1024;
 
+using SteadyClock = std::chrono::steady_clock;
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
 /** A connection to a server. */
@@ -30,6 +32,16 @@
 {
     Stream stream;
     std::int64_t incarnation = 0; ///< The server's, as a response on it has named; 0: none has.
+    std::optional<SteadyClock::time_point> repliedAt; ///< When its last response arrived.
+};
+
+/** What a call sends on its connection, and how long it waits. */
+struct Message
+{
+    const std::string &target;
+    const std::string &body;
+    Duration timeout;
+    Duration serverWait; ///< Part of the timeout for which the server may delay its response.
 };
 
 /** Returns whether the server has neither closed the kept connection nor sent anything on it. */
@@ -57,8 +69,10 @@
     asio::awaitable<Result<bool>> identify(Connection &connection, const HttpCall &call);
     /** Sends a request of the call on the connection and receives the response. */
     asio::awaitable<Result<HttpResponse>> exchange(Connection &connection, const HttpCall &call,
-                                                   const std::string &target,
-                                                   const std::string &body, Duration timeout);
+                                                   const Message &message);
+    /** Closes the kept connections to the address on which no response has arrived for as long as
+     * one was due in vain on another: connections may go silent together, without a reset. */
+    void dropSilent(const std::string &address, Duration due);
     /** Returns a kept connection for the call; without a stream if there is none. */
     Connection takeIdle(const HttpCall &call);
     void keep(const std::string &address, Connection connection);
@@ -95,6 +109,13 @@
     }
 }
 
+void HttpClient::Shared::dropSilent(const std::string &address, Duration due)
+{
+    const auto silentSince = SteadyClock::now() - std::chrono::milliseconds(due.count());
+    std::erase_if(this->idle[address],
+                  [&](const Connection &connection) { return connection.repliedAt < silentSince; });
+}
+
 asio::awaitable<Result<Connection>> HttpClient::Shared::connect(const HttpCall &call)
 {
     if (Connection kept = this->takeIdle(call); kept.stream) {
@@ -119,23 +140,22 @@
 }
 
 asio::awaitable<Result<HttpResponse>>
-HttpClient::Shared::exchange(Connection &connection, const HttpCall &call,
-                             const std::string &target, const std::string &body, Duration timeout)
+HttpClient::Shared::exchange(Connection &connection, const HttpCall &call, const Message &message)
 {
     beast::tcp_stream &stream = *connection.stream;
     http::request<http::string_body> request;
     request.version(11);
     request.method_string(call.method);
-    request.target(target);
+    request.target(message.target);
     request.set(http::field::host, call.address);
     request.set(http::field::content_type, "application/json");
     for (const auto &[name, value] : call.headers) {
         request.set(name, value);
     }
-    request.body() = body;
+    request.body() = message.body;
     request.prepare_payload();
     boost::system::error_code failure;
-    stream.expires_after(std::chrono::milliseconds(timeout.count()));
+    stream.expires_after(std::chrono::milliseconds(message.timeout.count()));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
         co_return tl::unexpected(
@@ -145,12 +165,16 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
     co_await readMessage(stream, buffer, parser, failure);
+    if (failure == beast::error::timeout && connection.repliedAt) {
+        this->dropSilent(call.address, message.timeout - message.serverWait);
+    }
     if (failure) {
         const std::string received = std::to_string(parser.get().body().size());
         co_return tl::unexpected(
             Error{Fate::Unknown, call.step, call.address,
                   "receive: " + failure.message() + " after " + received + " bytes of the body"});
     }
+    connection.repliedAt = SteadyClock::now();
     HttpResponse response;
     response.status = parser.get().result_int();
     response.body = std::move(parser.get().body());
@@ -174,8 +198,10 @@
     if (call.incarnation == 0 || connection.incarnation == call.incarnation) {
         co_return true;
     }
-    const Result<HttpResponse> response = co_await this->exchange(
-        connection, call, call.identifyTarget, call.identifyBody, call.timeout - call.serverWait);
+    const Result<HttpResponse> response =
+        co_await this->exchange(connection, call,
+                                Message{call.identifyTarget, call.identifyBody,
+                                        call.timeout - call.serverWait, Duration(0)});
     if (!response) {
         Error error = response.error();
         error.fate = Fate::NotDone;
@@ -207,7 +233,8 @@
                              *meant ? "no longer wanted when it was to be sent"
                                     : "another incarnation of the server replied"});
     if (wanted) {
-        response = co_await this->exchange(connection, call, call.target, call.body, call.timeout);
+        response = co_await this->exchange(
+            connection, call, Message{call.target, call.body, call.timeout, call.serverWait});
     }
     if ((response || !wanted) && connection.stream) {
         this->keep(call.address, std::move(connection));
--- a/src/godwitfall/httpclient.h
+++ b/src/godwitfall/httpclient.h
@@ -48,6 +48,10 @@
  * A connection does not outlive the process that accepted it, so a call that is sent on a
  * connection on which an incarnation of the server has replied reaches that incarnation or none.
  *
+ * A connection may go silent without a reset. When a response is not there in time, all connections
+ * to the address that have been kept for as long without one are closed, so the next call takes a
+ * new one.
+ *
  * An error says NotDone only when no byte of the request was sent. Call and result handlers run on
  * the context's thread.
  */
--- a/tests/platform/test_ordersender.cpp
+++ b/tests/platform/test_ordersender.cpp
@@ -1,4 +1,6 @@
 // Orders over real connections to a worker that restarts under its id and address.
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,6 +15,8 @@
 namespace godwitfall::platform {
 namespace {
 
+namespace asio = boost::asio;
+
 constexpr const char *address = "127.17.6.1:7300";
 
 class OrderSenderTest : public testing::Test
@@ -53,6 +57,12 @@
     }
 
     OrderOutcome start(std::int64_t incarnation)
+    {
+        this->sendStart(incarnation);
+        return this->await();
+    }
+
+    void sendStart(std::int64_t incarnation)
     {
         StartOrder order;
         order.target = this->target(incarnation);
@@ -60,7 +70,26 @@
         order.run = 1;
         order.leaseEndMs = 500;
         this->orders.start(order);
-        return this->await();
+    }
+
+    /** Has as many connections kept as starts are sent at the same time. */
+    void keepConnections(std::size_t count)
+    {
+        for (std::size_t sent = 0; sent < count; ++sent) {
+            this->sendStart(1000);
+        }
+        for (std::size_t answered = 0; answered < count; ++answered) {
+            this->await();
+        }
+    }
+
+    void wait(std::chrono::milliseconds time)
+    {
+        asio::steady_timer timer(this->context, time);
+        bool over = false;
+        timer.async_wait([&over](const boost::system::error_code &) { over = true; });
+        this->context.restart();
+        while (!over && this->context.run_one() > 0) {}
     }
 
     OrderOutcome hold(std::int64_t incarnation, std::uint64_t acknowledged)
@@ -117,6 +146,38 @@
     EXPECT_EQ(this->worker.accepted, 1U);
 }
 
+// Guards against work that is kept away for as long as each of many kept connections takes to fail:
+// all of them go silent at once, without a reset, and new ones work.
+TEST_F(OrderSenderTest, OneTimeoutGivesUpAllSilentConnections)
+{
+    constexpr std::size_t connections = 30;
+    this->worker.restart(1000);
+    this->keepConnections(connections);
+    EXPECT_EQ(this->worker.accepted, connections);
+    // Longer than a response may take.
+    this->wait(std::chrono::milliseconds(700));
+    this->worker.silenceConnections();
+    EXPECT_EQ(this->hold(1000, 3), OrderOutcome::Unanswered);
+    EXPECT_EQ(this->hold(1000, 3), OrderOutcome::Accepted);
+    EXPECT_EQ(this->start(1000), OrderOutcome::Accepted);
+    EXPECT_EQ(this->worker.accepted, connections + 1);
+}
+
+// Guards against new connections in place of sound ones: one that is silent says nothing of others
+// with later responses.
+TEST_F(OrderSenderTest, ATimeoutKeepsConnectionsWithLaterResponses)
+{
+    this->worker.restart(1000);
+    this->keepConnections(1);
+    this->worker.silenceConnections();
+    this->sendStart(1000);
+    this->wait(std::chrono::milliseconds(300));
+    EXPECT_EQ(this->start(1000), OrderOutcome::Accepted);
+    EXPECT_EQ(this->await(), OrderOutcome::Unanswered);
+    EXPECT_EQ(this->start(1000), OrderOutcome::Accepted);
+    EXPECT_EQ(this->worker.accepted, 2U);
+}
+
 // Guards against orders to a worker whose incarnation is not known that are never sent.
 TEST_F(OrderSenderTest, OrdersForAnyIncarnationAreSentAtOnce)
 {
