Kept connections are bounded over all addresses and by age

Cause: up to 32 connections were kept for each address ever called, and looked at only when that address was called again; those to workers that have left stayed half-closed for good.

Evidence: KeptConnectionsTest (both tests need the bounds that the pool did not have).

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -79,7 +79,7 @@
     , incarnation(incarnation)
     , metricsPort(metricsPort)
     , random(incarnation)
-    , http(context)
+    , http(context, ConnectionLimits{.total = this->settings.keptConnections})
     , store(this->http, this->settings.storeAddress)
     , orders(
           this->http, this->settings.adviceAddress,
--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -1,15 +1,14 @@
 #include "httpclient.h"
 
 #include <chrono>
-#include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
 #include "address.h"
+#include "connectionpool.h"
 #include "httpread.h"
 
 namespace godwitfall {
@@ -20,21 +19,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t idleLimit = 32;
 constexpr std::chrono::milliseconds connectTimeout(1000);
 constexpr std::uint64_t maxResponseBytes = 64 * 1024 * 1024;
 
-using SteadyClock = std::chrono::steady_clock;
-using Stream = std::unique_ptr<beast::tcp_stream>;
-
-/** A connection to a server. */
-struct Connection
-{
-    Stream stream;
-    std::int64_t incarnation = 0; ///< The server's, as a response on it has named; 0: none has.
-    std::optional<SteadyClock::time_point> repliedAt; ///< When its last response arrived.
-};
-
 /** What a call sends on its connection, and how long it waits. */
 struct Message
 {
@@ -44,22 +31,13 @@
     Duration serverWait; ///< Part of the timeout for which the server may delay its response.
 };
 
-/** Returns whether the server has neither closed the kept connection nor sent anything on it. */
-bool isOpen(beast::tcp_stream &stream)
-{
-    boost::system::error_code failure;
-    stream.socket().non_blocking(true, failure);
-    char byte = 0;
-    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
-    return failure == asio::error::would_block;
-}
-
 } // namespace
 
 struct HttpClient::Shared : std::enable_shared_from_this<HttpClient::Shared>
 {
-    explicit Shared(asio::io_context &context)
+    Shared(asio::io_context &context, const ConnectionLimits &limits)
         : context(context)
+        , idle(limits)
     {}
 
     asio::awaitable<Result<HttpResponse>> perform(const HttpCall &call);
@@ -70,56 +48,15 @@
     /** Sends a request of the call on the connection and receives the response. */
     asio::awaitable<Result<HttpResponse>> exchange(Connection &connection, const HttpCall &call,
                                                    const Message &message);
-    /** Closes the kept connections to the address on which no response has arrived for as long as
-     * one was due in vain on another: connections may go silent together, without a reset. */
-    void dropSilent(const std::string &address, Duration due);
-    /** Returns a kept connection for the call; without a stream if there is none. */
-    Connection takeIdle(const HttpCall &call);
-    void keep(const std::string &address, Connection connection);
 
     asio::io_context &context;
-    std::map<std::string, std::vector<Connection>> idle;
+    ConnectionPool idle;
 };
 
-Connection HttpClient::Shared::takeIdle(const HttpCall &call)
-{
-    std::vector<Connection> &kept = this->idle[call.address];
-    // Connections on which another incarnation has replied are of no use any more: the one that the
-    // call is meant for is newer, or gone.
-    std::erase_if(kept, [&](const Connection &connection) {
-        return call.incarnation != 0 && connection.incarnation != 0 &&
-               connection.incarnation != call.incarnation;
-    });
-    while (!kept.empty()) {
-        Connection connection = std::move(kept.back());
-        kept.pop_back();
-        if (isOpen(*connection.stream)) {
-            return connection;
-        }
-    }
-    return {};
-}
-
-void HttpClient::Shared::keep(const std::string &address, Connection connection)
-{
-    std::vector<Connection> &kept = this->idle[address];
-    if (kept.size() < idleLimit) {
-        connection.stream->expires_never();
-        kept.push_back(std::move(connection));
-    }
-}
-
-void HttpClient::Shared::dropSilent(const std::string &address, Duration due)
-{
-    const auto silentSince = SteadyClock::now() - std::chrono::milliseconds(due.count());
-    std::erase_if(this->idle[address],
-                  [&](const Connection &connection) { return connection.repliedAt < silentSince; });
-}
-
 asio::awaitable<Result<Connection>> HttpClient::Shared::connect(const HttpCall &call)
 {
-    if (Connection kept = this->takeIdle(call); kept.stream) {
-        co_return kept;
+    if (auto kept = this->idle.take(call.address, call.incarnation)) {
+        co_return std::move(*kept);
     }
     const auto endpoint = parseEndpoint(call.address);
     if (!endpoint) {
@@ -166,7 +103,11 @@
     parser.body_limit(maxResponseBytes);
     co_await readMessage(stream, buffer, parser, failure);
     if (failure == beast::error::timeout && connection.repliedAt) {
-        this->dropSilent(call.address, message.timeout - message.serverWait);
+        // Connections may go silent together, without a reset: those on which no response has
+        // arrived for as long as one was due here in vain are closed.
+        const Duration due = message.timeout - message.serverWait;
+        this->idle.dropSilent(call.address,
+                              SteadyClock::now() - std::chrono::milliseconds(due.count()));
     }
     if (failure) {
         const std::string received = std::to_string(parser.get().body().size());
@@ -237,13 +178,13 @@
             connection, call, Message{call.target, call.body, call.timeout, call.serverWait});
     }
     if ((response || !wanted) && connection.stream) {
-        this->keep(call.address, std::move(connection));
+        this->idle.keep(call.address, std::move(connection), SteadyClock::now());
     }
     co_return response;
 }
 
-HttpClient::HttpClient(asio::io_context &context)
-    : shared(std::make_shared<Shared>(context))
+HttpClient::HttpClient(asio::io_context &context, const ConnectionLimits &limits)
+    : shared(std::make_shared<Shared>(context, limits))
 {}
 
 HttpClient::~HttpClient() = default;
--- a/src/godwitfall/httpclient.h
+++ b/src/godwitfall/httpclient.h
@@ -15,6 +15,14 @@
 
 namespace godwitfall {
 
+/** Bounds on connections that are kept for later calls. */
+struct ConnectionLimits
+{
+    std::size_t perAddress = 32;
+    std::size_t total = 1024;   ///< Over all addresses.
+    Duration unusedTime{30000}; ///< Time after which a connection that no call uses is closed.
+};
+
 /** One call to a server. */
 struct HttpCall
 {
@@ -58,7 +66,7 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(boost::asio::io_context &context);
+    explicit HttpClient(boost::asio::io_context &context, const ConnectionLimits &limits = {});
     ~HttpClient();
 
     using Handler = std::function<void(const Result<HttpResponse> &)>;
--- a/tests/platform/test_ordersender.cpp
+++ b/tests/platform/test_ordersender.cpp
@@ -1,6 +1,7 @@
 // Orders over real connections to a worker that restarts under its id and address.
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -188,5 +189,81 @@
     EXPECT_EQ(this->worker.requests.size(), 2U);
 }
 
+/** Servers at several addresses, and a client that is to keep few connections to them. */
+class KeptConnectionsTest : public testing::Test
+{
+protected:
+    KeptConnectionsTest()
+    {
+        for (int number = 1; number <= 6; ++number) {
+            this->addresses.push_back("127.17.7." + std::to_string(number) + ":7300");
+            this->servers.push_back(
+                std::make_unique<IncarnationServer>(this->context, this->addresses.back()));
+            this->servers.back()->restart(1000);
+        }
+    }
+
+    /** Calls the address with as many calls at the same time; returns how many had responses. */
+    int call(HttpClient &client, std::size_t server, int count)
+    {
+        int answered = 0;
+        int ended = 0;
+        for (int sent = 0; sent < count; ++sent) {
+            HttpCall call;
+            call.address = this->addresses[server];
+            call.target = "/";
+            client.call(std::move(call), [&](const Result<HttpResponse> &response) {
+                answered += response ? 1 : 0;
+                ++ended;
+            });
+        }
+        while (ended<count &&this->context.run_one()> 0) {}
+        return answered;
+    }
+
+    /** Returns the connections that are open, once those that were closed have shown to be. */
+    std::size_t openConnections()
+    {
+        this->context.run_for(std::chrono::milliseconds(50));
+        std::size_t count = 0;
+        for (const auto &server : this->servers) {
+            count += server->openConnections();
+        }
+        return count;
+    }
+
+    asio::io_context context;
+    std::vector<std::string> addresses;
+    std::vector<std::unique_ptr<IncarnationServer>> servers;
+};
+
+// Guards against a process without descriptors: connections to servers that have left are kept for
+// good.
+TEST_F(KeptConnectionsTest, AreBoundedOverAllAddresses)
+{
+    HttpClient client(this->context, ConnectionLimits{.perAddress = 4, .total = 10});
+    for (std::size_t server = 0; server < this->servers.size(); ++server) {
+        EXPECT_EQ(this->call(client, server, 8), 8);
+        EXPECT_LE(this->openConnections(), 10U);
+    }
+    EXPECT_EQ(this->openConnections(), 10U);
+    // Those that were used last are kept.
+    EXPECT_EQ(this->call(client, 5, 4), 4);
+    EXPECT_EQ(this->servers[5]->accepted, 8U);
+}
+
+// Guards against connections to servers that have left, or that were only needed once, which stay
+// while there is room for them.
+TEST_F(KeptConnectionsTest, AreClosedWhenUnused)
+{
+    HttpClient client(this->context, ConnectionLimits{.unusedTime = Duration(100)});
+    EXPECT_EQ(this->call(client, 0, 8), 8);
+    EXPECT_EQ(this->openConnections(), 8U);
+    this->context.run_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(this->call(client, 1, 1), 1);
+    EXPECT_EQ(this->openConnections(), 1U);
+    EXPECT_EQ(this->call(client, 0, 1), 1);
+}
+
 } // namespace
 } // namespace godwitfall::platform
