Soak: connections that go silent together, workers back before the registry lists them

--connections has the kept connections to a worker, to all workers, to the store or to all go silent, once or again while that is mended, and has workers restart under their id up to a heartbeat before the registry lists them, beside the other faults.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -85,7 +85,7 @@
          }},
         {"worker_reborn", 3,
          [](Plan &plan) {
-             plan.targets.rebirthWorker(plan.anyWorker());
+             plan.targets.rebirthWorker(plan.anyWorker(), Duration(0));
          }},
         {"orders", 3, &Plan::troubleOrders},
         {"config", 1,
@@ -182,6 +182,13 @@
                " for ms: " + std::to_string(lengthMs));
 }
 
+void FaultPlan::disturbAll(std::int64_t lengthMs)
+{
+    for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
+        this->disturb(instance, lengthMs);
+    }
+}
+
 std::size_t FaultPlan::owner()
 {
     const std::string name = this->targets.store.owner();
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -26,7 +26,8 @@
     std::vector<std::unique_ptr<LinkProxy>> &storeLinks;  ///< By instance.
     std::vector<std::unique_ptr<LinkProxy>> &workerLinks; ///< By worker.
     std::function<void()> publishConfig;
-    std::function<void(std::size_t worker)> rebirthWorker;
+    /** Has the worker begin its next incarnation, which the registry lists after the time. */
+    std::function<void(std::size_t worker, Duration listedAfter)> rebirthWorker;
     std::function<void(std::size_t instance)> writeSettings;
 };
 
@@ -69,6 +70,9 @@
     /** Returns how often the instance was made to end. */
     unsigned endsCaused(std::size_t instance) const { return this->ends[instance]; }
 
+    /** Notes that a fault disturbs all instances for the time. */
+    void disturbAll(std::int64_t lengthMs);
+
     /** Sends the signal to the instance, if it runs. */
     bool signal(std::size_t instance, int number);
 
--- a/tests/soak/linkproxy.cpp
+++ b/tests/soak/linkproxy.cpp
@@ -71,6 +71,15 @@
     this->pairs.clear();
 }
 
+void LinkProxy::silenceConnections()
+{
+    for (const auto &known : this->pairs) {
+        if (const auto pair = known.lock()) {
+            pair->silent = true;
+        }
+    }
+}
+
 bool LinkProxy::holds(bool reply) const
 {
     return this->mode == Mode::Hold || (this->mode == Mode::HoldReply && reply);
@@ -137,6 +146,12 @@
         while (this->holds(reply)) {
             co_await wait(holdCheck);
         }
+        if (pair->silent) {
+            if (over) {
+                co_return;
+            }
+            continue;
+        }
         if (over) {
             to.shutdown(asio::socket_base::shutdown_send, failure);
             co_return;
--- a/tests/soak/linkproxy.h
+++ b/tests/soak/linkproxy.h
@@ -36,6 +36,9 @@
     /** Breaks all connections, as when the target's machine is lost. */
     void breakConnections();
 
+    /** From now on nothing passes on the present connections, which stay open; new ones work. */
+    void silenceConnections();
+
     Duration delay{100}; ///< Of a piece in mode Delay.
 
 private:
@@ -44,6 +47,7 @@
     {
         boost::asio::ip::tcp::socket caller;
         boost::asio::ip::tcp::socket target;
+        bool silent = false;
     };
 
     boost::asio::awaitable<void> accept();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,7 +10,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <tclap/CmdLine.h>
 
+#include "callafter.h"
 #include "configcheck.h"
+#include "connectionplan.h"
 #include "faultplan.h"
 #include "keptcallers.h"
 #include "lastingcheck.h"
@@ -66,7 +68,7 @@
     void callEnded(std::size_t instance, Duration waited, bool answered);
     void listen();
     void publishWorker(std::size_t worker);
-    void rebirthWorker(std::size_t worker);
+    void rebirthWorker(std::size_t worker, Duration listedAfter);
     void writeSettings(std::size_t instance);
     void checkLasting(std::int64_t now);
     void scheduleTick();
@@ -93,6 +95,7 @@
     std::unique_ptr<FaultPlan> plan;
     std::unique_ptr<ConfigCheck> configs;
     std::unique_ptr<OperationPlan> operations;
+    std::unique_ptr<ConnectionPlan> connections;
     LastingCheck lasting;
     std::int64_t tickedAt = 0;
     unsigned answersInStops = 0; ///< Of instances that stopped as planned, undisturbed.
@@ -147,7 +150,9 @@
                               this->storeLinks,
                               this->workerLinks,
                               [this] { this->configs->publish(this->nowMs()); },
-                              [this](std::size_t worker) { this->rebirthWorker(worker); },
+                              [this](std::size_t worker, Duration listedAfter) {
+                                  this->rebirthWorker(worker, listedAfter);
+                              },
                               [this](std::size_t instance) {
                                   this->writeSettings(instance);
                               }};
@@ -160,6 +165,10 @@
     this->clients.ended = [this](std::size_t instance, Duration waited, bool answered) {
         this->callEnded(instance, waited, answered);
     };
+    if (layout.connections) {
+        this->connections =
+            std::make_unique<ConnectionPlan>(*this->plan, targets, seed + 6, faultMs);
+    }
     if (layout.extended) {
         this->operations = std::make_unique<OperationPlan>(this->context, layout, *this->plan,
                                                            targets, seed + 4, faultMs);
@@ -236,14 +245,22 @@
     std::filesystem::rename(written, file);
 }
 
-void Soak::rebirthWorker(std::size_t worker)
+void Soak::rebirthWorker(std::size_t worker, Duration listedAfter)
 {
     if (this->workers[worker]->lost()) {
         return;
     }
     this->workerLinks[worker]->breakConnections();
     this->workers[worker]->restart(unixMs());
-    this->publishWorker(worker);
+    if (listedAfter == Duration(0)) {
+        this->publishWorker(worker);
+        return;
+    }
+    callAfter(this->context, listedAfter, [this, worker] {
+        if (!this->workers[worker]->lost()) {
+            this->publishWorker(worker);
+        }
+    });
 }
 
 void Soak::scheduleTick()
@@ -270,6 +287,9 @@
     if (this->operations) {
         this->operations->tick(now);
     }
+    if (this->connections) {
+        this->connections->tick(now);
+    }
     this->store.tick(std::chrono::steady_clock::now());
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
@@ -430,6 +450,11 @@
                               "also operations in series and overlapping, callers on kept "
                               "connections, workers lost for good",
                               flags);
+    TCLAP::SwitchArg connections(
+        "", "connections",
+        "also connections that go silent, and workers that are back before "
+        "the registry lists them",
+        flags);
     TCLAP::ValueArg<std::string> folder("", "folder", "settings, logs and process ids", true, "",
                                         "path", flags);
     TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
@@ -442,6 +467,7 @@
     layout.network = network.getValue();
     layout.instances = instances.getValue();
     layout.extended = extended.getValue();
+    layout.connections = connections.getValue();
     layout.workers += layout.extended ? sparesOfExtended : 0;
     layout.folder = folder.getValue();
     const Weakening weakening{workerFence.getValue(), workerLease.getValue(), storeFence.getValue(),
--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -14,6 +14,8 @@
     std::size_t workers = 6;
     /** Also plays planned operations in series and overlapping, and loses workers for good. */
     bool extended = false;
+    /** Also plays connections that go silent, and workers that restart within a heartbeat. */
+    bool connections = false;
     std::filesystem::path folder; ///< Of settings, logs and process ids.
 
     std::string storeAddress() const { return this->address(0, 1); }
