--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -358,8 +358,9 @@
      * failures. */
     void eject(WorkerState &worker, Duration length, Instant now);
 
-    /** Returns the task in which what concerns the whole gang is counted: its first member. */
+    /** Returns which task counts for the given one: of a gang, its first member. */
     static TaskRef countedRef(const Job &job, const TaskRef &ref);
+    /** Returns the task in which what concerns the whole gang is counted: its first member. */
     static Task &countedTask(Job &job, const TaskRef &ref);
     /** Returns whether the task's run may have begun on its worker and crashed it. */
     bool mayBeCause(const TaskRef &ref, const Task &task) const;
@@ -494,7 +495,7 @@
     JobSet open;     ///< Jobs that are not closed or still have placed tasks.
     JobSet unplaced; ///< Open jobs with tasks that may have to be placed, now or later.
     std::map<TaskRef, OpenOrder> starts;
-    std::uint64_t openedStarts = 0;
+    std::uint64_t openedStarts = 0; ///< Number of the start that was opened last.
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
     std::map<std::pair<TaskRef, std::string>, OrphanRun> orphans;
