Log why a job ends, and what each counted crash rests on

Callers saw jobs as failed, and nothing in the logs told why they were closed. job_finished now names the reason, the task and its counts; crash_counted and task_given_up name the sign by which the worker was lost, whether the run had begun and when the worker was last in contact, and the record of the job keeps these for the next coordinator. What is decided stays the same. Records of earlier versions are read as before, and earlier versions read these.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -111,8 +111,9 @@
               [this](const OrderTarget &target, std::int64_t repliedStartMs) {
                   this->reportOtherIncarnation(target, repliedStartMs);
               },
-              [this] {
-                  return this->now();
+              [this] { return this->now(); },
+              [this](const OrderTarget &target) {
+                  this->node.coordination().connectionClosed(target.worker, this->now());
               }})
     , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.peerAddress,
                            this->settings.processors, this->settings.worker,
@@ -599,17 +600,58 @@
 
 // Notifications from the coordinator
 
-void EntryInstance::crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
-                                 std::size_t crashes, bool givenUp)
+namespace {
+
+std::string listOf(const std::vector<std::uint32_t> &runs)
+{
+    std::string list;
+    for (const std::uint32_t run : runs) {
+        list += (list.empty() ? "" : ",") + std::to_string(run);
+    }
+    return list.empty() ? "none" : list;
+}
+
+/** Returns RUN:WORKER:EPOCH:SIGN:EVIDENCE of each crash. */
+std::string listOf(const std::vector<CrashedRun> &crashes)
+{
+    std::string list;
+    for (const CrashedRun &crash : crashes) {
+        list += (list.empty() ? "" : ",") + std::to_string(crash.run) + ":" + crash.worker + ":" +
+                std::to_string(crash.epoch) + ":" + jobs::CrashSign_Name(crash.sign) + ":" +
+                jobs::CrashEvidence_Name(crash.evidence);
+    }
+    return list.empty() ? "none" : list;
+}
+
+} // namespace
+
+void EntryInstance::crashCounted(const CountedCrash &counted)
 {
+    const CrashedRun &crash = counted.crash;
+    const std::string evidence = jobs::CrashEvidence_Name(crash.evidence);
+    const std::string sign = jobs::CrashSign_Name(crash.sign);
     this->metrics.count("godwitfall_crashes_counted_total",
-                        std::string("task=\"") + (givenUp ? "given_up\"" : "kept\""));
-    logLine(givenUp ? LogLevel::Warning : LogLevel::Info,
-            givenUp ? "task_given_up" : "crash_counted",
-            {{"task", platform::taskName(task)},
-             {"run", std::to_string(run)},
-             {"worker", worker.value()},
-             {"crashes", std::to_string(crashes)}});
+                        std::string("task=\"") + (counted.givenUp ? "given_up\"" : "kept\""));
+    this->metrics.count("godwitfall_crash_evidence_total",
+                        "evidence=\"" + evidence + "\",sign=\"" + sign + "\"");
+    const auto milliseconds = [](const std::optional<Duration> &time) {
+        return time ? std::to_string(time->count()) : std::string("none");
+    };
+    logLine(counted.givenUp ? LogLevel::Warning : LogLevel::Info,
+            counted.givenUp ? "task_given_up" : "crash_counted",
+            {{"task", platform::taskName(counted.task)},
+             {"run", std::to_string(crash.run)},
+             {"worker", crash.worker},
+             {"crashes", std::to_string(counted.crashes)},
+             {"sign", sign},
+             {"evidence", evidence},
+             {"causes", std::to_string(counted.causes)},
+             {"start", counted.listed       ? "listed"
+                       : counted.startTaken ? "taken"
+                                            : "unanswered"},
+             {"since_start_ms", milliseconds(counted.sinceStart)},
+             {"since_reply_ms", milliseconds(counted.sinceReply)},
+             {"since_closed_ms", milliseconds(counted.sinceClosed)}});
 }
 
 void EntryInstance::taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
@@ -624,10 +666,12 @@
              {"outcome", toText(outcome)}});
 }
 
-void EntryInstance::jobFinished(const Job &job)
+void EntryInstance::jobFinished(const Job &job, const JobEnd &end)
 {
+    const bool namesTask = !end.failedRuns.empty() || !end.crashedRuns.empty();
     this->metrics.count("godwitfall_jobs_finished_total",
-                        "state=\"" + jobs::JobState_Name(job.state) + "\"");
+                        "state=\"" + jobs::JobState_Name(job.state) + "\",reason=\"" +
+                            toText(end.reason) + "\"");
     this->metrics.observe("godwitfall_job_ms",
                           static_cast<double>((job.closedAt - job.knownSince).count()));
     if (job.firstPlacedAt != Instant()) {
@@ -643,7 +687,11 @@
                                : std::to_string((job.firstPlacedAt - job.knownSince).count())},
              {"took_ms", std::to_string((job.closedAt - job.knownSince).count())},
              {"estimated_chain_ms", std::to_string(job.criticalPath().count())},
-             {"runs_returned", std::to_string(job.returnedRuns)}});
+             {"runs_returned", std::to_string(job.returnedRuns)},
+             {"reason", toText(end.reason)},
+             {"task", namesTask ? platform::taskName(end.task) : "none"},
+             {"failed_runs", listOf(end.failedRuns)},
+             {"crashes", listOf(end.crashedRuns)}});
 }
 
 void EntryInstance::workerEjected(const WorkerId &worker, Duration length)
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -54,11 +54,10 @@
         Instant requestedAt;          ///< When the pending or the last applied read was sent.
     };
 
-    void crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
-                      std::size_t crashes, bool givenUp) override;
+    void crashCounted(const CountedCrash &counted) override;
     void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                       RunOutcome outcome) override;
-    void jobFinished(const Job &job) override;
+    void jobFinished(const Job &job, const JobEnd &end) override;
     void workerEjected(const WorkerId &worker, Duration length) override;
     void workerRestarted(const WorkerState &former, std::int64_t startMs) override;
     void orderFenced(const WorkerId &worker) override;
--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -33,6 +33,24 @@
 
 } // namespace
 
+namespace {
+
+bool isClosedByPeer(const boost::system::error_code &failure)
+{
+    return failure == asio::error::eof || failure == asio::error::connection_reset ||
+           failure == asio::error::connection_refused || failure == asio::error::broken_pipe ||
+           failure == http::error::end_of_stream || failure == http::error::partial_message;
+}
+
+Error callError(Fate fate, const HttpCall &call, const std::string &action,
+                const boost::system::error_code &failure, const std::string &rest = {})
+{
+    return Error{fate, call.step, call.address, action + ": " + failure.message() + rest,
+                 isClosedByPeer(failure)};
+}
+
+} // namespace
+
 struct HttpClient::Shared : std::enable_shared_from_this<HttpClient::Shared>
 {
     Shared(asio::io_context &context, const ConnectionLimits &limits)
@@ -69,8 +87,7 @@
     stream.expires_after(connectTimeout);
     co_await stream.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
-        co_return tl::unexpected(
-            Error{Fate::NotDone, call.step, call.address, "connect: " + failure.message()});
+        co_return tl::unexpected(callError(Fate::NotDone, call, "connect", failure));
     }
     stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
     co_return connection;
@@ -95,8 +112,7 @@
     stream.expires_after(std::chrono::milliseconds(message.timeout.count()));
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
-        co_return tl::unexpected(
-            Error{Fate::Unknown, call.step, call.address, "send: " + failure.message()});
+        co_return tl::unexpected(callError(Fate::Unknown, call, "send", failure));
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
@@ -111,9 +127,8 @@
     }
     if (failure) {
         const std::string received = std::to_string(parser.get().body().size());
-        co_return tl::unexpected(
-            Error{Fate::Unknown, call.step, call.address,
-                  "receive: " + failure.message() + " after " + received + " bytes of the body"});
+        co_return tl::unexpected(callError(Fate::Unknown, call, "receive", failure,
+                                           " after " + received + " bytes of the body"));
     }
     connection.repliedAt = SteadyClock::now();
     HttpResponse response;
--- a/src/libgodwitfall/error.h
+++ b/src/libgodwitfall/error.h
@@ -20,6 +20,8 @@
     std::string step;
     std::string peer;
     std::string detail;
+    /** The peer closed, reset or refused the connection; a path that is cut shows by a timeout. */
+    bool closedByPeer = false;
 
     /** Returns "step (peer): detail". */
     std::string text() const { return this->step + " (" + this->peer + "): " + this->detail; }
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,6 +11,9 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
+constexpr std::array<const char *, 4> endReasonNames = {"all_done", "attempts_used_up",
+                                                        "workers_crashed", "cancelled"};
+
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
 /** Sorts after the id of any worker; ids are printable. */
@@ -25,6 +28,11 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
+const char *toText(JobEndReason reason)
+{
+    return endReasonNames.at(static_cast<std::size_t>(reason));
+}
+
 Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                          CoordinatorObserver &observer)
     : table(table)
@@ -267,7 +275,8 @@
 void Coordinator::jobCancelled(Job &job, Instant now)
 {
     if (!job.closed()) {
-        this->closeJob(job, Job::State::CANCELLED, now);
+        this->closeJob(job, Job::State::CANCELLED, JobEnd{JobEndReason::Cancelled, {}, {}, {}},
+                       now);
     }
 }
 
@@ -350,6 +359,7 @@
     const bool first = !worker->responded;
     worker->responded = true;
     worker->lastSeenAt = now;
+    worker->noteReply(now);
     this->zones.responded(worker->entry.zone, now);
     worker->sampleClock(report.clockMs, now);
     if (first) {
@@ -515,7 +525,7 @@
     if (ended.how == RunEnd::Done) {
         this->finishTask(job, ended.task, task, now);
     } else if (ended.how == RunEnd::Failed && this->countFailure(job, ended.task, ended.run)) {
-        this->closeJob(job, Job::State::FAILED, now);
+        this->failJob(job, JobEndReason::AttemptsUsedUp, ended.task, now);
     }
 }
 
@@ -572,7 +582,7 @@
 
 void Coordinator::returnTasksOf(WorkerState &worker, Instant now)
 {
-    const JobSet toGiveUp = this->countCrash(worker);
+    const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (worker.tasks.contains(ref)) {
@@ -596,7 +606,8 @@
     // A worker that left as announced, was cut off with its zone, or replies has not crashed.
     const bool crashed = !worker.entry.draining && !worker.zoneUnresponsive &&
                          now - worker.lastSeenAt > renewalTimeout;
-    const JobSet toGiveUp = crashed ? this->countCrash(worker) : JobSet();
+    const GivenUp toGiveUp =
+        crashed ? this->countCrash(worker, jobs::LEASES_LAPSED, now) : GivenUp();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
@@ -612,7 +623,7 @@
 {
     this->observer.workerRestarted(worker, incarnationStartMs);
     this->removeUnlistedOrphans(worker, {});
-    const JobSet toGiveUp = this->countCrash(worker);
+    const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
     worker.beginIncarnation(incarnationStartMs, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -39,19 +39,52 @@
 /** Returns the outcome's name in logs and metrics. */
 const char *toText(RunOutcome outcome);
 
+/** Why a coordinator closed a job; a closed list in logs and metrics. */
+enum class JobEndReason : std::uint8_t {
+    AllDone,
+    AttemptsUsedUp, ///< Runs of a task ended as failed, as often as the queue allows.
+    WorkersCrashed, ///< Workers crashed under a task.
+    Cancelled,
+};
+
+/** Returns the reason's name in logs and metrics. */
+const char *toText(JobEndReason reason);
+
+/** The end of a job, and the task that it rests on. */
+struct JobEnd
+{
+    JobEndReason reason = JobEndReason::AllDone;
+    TaskRef task;                          ///< Of AttemptsUsedUp and WorkersCrashed.
+    std::vector<std::uint32_t> failedRuns; ///< Of that task.
+    std::vector<CrashedRun> crashedRuns;   ///< Of that task.
+};
+
+/** A crash of a worker that was counted for a task, and what the count rests on. */
+struct CountedCrash
+{
+    TaskRef task;
+    CrashedRun crash;
+    std::size_t causes = 0;              ///< Tasks that may have been the cause of this crash.
+    std::size_t crashes = 0;             ///< Counted under the task so far, this one included.
+    bool startTaken = false;             ///< The worker took the run's start.
+    bool listed = false;                 ///< A report of the worker listed the run.
+    std::optional<Duration> sinceStart;  ///< Since its start was sent by this coordinator.
+    std::optional<Duration> sinceReply;  ///< Since the last reply of the crashed incarnation.
+    std::optional<Duration> sinceClosed; ///< Since it closed or refused a connection after that.
+    bool givenUp = false;                ///< Its job fails for it.
+};
+
 /** Receives the coordinator's decisions and observations; for logs and metrics. */
 class CoordinatorObserver
 {
 public:
     virtual ~CoordinatorObserver() = default;
-    /** A worker crashed, and the run is one of those that may be the cause; crashes: of workers
-     * under the task so far; givenUp: its job fails for it. */
-    virtual void crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
-                              std::size_t crashes, bool givenUp) = 0;
+    /** A worker crashed, and the run is one of those that may be the cause. */
+    virtual void crashCounted(const CountedCrash &counted) = 0;
     /** A run ended without completing its task, which may be placed again. */
     virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                               RunOutcome outcome) = 0;
-    virtual void jobFinished(const Job &job) = 0;
+    virtual void jobFinished(const Job &job, const JobEnd &end) = 0;
     virtual void workerEjected(const WorkerId &worker, Duration length) = 0;
     /** Another incarnation of the worker has been seen; former: its state as of the one before. */
     virtual void workerRestarted(const WorkerState &former, std::int64_t startMs) = 0;
@@ -128,6 +161,9 @@
     static constexpr Duration adoptedHarmlessAge{20000};
     /** Longest time from the start of a task until its worker crashes for it. */
     static constexpr Duration crashDelay{1000};
+    /** Time without a reply after which it is not known whether a worker was reachable; above a
+     * round trip and the wait of the holds of a worker that is asked often. */
+    static constexpr Duration contactGap{300};
 
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
@@ -179,6 +215,10 @@
     void paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                       std::uint32_t percent, OrderOutcome outcome);
 
+    /** Notes that the worker closed, reset or refused the connection of an order; the order's
+     * outcome follows. */
+    void connectionClosed(const WorkerId &id, Instant now);
+
     /** Applies the advisory service's reply; nothing if it did not reply in time. */
     void adviceAnswered(const StepRef &step, const std::optional<Advice> &advice, Instant now);
 
@@ -270,6 +310,8 @@
         }
     };
     using JobSet = std::set<Job *, ById>;
+    /** Jobs to give up, each with the task under which workers crashed. */
+    using GivenUp = std::vector<std::pair<Job *, TaskRef>>;
 
     /** Results that are valid within one plan, in which free capacity only shrinks. */
     struct PlanRound
@@ -366,11 +408,14 @@
     bool mayBeCause(const TaskRef &ref, const Task &task) const;
     /** Returns the tasks that may be why the worker crashed: those that began last. */
     std::vector<std::pair<TaskRef, Job *>> causesOfCrash(const WorkerState &worker) const;
+    /** Returns what tells that the worker crashed while the task's run was at work. */
+    static jobs::CrashEvidence evidenceOf(const WorkerState &worker, const Task &task,
+                                          jobs::CrashSign sign);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
      * to be given up. */
-    JobSet countCrash(const WorkerState &worker);
+    GivenUp countCrash(const WorkerState &worker, jobs::CrashSign sign, Instant now);
     /** Closes the jobs as failed. */
-    void giveUp(const JobSet &toGiveUp, Instant now);
+    void giveUp(const GivenUp &tasks, Instant now);
     /** Places the waiting tasks of the step under which workers have crashed, apart from others,
      * as far as workers can take them. */
     void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
@@ -387,7 +432,9 @@
     void returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome, Instant now);
     /** Stops the other members of a gang after one of its runs has ended. */
     void breakGang(Job &job, const TaskRef &ref, Instant now);
-    void closeJob(Job &job, Job::State state, Instant now);
+    void closeJob(Job &job, Job::State state, const JobEnd &end, Instant now);
+    /** Closes the job as failed because of the task. */
+    void failJob(Job &job, JobEndReason reason, const TaskRef &ref, Instant now);
     void stopAll(Job &job, Instant now);
     void stopTask(const TaskRef &ref, Task &task, Instant now);
     /** Takes the task off its worker and drops its open orders. */
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -60,33 +60,71 @@
     return begun;
 }
 
-Coordinator::JobSet Coordinator::countCrash(const WorkerState &worker)
+jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
+                                            jobs::CrashSign sign)
+{
+    if (sign != jobs::OTHER_INCARNATION || worker.entry.draining) {
+        return jobs::POSSIBLE;
+    }
+    if (task.startSentAt == Instant()) {
+        // A former coordinator sent the start.
+        return task.watched && task.startTaken ? jobs::LIKELY : jobs::POSSIBLE;
+    }
+    // A process that crashes closes its connections; on a path that is cut they stay silent.
+    const bool closed = worker.closedAt >= task.startSentAt &&
+                        worker.closedAt - task.startSentAt <= crashDelay &&
+                        worker.closedAt - worker.repliedAt <= contactGap;
+    if (closed) {
+        return task.startTaken ? jobs::CERTAIN : jobs::LIKELY;
+    }
+    const bool silentAtOnce = task.watched && worker.repliedAt - task.startSentAt <= contactGap;
+    return silentAtOnce ? jobs::LIKELY : jobs::POSSIBLE;
+}
+
+Coordinator::GivenUp Coordinator::countCrash(const WorkerState &worker, jobs::CrashSign sign,
+                                             Instant now)
 {
     const std::vector<std::pair<TaskRef, Job *>> causes = this->causesOfCrash(worker);
     const std::size_t enough = causes.size() == 1 ? crashesToGiveUpAlone : crashesToGiveUp;
-    JobSet toGiveUp;
+    const auto since = [&](Instant at) {
+        return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
+    };
+    GivenUp toGiveUp;
     for (const auto &[ref, job] : causes) {
-        const std::uint32_t run = job->task(ref)->run;
-        std::vector<std::uint32_t> &crashed = countedTask(*job, ref).crashedRuns;
-        if (job->closed() || std::find(crashed.begin(), crashed.end(), run) != crashed.end()) {
+        const Task &task = *job->task(ref);
+        std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
+        const bool isCounted =
+            std::any_of(crashed.begin(), crashed.end(),
+                        [&](const CrashedRun &crash) { return crash.run == task.run; });
+        if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(run);
+        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
+                                     worker.entry.id.value(), this->epoch});
         this->markDirty(*job, countedRef(*job, ref));
         const bool givenUp = crashed.size() >= enough;
-        this->observer.crashCounted(ref, run, worker.entry.id, crashed.size(), givenUp);
+        this->observer.crashCounted(CountedCrash{
+            ref, crashed.back(), causes.size(), crashed.size(), task.startTaken, task.listed,
+            since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
-            toGiveUp.insert(job);
+            toGiveUp.emplace_back(job, countedRef(*job, ref));
         }
     }
     return toGiveUp;
 }
 
-void Coordinator::giveUp(const JobSet &toGiveUp, Instant now)
+void Coordinator::connectionClosed(const WorkerId &id, Instant now)
+{
+    if (WorkerState *worker = this->findWorker(id)) {
+        worker->noteClosed(now);
+    }
+}
+
+void Coordinator::giveUp(const GivenUp &tasks, Instant now)
 {
-    for (Job *job : toGiveUp) {
+    for (const auto &[job, ref] : tasks) {
         if (!job->closed()) {
-            this->closeJob(*job, Job::State::FAILED, now);
+            this->failJob(*job, JobEndReason::WorkersCrashed, ref, now);
         }
     }
 }
@@ -98,7 +136,7 @@
         return;
     }
     task.harmless = true;
-    std::vector<std::uint32_t> &crashed = countedTask(job, ref).crashedRuns;
+    std::vector<CrashedRun> &crashed = countedTask(job, ref).crashedRuns;
     if (!crashed.empty()) {
         crashed.clear();
         worker.suspects.erase(ref);
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -43,7 +43,7 @@
         this->unplaced.insert(&job);
     }
     if (run.complete() && job.allDone()) {
-        this->closeJob(job, Job::State::COMPLETED, now);
+        this->closeJob(job, Job::State::COMPLETED, JobEnd{JobEndReason::AllDone, {}, {}, {}}, now);
     }
 }
 
@@ -67,7 +67,7 @@
     const bool attemptsUsedUp = this->countFailure(job, ref, task.run);
     this->returnTask(job, ref, task, RunOutcome::Failed, now);
     if (attemptsUsedUp) {
-        this->closeJob(job, Job::State::FAILED, now);
+        this->failJob(job, JobEndReason::AttemptsUsedUp, ref, now);
     }
 }
 
@@ -114,7 +114,14 @@
     }
 }
 
-void Coordinator::closeJob(Job &job, Job::State state, Instant now)
+void Coordinator::failJob(Job &job, JobEndReason reason, const TaskRef &ref, Instant now)
+{
+    const Task &counted = this->countedTask(job, ref);
+    const JobEnd end{reason, countedRef(job, ref), counted.failedRuns, counted.crashedRuns};
+    this->closeJob(job, Job::State::FAILED, end, now);
+}
+
+void Coordinator::closeJob(Job &job, Job::State state, const JobEnd &end, Instant now)
 {
     job.state = state;
     job.closedAt = now;
@@ -122,7 +129,7 @@
     this->unplaced.erase(&job);
     this->publishState(job);
     this->markDirty(job);
-    this->observer.jobFinished(job);
+    this->observer.jobFinished(job, end);
     if (state != Job::State::COMPLETED) {
         this->stopAll(job, now);
     }
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -81,6 +81,7 @@
         order.ticket = *ticket;
     }
     worker->noteLeaseEnd(order.leaseEndMs);
+    task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
 
@@ -136,6 +137,10 @@
         return;
     }
     open.inFlight = false;
+    if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent &&
+        outcome != OrderOutcome::OtherIncarnation) {
+        worker->noteReply(now);
+    }
     switch (outcome) {
     case OrderOutcome::Accepted:
         task->phase = TaskPhase::Running;
@@ -179,7 +184,7 @@
         this->abandonStart(*job, ref, *task, now);
     }
     if (outcome == OrderOutcome::OtherIncarnation) {
-        this->giveUp(this->countCrash(*worker), now);
+        this->giveUp(this->countCrash(*worker, jobs::OTHER_INCARNATION, now), now);
     }
 }
 
@@ -321,7 +326,8 @@
     open.retryAt = now + orderRetry;
     if (outcome == OrderOutcome::OtherIncarnation) {
         const WorkerState *worker = this->findWorker(id);
-        const JobSet toGiveUp = worker ? this->countCrash(*worker) : JobSet();
+        const GivenUp toGiveUp =
+            worker ? this->countCrash(*worker, jobs::OTHER_INCARNATION, now) : GivenUp();
         Job *job = this->table.find(ref.job);
         if (Task *task = job ? job->task(ref) : nullptr) {
             this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -541,6 +541,8 @@
     Task &task = run.tasks[index];
     task.phase = TaskPhase::Recording;
     task.startTaken = false;
+    task.startSentAt = Instant();
+    task.watched = false;
     task.startMayArriveLate = false;
     task.delayedRunLapses = Instant();
     task.listed = false;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -27,6 +27,23 @@
     message.mutable_runs()->Assign(runs.begin(), runs.end());
 }
 
+void addCrashes(jobs::StepProgress &message, std::uint32_t index,
+                const std::vector<CrashedRun> &crashes)
+{
+    jobs::TaskRuns &runs = *message.add_crashed();
+    runs.set_index(index);
+    for (const CrashedRun &crash : crashes) {
+        runs.add_runs(crash.run);
+        jobs::CrashedRun &detailed = *message.add_crashes();
+        detailed.set_index(index);
+        detailed.set_run(crash.run);
+        detailed.set_worker(crash.worker);
+        detailed.set_epoch(crash.epoch);
+        detailed.set_sign(crash.sign);
+        detailed.set_evidence(crash.evidence);
+    }
+}
+
 /** Returns the progress of the tasks from first to last, exclusive. */
 jobs::StepProgress progressOf(const StepRun &run, std::uint32_t first, std::uint32_t last)
 {
@@ -48,6 +65,7 @@
             placed.set_worker_born_ms(task.workerIncarnationStartMs);
             placed.set_placed_ms(task.placedMs);
             placed.set_confirmed(task.startTaken && !task.startMayArriveLate);
+            placed.set_watched(task.watched);
         }
         if (task.harmless && task.phase != TaskPhase::Done) {
             harmless.resize(done.size());
@@ -63,7 +81,7 @@
             addRuns(*message.add_failed(), index, task.failedRuns);
         }
         if (!task.crashedRuns.empty()) {
-            addRuns(*message.add_crashed(), index, task.crashedRuns);
+            addCrashes(message, index, task.crashedRuns);
         }
     }
     message.set_done(std::move(done));
@@ -323,6 +341,7 @@
             task.worker = placed.worker();
             task.workerIncarnationStartMs = placed.worker_born_ms();
             task.placedMs = placed.placed_ms();
+            task.watched = placed.watched();
             task.since = now;
             task.progressAt = now;
         }
@@ -338,9 +357,22 @@
         }
     }
     for (const jobs::TaskRuns &crashed : message.crashed()) {
-        if (crashed.index() < run.tasks.size()) {
-            run.tasks[crashed.index()].crashedRuns.assign(crashed.runs().begin(),
-                                                          crashed.runs().end());
+        for (const std::uint32_t number : crashed.runs()) {
+            if (crashed.index() < run.tasks.size()) {
+                run.tasks[crashed.index()].crashedRuns.emplace_back().run = number;
+            }
+        }
+    }
+    for (const jobs::CrashedRun &crash : message.crashes()) {
+        if (crash.index() >= run.tasks.size()) {
+            continue;
+        }
+        // A record of an earlier version has only the numbers of the runs.
+        for (CrashedRun &known : run.tasks[crash.index()].crashedRuns) {
+            if (known.run == crash.run()) {
+                known = CrashedRun{crash.run(), crash.evidence(), crash.sign(), crash.worker(),
+                                   crash.epoch()};
+            }
         }
     }
 }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -56,14 +56,23 @@
     Instant at;
 };
 
+/** A run under which a worker may have crashed. */
+struct CrashedRun
+{
+    std::uint32_t run = 0;
+    jobs::CrashEvidence evidence = jobs::POSSIBLE;
+    jobs::CrashSign sign = jobs::OTHER_INCARNATION;
+    std::string worker;      ///< Empty: counted by an earlier version.
+    std::uint64_t epoch = 0; ///< Of the coordinator that counted the crash.
+};
+
 /** One task of a step. */
 struct Task
 {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t run = 0;                 ///< Number of the newest start; 0 before the first.
     std::vector<std::uint32_t> failedRuns; ///< Run numbers of the failed attempts that count.
-    /** Run numbers under which a worker crashed and that may be the cause. */
-    std::vector<std::uint32_t> crashedRuns;
+    std::vector<CrashedRun> crashedRuns;   ///< Under which a worker crashed; each may be the cause.
     /** It has been at work for a while, so that it is not why workers crash that start it. */
     bool harmless = false;
     std::string worker; ///< Where it is placed; empty when not placed.
@@ -74,6 +83,9 @@
     std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it as running.
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
     bool startTaken = false;        ///< Its worker has taken the start of its newest run.
+    Instant startSentAt; ///< When this coordinator first sent that start; unset: it has not.
+    /** Its worker had just replied when that start was sent, and is asked often from then on. */
+    bool watched = false;
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
     Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -38,6 +38,8 @@
     ++this->incarnation;
     this->ends = EndNumbers();
     this->responded = false;
+    this->repliedAt = Instant();
+    this->closedAt = Instant();
     this->holdDue = now;
     this->earlierLeasesLapse = now;
     this->latestLeaseEndMs = 0;
@@ -60,6 +62,17 @@
     }
 }
 
+void WorkerState::noteReply(Instant now)
+{
+    this->repliedAt = now;
+    this->closedAt = Instant();
+}
+
+void WorkerState::noteClosed(Instant now)
+{
+    this->closedAt = this->closedAt == Instant() ? now : this->closedAt;
+}
+
 void WorkerState::sampleClock(std::int64_t clockMs, Instant receivedAt)
 {
     this->clockSampleMs = clockMs;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -135,6 +135,12 @@
      * incarnation may still carry it out. */
     void noteUnanswered(Instant sentAt, Instant now);
 
+    /** Records that its incarnation replied to an order. */
+    void noteReply(Instant now);
+
+    /** Records that it closed, reset or refused a connection. */
+    void noteClosed(Instant now);
+
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
@@ -192,6 +198,9 @@
     bool listed = true;     ///< The registry lists it.
     bool responded = false; ///< Its incarnation has replied under the current epoch.
     Instant lastSeenAt;
+    Instant repliedAt; ///< When its incarnation last replied to an order of any kind.
+    /** When it first closed or refused a connection after that; unset: it has not. */
+    Instant closedAt;
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
 
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -21,10 +21,9 @@
 class RecordingHost : public JobNodeHost
 {
 public:
-    void crashCounted(const TaskRef &, std::uint32_t, const WorkerId &, std::size_t, bool) override
-    {}
+    void crashCounted(const CountedCrash &) override {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
-    void jobFinished(const Job &) override {}
+    void jobFinished(const Job &, const JobEnd &) override {}
     void workerEjected(const WorkerId &, Duration) override {}
     void workerRestarted(const WorkerState &, std::int64_t) override {}
     void orderFenced(const WorkerId &) override {}
