--- a/tests/jobs/coordinatorworld.h
+++ b/tests/jobs/coordinatorworld.h
@@ -51,7 +51,8 @@
     }
 
     /** Adds the record of a former coordinator that has placed the job's task on the worker. */
-    void placedBefore(const JobId &id, const WorkerId &worker, bool confirmed, std::int64_t at)
+    void placedBefore(const JobId &id, const WorkerId &worker, bool confirmed, std::int64_t at,
+                      std::int64_t placedMs = 0)
     {
         jobs::JobProgress progress;
         progress.set_state(jobs::RUNNING);
@@ -59,6 +60,7 @@
         step.add_runs(1);
         step.add_placed()->set_worker(worker.value());
         step.mutable_placed(0)->set_confirmed(confirmed);
+        step.mutable_placed(0)->set_placed_ms(placedMs);
         Job *job = nullptr;
         this->table.apply(
             record(JobTable::progressKey(id), progress.SerializeAsString(), ++this->offset),
