Close a job for crashes only on what certainly happened to its tasks

Callers saw jobs as failed though no task of them had failed so often (LOST). Cause: a run counted as crashed under if its start had no reply, or if nobody had seen how it ended, and its worker was replaced; four such counts closed the job for good. On a path that is cut for 1.4 s each loss counts for some 4 to 20 tasks.

Now the counts are kept apart by their evidence. Any count makes a task a suspect, places it apart and bounds its starts; only two certain crashes, or three that are certain or likely, close the job. From the second count on starts are watched: they go to a worker that has replied in the last 100 ms and is asked ten times a second afterwards, so the next crash shows more than a possible one. A task with five counts and no such evidence is held back for 15 s, doubling, and stays open.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -147,12 +147,29 @@
      * time is added. */
     static constexpr Duration stallTime{2500};
 
-    /** Crashes of workers under a task after which its job fails, if it was the only one that may
-     * have been the cause of the last. */
+    /** Crashes of workers counted under a task after which its job may fail, if it was the only
+     * one that may have been the cause of the last. */
     static constexpr std::size_t crashesToGiveUpAlone = 3;
-    /** The same beside others; the platform allows two starts after the third crash, the second of
-     * which is left for a crash that a former coordinator has not recorded. */
+    /** The same beside others. */
     static constexpr std::size_t crashesToGiveUp = 4;
+    /** Of these, the certain ones without which no job fails. */
+    static constexpr std::size_t certainCrashesToGiveUp = 2;
+    /** Or the certain and likely ones. */
+    static constexpr std::size_t likelyCrashesToGiveUp = 3;
+    /** Crashes counted under a task from which its starts are watched: sent to a worker that has
+     * just replied and that is asked often afterwards, so that the next crash is more than
+     * possible. */
+    static constexpr std::size_t crashesToWatch = 2;
+    /** Greatest age of a worker's reply when a watched start is sent to it. */
+    static constexpr Duration watchedReplyAge{100};
+    /** Longest wait of the holds of a worker with a watched start. */
+    static constexpr Duration watchedHoldWait{100};
+    /** Crashes counted under a task from which it is held back before each start; the platform
+     * allows two starts after the third crash. */
+    static constexpr std::size_t crashesToHoldBack = 5;
+    /** Time for which it is held back; doubles with each further crash. */
+    static constexpr Duration firstHoldBack{15000};
+    static constexpr Duration longestHoldBack{120000};
     /** Time that a run has been at work from which its task is not taken for the cause of crashes.
      */
     static constexpr Duration harmlessAge{5000};
@@ -411,6 +428,12 @@
     /** Returns what tells that the worker crashed while the task's run was at work. */
     static jobs::CrashEvidence evidenceOf(const WorkerState &worker, const Task &task,
                                           jobs::CrashSign sign);
+    /** Returns whether what is known of the crashes is enough to give the task up. */
+    static bool isCause(const std::vector<CrashedRun> &crashes, std::size_t enough);
+    /** Returns until when the waiting task is held back after crashes. */
+    static Instant heldBackUntil(const Job &job, const TaskRef &ref, const Task &task);
+    /** Returns whether the worker has a watched start, or waits for one. */
+    static bool isWatched(const WorkerState &worker, Instant now);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
      * to be given up. */
     GivenUp countCrash(const WorkerState &worker, jobs::CrashSign sign, Instant now);
@@ -420,6 +443,9 @@
      * as far as workers can take them. */
     void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
                        PlacementRequest request, Instant now);
+    /** Returns whether the waiting task may be placed: no earlier run of it may be running, and it
+     * is not held back after crashes. */
+    bool mayPlace(const Job &job, const StepRun &run, std::uint32_t index, Instant now) const;
     /** Takes the task for harmless, and discards its crashes, once its run has been at work for
      * harmlessAge. */
     void noteAtWork(WorkerState &worker, Job &job, const TaskRef &ref, Task &task, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -81,6 +81,40 @@
     return silentAtOnce ? jobs::LIKELY : jobs::POSSIBLE;
 }
 
+bool Coordinator::isCause(const std::vector<CrashedRun> &crashes, std::size_t enough)
+{
+    const auto count = [&](jobs::CrashEvidence least) {
+        return static_cast<std::size_t>(
+            std::count_if(crashes.begin(), crashes.end(),
+                          [&](const CrashedRun &crash) { return crash.evidence >= least; }));
+    };
+    return crashes.size() >= enough && (count(jobs::CERTAIN) >= certainCrashesToGiveUp ||
+                                        count(jobs::LIKELY) >= likelyCrashesToGiveUp);
+}
+
+Instant Coordinator::heldBackUntil(const Job &job, const TaskRef &ref, const Task &task)
+{
+    const std::size_t crashes = job.crashesUnder(ref);
+    if (crashes < crashesToHoldBack) {
+        return Instant();
+    }
+    Duration length = firstHoldBack;
+    for (std::size_t more = crashesToHoldBack; more < crashes && length < longestHoldBack; ++more) {
+        length = std::min(length * 2, longestHoldBack);
+    }
+    return task.since + length;
+}
+
+bool Coordinator::isWatched(const WorkerState &worker, Instant now)
+{
+    return std::any_of(worker.suspects.begin(), worker.suspects.end(), [&](const TaskRef &ref) {
+        Job &job = *worker.tasks.at(ref);
+        const Task &task = *job.task(ref);
+        return job.crashesUnder(ref) >= crashesToWatch &&
+               (task.startSentAt == Instant() || now - task.startSentAt < crashDelay);
+    });
+}
+
 Coordinator::GivenUp Coordinator::countCrash(const WorkerState &worker, jobs::CrashSign sign,
                                              Instant now)
 {
@@ -102,7 +136,7 @@
         crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
                                      worker.entry.id.value(), this->epoch});
         this->markDirty(*job, countedRef(*job, ref));
-        const bool givenUp = crashed.size() >= enough;
+        const bool givenUp = isCause(crashed, enough);
         this->observer.crashCounted(CountedCrash{
             ref, crashed.back(), causes.size(), crashed.size(), task.startTaken, task.listed,
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
@@ -144,6 +178,13 @@
     }
 }
 
+bool Coordinator::mayPlace(const Job &job, const StepRun &run, std::uint32_t index,
+                           Instant now) const
+{
+    const TaskRef ref{job.id(), run.occurrence, run.step, index};
+    return !this->hasOrphanRun(ref, now) && now >= heldBackUntil(job, ref, run.tasks[index]);
+}
+
 void Coordinator::placeSuspects(Job &job, StepRun &run,
                                 const std::vector<WorkerState *> &candidates,
                                 PlacementRequest request, Instant now)
@@ -152,7 +193,7 @@
         Task &task = run.tasks[index];
         request.crashes = task.crashedRuns.size();
         if (request.crashes == 0 || task.phase != TaskPhase::Waiting ||
-            this->hasOrphanRun(TaskRef{job.id(), run.occurrence, run.step, index}, now)) {
+            !this->mayPlace(job, run, index, now)) {
             continue;
         }
         if (WorkerState *worker = this->policy.choose(candidates, request, now)) {
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -62,7 +62,9 @@
         this->abandonStart(job, ref, task, now);
         return;
     }
-    if (worker->ordersInFlight >= ordersPerWorker) {
+    const bool watched = job.crashesUnder(ref) >= crashesToWatch;
+    const bool waitsForReply = watched && now - worker->repliedAt > watchedReplyAge;
+    if (worker->ordersInFlight >= ordersPerWorker || waitsForReply) {
         open.retryAt = now;
         return;
     }
@@ -81,7 +83,10 @@
         order.ticket = *ticket;
     }
     worker->noteLeaseEnd(order.leaseEndMs);
-    task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
+    if (task.startSentAt == Instant()) {
+        task.startSentAt = now;
+        task.watched = watched;
+    }
     this->orders.start(std::move(order));
 }
 
@@ -357,7 +362,10 @@
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = ends.applied == ends.acknowledged;
         const bool shared = worker.bestEffortMilliCores > 0 && worker.reserved.milliCores > 0;
-        order.wait = !settled ? Duration(0) : shared ? sharedHoldWait : holdWait;
+        const Duration wait = shared ? sharedHoldWait : holdWait;
+        order.wait = !settled                 ? Duration(0)
+                     : isWatched(worker, now) ? std::min(wait, watchedHoldWait)
+                                              : wait;
     }
     const bool forAnyIncarnation = order.leaseEndMs == 0 && order.acknowledged == 0;
     order.target = forAnyIncarnation ? this->targetOf(worker) : this->targetOfIncarnation(worker);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -326,7 +326,7 @@
         if (run.tasks[index].phase != TaskPhase::Waiting) {
             continue;
         }
-        if (this->hasOrphanRun(TaskRef{job.id(), run.occurrence, run.step, index}, now)) {
+        if (!this->mayPlace(job, run, index, now)) {
             continue;
         }
         if (step.long_running() && run.tasks[index].run == 0) {
@@ -463,11 +463,8 @@
 
 void Coordinator::planTogether(Job &job, StepRun &run, Instant now)
 {
-    const auto orphaned = [&](std::uint32_t index) {
-        return this->hasOrphanRun(TaskRef{job.id(), run.occurrence, run.step, index}, now);
-    };
     for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
-        if (run.tasks[index].phase != TaskPhase::Waiting || orphaned(index)) {
+        if (run.tasks[index].phase != TaskPhase::Waiting || !this->mayPlace(job, run, index, now)) {
             return;
         }
     }
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -359,7 +359,10 @@
     for (const jobs::TaskRuns &crashed : message.crashed()) {
         for (const std::uint32_t number : crashed.runs()) {
             if (crashed.index() < run.tasks.size()) {
-                run.tasks[crashed.index()].crashedRuns.emplace_back().run = number;
+                Task &task = run.tasks[crashed.index()];
+                task.crashedRuns.emplace_back().run = number;
+                // It may be held back from now on.
+                task.since = now;
             }
         }
     }
