Take silence for a cut, not for a crash, once the worker replies again

Cause: a worker that was cut off until its leases lapsed counted as crashed, for good; and a new coordinator counted each worker that it had not heard of when the leases of the former one lapsed, after an outage of the store as long as the leases at its first tick, before it had sent a single order.

Now such a count is withdrawn when the same incarnation replies again, also to a successor, as the record names the incarnation; and silence counts from the takeover at the earliest. Like all that rests on silence alone it closes no job.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -654,6 +654,15 @@
              {"since_closed_ms", milliseconds(counted.sinceClosed)}});
 }
 
+void EntryInstance::crashWithdrawn(const TaskRef &task, std::uint32_t run, const WorkerId &worker)
+{
+    this->metrics.count("godwitfall_crashes_withdrawn_total");
+    logLine(LogLevel::Info, "crash_withdrawn",
+            {{"task", platform::taskName(task)},
+             {"run", std::to_string(run)},
+             {"worker", worker.value()}});
+}
+
 void EntryInstance::taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                                  RunOutcome outcome)
 {
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -55,6 +55,7 @@
     };
 
     void crashCounted(const CountedCrash &counted) override;
+    void crashWithdrawn(const TaskRef &task, std::uint32_t run, const WorkerId &worker) override;
     void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                       RunOutcome outcome) override;
     void jobFinished(const Job &job, const JobEnd &end) override;
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -49,6 +49,7 @@
 {
     this->end();
     this->unixMs = newUnixMs;
+    this->begunAt = now;
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
     this->interference.restore(this->table.pressures());
@@ -97,6 +98,7 @@
     this->starts.clear();
     this->stops.clear();
     this->orphans.clear();
+    this->silentCrashes.clear();
     this->unansweredOfUnlisted.clear();
     this->advice.clear();
     this->dirty.clear();
@@ -136,6 +138,11 @@
                 this->unansweredOfUnlisted[start.worker].push_back(
                     UnansweredStart{ref, start.run, now, 0});
             }
+            for (const CrashedRun &crash : task.crashedRuns) {
+                if (crash.sign == jobs::LEASES_LAPSED) {
+                    this->silentCrashes[crash.worker].push_back(ref);
+                }
+            }
             if (task.worker.empty()) {
                 continue;
             }
@@ -356,6 +363,7 @@
     }
     EndNumbers &ends = worker->ends;
     ends.discarded = std::max(ends.discarded, std::exchange(ends.discarding, 0));
+    this->withdrawCrashes(*worker);
     const bool first = !worker->responded;
     worker->responded = true;
     worker->lastSeenAt = now;
@@ -603,9 +611,10 @@
     if (worker.tasks.empty() || now <= worker.lapsesAt(this->bounds)) {
         return;
     }
-    // A worker that left as announced, was cut off with its zone, or replies has not crashed.
+    // A worker that left as announced, was cut off with its zone, replies, or has not been asked
+    // for long enough has not crashed.
     const bool crashed = !worker.entry.draining && !worker.zoneUnresponsive &&
-                         now - worker.lastSeenAt > renewalTimeout;
+                         now - std::max(worker.lastSeenAt, this->begunAt) > renewalTimeout;
     const GivenUp toGiveUp =
         crashed ? this->countCrash(worker, jobs::LEASES_LAPSED, now) : GivenUp();
     const std::map<TaskRef, Job *> placed = worker.tasks;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -81,6 +81,9 @@
     virtual ~CoordinatorObserver() = default;
     /** A worker crashed, and the run is one of those that may be the cause. */
     virtual void crashCounted(const CountedCrash &counted) = 0;
+    /** The worker on which the run was counted as crashed under has not crashed: the same
+     * incarnation replied again. */
+    virtual void crashWithdrawn(const TaskRef &task, std::uint32_t run, const WorkerId &worker) = 0;
     /** A run ended without completing its task, which may be placed again. */
     virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                               RunOutcome outcome) = 0;
@@ -437,6 +440,9 @@
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
      * to be given up. */
     GivenUp countCrash(const WorkerState &worker, jobs::CrashSign sign, Instant now);
+    /** Discards the crashes that were counted as the worker was silent: it replies, as the same
+     * incarnation. */
+    void withdrawCrashes(const WorkerState &worker);
     /** Closes the jobs as failed. */
     void giveUp(const GivenUp &tasks, Instant now);
     /** Places the waiting tasks of the step under which workers have crashed, apart from others,
@@ -557,6 +563,7 @@
     JobConfig config;
 
     std::uint64_t epoch = 0;
+    Instant begunAt; ///< When this coordinator took over.
     Instant formerLeasesLapse;
     std::int64_t unixMs = 0;
     Workers workers;
@@ -572,6 +579,8 @@
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
     std::map<std::pair<TaskRef, std::string>, OrphanRun> orphans;
+    /** Tasks for which a crash was counted as their worker was silent, by worker. */
+    std::map<std::string, std::vector<TaskRef>> silentCrashes;
     /** Starts without a reply on workers that are not listed, by worker. */
     std::map<std::string, std::vector<UnansweredStart>> unansweredOfUnlisted;
     JobSet dirty;                      ///< Jobs whose progress the next batch records.
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -134,7 +134,11 @@
             continue;
         }
         crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
-                                     worker.entry.id.value(), this->epoch});
+                                     worker.entry.id.value(), this->epoch,
+                                     worker.entry.incarnationStartMs});
+        if (sign == jobs::LEASES_LAPSED) {
+            this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
+        }
         this->markDirty(*job, countedRef(*job, ref));
         const bool givenUp = isCause(crashed, enough);
         this->observer.crashCounted(CountedCrash{
@@ -147,6 +151,32 @@
     return toGiveUp;
 }
 
+void Coordinator::withdrawCrashes(const WorkerState &worker)
+{
+    const auto silent = this->silentCrashes.extract(worker.entry.id.value());
+    if (!silent) {
+        return;
+    }
+    const auto isWithdrawn = [&](const CrashedRun &crash) {
+        return crash.sign == jobs::LEASES_LAPSED && crash.worker == worker.entry.id.value() &&
+               crash.incarnationStartMs == worker.entry.incarnationStartMs;
+    };
+    for (const TaskRef &ref : silent.mapped()) {
+        Job *job = this->table.find(ref.job);
+        Task *task = job ? job->task(ref) : nullptr;
+        if (!task || job->closed()) {
+            continue;
+        }
+        for (const CrashedRun &crash : task->crashedRuns) {
+            if (isWithdrawn(crash)) {
+                this->markDirty(*job, ref);
+                this->observer.crashWithdrawn(ref, crash.run, worker.entry.id);
+            }
+        }
+        std::erase_if(task->crashedRuns, isWithdrawn);
+    }
+}
+
 void Coordinator::connectionClosed(const WorkerId &id, Instant now)
 {
     if (WorkerState *worker = this->findWorker(id)) {
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -41,6 +41,7 @@
         detailed.set_epoch(crash.epoch);
         detailed.set_sign(crash.sign);
         detailed.set_evidence(crash.evidence);
+        detailed.set_worker_born_ms(crash.incarnationStartMs);
     }
 }
 
@@ -373,8 +374,8 @@
         // A record of an earlier version has only the numbers of the runs.
         for (CrashedRun &known : run.tasks[crash.index()].crashedRuns) {
             if (known.run == crash.run()) {
-                known = CrashedRun{crash.run(), crash.evidence(), crash.sign(), crash.worker(),
-                                   crash.epoch()};
+                known = CrashedRun{crash.run(),    crash.evidence(), crash.sign(),
+                                   crash.worker(), crash.epoch(),    crash.worker_born_ms()};
             }
         }
     }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -62,8 +62,9 @@
     std::uint32_t run = 0;
     jobs::CrashEvidence evidence = jobs::POSSIBLE;
     jobs::CrashSign sign = jobs::OTHER_INCARNATION;
-    std::string worker;      ///< Empty: counted by an earlier version.
-    std::uint64_t epoch = 0; ///< Of the coordinator that counted the crash.
+    std::string worker;                  ///< Empty: counted by an earlier version.
+    std::uint64_t epoch = 0;             ///< Of the coordinator that counted the crash.
+    std::int64_t incarnationStartMs = 0; ///< Of the worker, since 1970; 0: not known.
 };
 
 /** One task of a step. */
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -22,6 +22,7 @@
 {
 public:
     void crashCounted(const CountedCrash &) override {}
+    void crashWithdrawn(const TaskRef &, std::uint32_t, const WorkerId &) override {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
     void jobFinished(const Job &, const JobEnd &) override {}
     void workerEjected(const WorkerId &, Duration) override {}
