Close no job whose tasks last for crashes of workers

Users saw tasks that last and run no more: their job had been closed as failed as workers had crashed under them, or were taken to have, and closing a job stops its tasks. A task that lasts has to be started again however its runs end, and has no limit of attempts. Now it is never given up; once two certain crashes, or three likely ones, are counted among three it is held back for 15 s, doubling up to 120 s, before each start, so that it does not take down worker after worker. task_delayed names this as held_back.

--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -94,12 +94,15 @@
 
 Instant Coordinator::heldBackUntil(const Job &job, const TaskRef &ref, const Task &task)
 {
-    const std::size_t crashes = job.crashesUnder(ref);
-    if (crashes < crashesToHoldBack) {
+    const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
+    // A task that lasts has to run again however its runs end, and is only held back as the cause.
+    const bool lasts = job.stepSpec(ref.step).long_running();
+    const std::size_t least = lasts ? crashesToGiveUpAlone : crashesToHoldBack;
+    if (crashes.size() < least || (lasts && !isCause(crashes, least))) {
         return Instant();
     }
     Duration length = firstHoldBack;
-    for (std::size_t more = crashesToHoldBack; more < crashes && length < longestHoldBack; ++more) {
+    for (std::size_t more = least; more < crashes.size() && length < longestHoldBack; ++more) {
         length = std::min(length * 2, longestHoldBack);
     }
     return task.since + length;
@@ -140,7 +143,8 @@
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
         this->markDirty(*job, countedRef(*job, ref));
-        const bool givenUp = isCause(crashed, enough);
+        const bool lasts = job->stepSpec(ref.step).long_running();
+        const bool givenUp = !lasts && isCause(crashed, enough);
         this->observer.crashCounted(CountedCrash{
             ref, crashed.back(), causes.size(), crashed.size(), task.startTaken, task.listed,
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::array<const char *, workKinds> kindNames = {"plain", "serving", "filling"};
 constexpr std::array<const char *, delayReasonCount> reasonNames = {
-    "former_lease", "delayed_start", "lease",       "start",
-    "stop",         "orphan_run",    "short_lived", "no_worker"};
+    "former_lease", "delayed_start", "lease",     "start",    "stop",
+    "orphan_run",   "short_lived",   "held_back", "no_worker"};
 
 WorkKind kindOf(const jobs::StepSpec &step)
 {
@@ -113,6 +113,9 @@
     if (this->hasOrphanRun(ref, now)) {
         return DelayReason::OrphanRun;
     }
+    if (const auto job = this->table.find(ref.job); job && now < heldBackUntil(*job, ref, task)) {
+        return DelayReason::HeldBack;
+    }
     const bool yields = task.run == 0 && wait && wait->yields;
     return yields ? DelayReason::ShortLivedFirst : DelayReason::NoWorker;
 }
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -39,10 +39,11 @@
     Stop,            ///< The order that stops its last run is not confirmed.
     OrphanRun,       ///< A worker may still run it, though no record places it there.
     ShortLivedFirst, ///< Short-lived tasks take precedence.
+    HeldBack,        ///< Workers have crashed under it.
     NoWorker,        ///< No worker can take it.
 };
 
-constexpr std::size_t delayReasonCount = 8;
+constexpr std::size_t delayReasonCount = 9;
 
 /** Returns the reason's name in logs and metrics. */
 const char *toText(DelayReason reason);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -181,11 +181,12 @@
     return &found->second.tasks[ref.index];
 }
 
-std::size_t Job::crashesUnder(const TaskRef &ref) const
+const std::vector<CrashedRun> &Job::crashesOf(const TaskRef &ref) const
 {
+    static const std::vector<CrashedRun> none;
     const StepRun *run = this->findStepRun(ref.occurrence, ref.step);
     const std::uint32_t counted = this->stepSpec(ref.step).gang() ? 0 : ref.index;
-    return run && counted < run->tasks.size() ? run->tasks[counted].crashedRuns.size() : 0;
+    return run && counted < run->tasks.size() ? run->tasks[counted].crashedRuns : none;
 }
 
 bool Job::dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -183,8 +183,12 @@
         return this->runs;
     }
 
-    /** Returns how many workers have crashed under the task, or under its gang. */
-    std::size_t crashesUnder(const TaskRef &ref) const;
+    /** Returns the crashes of workers that are counted under the task, or under its gang; the
+     * reference is valid until the next change. */
+    const std::vector<CrashedRun> &crashesOf(const TaskRef &ref) const;
+
+    /** Returns how many workers may have crashed under the task, or under its gang. */
+    std::size_t crashesUnder(const TaskRef &ref) const { return this->crashesOf(ref).size(); }
 
     /** Returns whether all steps that the step depends on are done. */
     bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
