Close no job on silence alone, and keep what closes it across takeovers

Silence now watches and holds back, and closes a job only beside two closed connections; - closed connections told nothing if the leases lapsed before another incarnation replied, or if the crash came more than a second after the start; - the record did not say that a start was watched before it was taken, and an adopted watch counted for a loss that came long after the worker had replied to the successor. The record now says so when the task is placed, and also what the worker's closing of its connections told; - the reply to a start that was processed after the end of the hold discarded the closing; - hold-backs began anew with each returned start and with each takeover, and possible crashes doubled those of tasks that last. They now count from the newest crash, whose time is recorded; the first one is 10 s, so that an innocent task runs before the platform asks for its end, and 60 s for a task under which three crashes are more than possible.

Tests that changed: the simulated workers of test_crashes now reset their connections when they crash, as a process does; silence alone closes no job any more.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -238,6 +238,7 @@
         worker->holdDue = now;
     }
     const std::int64_t previousStartMs = worker->entry.incarnationStartMs;
+    worker->wasDraining = worker->entry.draining;
     worker->entry = entry;
     worker->listed = true;
     this->poolsStale = true;
@@ -367,7 +368,7 @@
     const bool first = !worker->responded;
     worker->responded = true;
     worker->lastSeenAt = now;
-    worker->noteReply(now);
+    this->noteReply(*worker, sentAt, now);
     this->zones.responded(worker->entry.zone, now);
     worker->sampleClock(report.clockMs, now);
     if (first) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -155,10 +155,12 @@
     static constexpr std::size_t crashesToGiveUpAlone = 3;
     /** The same beside others. */
     static constexpr std::size_t crashesToGiveUp = 4;
-    /** Of these, the certain ones without which no job fails. */
+    /** Of these, those without which no job fails: as many certain ones, */
     static constexpr std::size_t certainCrashesToGiveUp = 2;
-    /** Or the certain and likely ones. */
-    static constexpr std::size_t likelyCrashesToGiveUp = 3;
+    /** or as many that are likely at least, */
+    static constexpr std::size_t likelyCrashesToGiveUp = 2;
+    /** among as many that are more than possible. */
+    static constexpr std::size_t silentCrashesToGiveUp = 3;
     /** Crashes counted under a task from which its starts are watched: sent to a worker that has
      * just replied and that is asked often afterwards, so that the next crash is more than
      * possible. */
@@ -170,8 +172,11 @@
     /** Crashes counted under a task from which it is held back before each start; the platform
      * allows two starts after the third crash. */
     static constexpr std::size_t crashesToHoldBack = 5;
-    /** Time for which it is held back; doubles with each further crash. */
-    static constexpr Duration firstHoldBack{15000};
+    /** Time for which it is held back; doubles with each further crash. Leaves an innocent task
+     * time to run before the platform asks for its end. */
+    static constexpr Duration firstHoldBack{10000};
+    /** The same of a task with silentCrashesToGiveUp crashes that are more than possible. */
+    static constexpr Duration firstHoldBackOfLikelyCause{60000};
     static constexpr Duration longestHoldBack{120000};
     /** Time that a run has been at work from which its task is not taken for the cause of crashes.
      */
@@ -181,9 +186,9 @@
     static constexpr Duration adoptedHarmlessAge{20000};
     /** Longest time from the start of a task until its worker crashes for it. */
     static constexpr Duration crashDelay{1000};
-    /** Time without a reply after which it is not known whether a worker was reachable; above a
-     * round trip and the wait of the holds of a worker that is asked often. */
-    static constexpr Duration contactGap{300};
+    /** Time without a reply after which it is not known whether a worker was reachable; above
+     * watchedHoldWait with a round trip, and unresponsiveHoldGap. */
+    static constexpr Duration contactGap{400};
 
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
@@ -290,6 +295,7 @@
         std::uint64_t number = 0; ///< Rises with each start that is opened.
         unsigned priority = 0;
         unsigned tries = 0;
+        Instant sentAt;          ///< Of the newest try.
         bool unanswered = false; ///< Some try had no reply and may still be carried out.
         bool inFlight = false;
         bool acknowledged = false;
@@ -431,10 +437,19 @@
     /** Returns what tells that the worker crashed while the task's run was at work. */
     static jobs::CrashEvidence evidenceOf(const WorkerState &worker, const Task &task,
                                           jobs::CrashSign sign);
+    /** Returns what the worker's closing of its connections tells of the task's run. */
+    static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
+    /** Notes that the worker replied to an order that was sent at the time. */
+    void noteReply(WorkerState &worker, Instant sentAt, Instant now);
+    /** Has the records of watched runs say what the worker's closing of connections tells; nothing
+     * if it replies again. */
+    void setClosing(WorkerState &worker, bool replies);
+    /** Counts the crashes with at least the evidence. */
+    static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
     /** Returns whether what is known of the crashes is enough to give the task up. */
     static bool isCause(const std::vector<CrashedRun> &crashes, std::size_t enough);
-    /** Returns until when the waiting task is held back after crashes. */
-    static Instant heldBackUntil(const Job &job, const TaskRef &ref, const Task &task);
+    /** Returns whether the waiting task is held back after crashes. */
+    bool isHeldBack(const Job &job, const TaskRef &ref) const;
     /** Returns whether the worker has a watched start, or waits for one. */
     static bool isWatched(const WorkerState &worker, Instant now);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -60,52 +60,105 @@
     return begun;
 }
 
+jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
+{
+    // A process that crashes closes its connections; on a path that is cut they stay silent. A run
+    // that had ended before would have been reported, as the worker replied until then.
+    const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
+                        worker.closedAt - worker.repliedAt <= contactGap;
+    if (closed && task.startTaken) {
+        return jobs::CERTAIN;
+    }
+    const bool justSent =
+        task.startSentAt != Instant() && worker.closedAt - task.startSentAt <= crashDelay;
+    return closed && justSent ? jobs::LIKELY : jobs::POSSIBLE;
+}
+
 jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
                                             jobs::CrashSign sign)
 {
-    if (sign != jobs::OTHER_INCARNATION || worker.entry.draining) {
+    if (worker.entry.draining || worker.wasDraining) {
         return jobs::POSSIBLE;
     }
-    if (task.startSentAt == Instant()) {
-        // A former coordinator sent the start.
-        return task.watched && task.startTaken ? jobs::LIKELY : jobs::POSSIBLE;
+    const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
+    if (closing != jobs::POSSIBLE) {
+        return closing;
     }
-    // A process that crashes closes its connections; on a path that is cut they stay silent.
-    const bool closed = worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - task.startSentAt <= crashDelay &&
-                        worker.closedAt - worker.repliedAt <= contactGap;
-    if (closed) {
-        return task.startTaken ? jobs::CERTAIN : jobs::LIKELY;
+    const bool silent = task.startSentAt == Instant()
+                            ? task.phase == TaskPhase::Unconfirmed
+                            : worker.repliedAt - task.startSentAt <= contactGap;
+    return sign == jobs::OTHER_INCARNATION && task.watched && silent ? jobs::SILENT
+                                                                     : jobs::POSSIBLE;
+}
+
+void Coordinator::setClosing(WorkerState &worker, bool replies)
+{
+    for (const TaskRef &ref : worker.suspects) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        // What a former coordinator saw counts until a reply.
+        const jobs::CrashEvidence closing =
+            replies ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+        if (task.watched && task.closing != closing) {
+            task.closing = closing;
+            this->markDirty(job, ref);
+        }
+    }
+}
+
+void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
+{
+    worker.noteReply(sentAt, now);
+    if (worker.closedAt == Instant()) {
+        this->setClosing(worker, true);
     }
-    const bool silentAtOnce = task.watched && worker.repliedAt - task.startSentAt <= contactGap;
-    return silentAtOnce ? jobs::LIKELY : jobs::POSSIBLE;
+}
+
+std::size_t Coordinator::countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least)
+{
+    return static_cast<std::size_t>(
+        std::count_if(crashes.begin(), crashes.end(),
+                      [&](const CrashedRun &crash) { return crash.evidence >= least; }));
 }
 
 bool Coordinator::isCause(const std::vector<CrashedRun> &crashes, std::size_t enough)
 {
-    const auto count = [&](jobs::CrashEvidence least) {
-        return static_cast<std::size_t>(
-            std::count_if(crashes.begin(), crashes.end(),
-                          [&](const CrashedRun &crash) { return crash.evidence >= least; }));
-    };
-    return crashes.size() >= enough && (count(jobs::CERTAIN) >= certainCrashesToGiveUp ||
-                                        count(jobs::LIKELY) >= likelyCrashesToGiveUp);
+    // Silence alone closes no job: cuts and restarts may follow each other in step with the starts.
+    const bool certain = countOf(crashes, jobs::CERTAIN) >= certainCrashesToGiveUp;
+    const bool likely = countOf(crashes, jobs::LIKELY) >= likelyCrashesToGiveUp &&
+                        countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
+    return crashes.size() >= enough && (certain || likely);
 }
 
-Instant Coordinator::heldBackUntil(const Job &job, const TaskRef &ref, const Task &task)
+bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
-    // A task that lasts has to run again however its runs end, and is only held back as the cause.
-    const bool lasts = job.stepSpec(ref.step).long_running();
-    const std::size_t least = lasts ? crashesToGiveUpAlone : crashesToHoldBack;
-    if (crashes.size() < least || (lasts && !isCause(crashes, least))) {
-        return Instant();
-    }
     Duration length = firstHoldBack;
-    for (std::size_t more = least; more < crashes.size() && length < longestHoldBack; ++more) {
+    std::size_t doublings = 0;
+    if (job.stepSpec(ref.step).long_running()) {
+        // It has to run again however its runs end, and is only held back as the cause.
+        if (!isCause(crashes, crashesToGiveUpAlone)) {
+            return false;
+        }
+        doublings = countOf(crashes, jobs::LIKELY) - certainCrashesToGiveUp;
+    } else {
+        if (crashes.size() < crashesToHoldBack) {
+            return false;
+        }
+        const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
+        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
+        doublings = crashes.size() - crashesToHoldBack;
+    }
+    for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
     }
-    return task.since + length;
+    std::int64_t countedMs = 0;
+    for (const CrashedRun &crash : crashes) {
+        countedMs = std::max(countedMs, crash.countedMs);
+    }
+    // A clock that was set back does not prolong it by more than its length.
+    const std::int64_t left = countedMs + length.count() - this->unixMs;
+    return left > 0 && left <= 2 * length.count();
 }
 
 bool Coordinator::isWatched(const WorkerState &worker, Instant now)
@@ -114,7 +167,7 @@
         Job &job = *worker.tasks.at(ref);
         const Task &task = *job.task(ref);
         return job.crashesUnder(ref) >= crashesToWatch &&
-               (task.startSentAt == Instant() || now - task.startSentAt < crashDelay);
+               (task.startSentAt == Instant() || now - task.startSentAt < harmlessAge);
     });
 }
 
@@ -138,7 +191,7 @@
         }
         crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
                                      worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs});
+                                     worker.entry.incarnationStartMs, this->unixMs});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -185,6 +238,7 @@
 {
     if (WorkerState *worker = this->findWorker(id)) {
         worker->noteClosed(now);
+        this->setClosing(*worker, false);
     }
 }
 
@@ -216,7 +270,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && now >= heldBackUntil(job, ref, run.tasks[index]);
+    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -62,8 +62,8 @@
         this->abandonStart(job, ref, task, now);
         return;
     }
-    const bool watched = job.crashesUnder(ref) >= crashesToWatch;
-    const bool waitsForReply = watched && now - worker->repliedAt > watchedReplyAge;
+    const bool waitsForReply = task.watched && (worker->closedAt != Instant() ||
+                                                now - worker->repliedAt > watchedReplyAge);
     if (worker->ordersInFlight >= ordersPerWorker || waitsForReply) {
         open.retryAt = now;
         return;
@@ -83,10 +83,8 @@
         order.ticket = *ticket;
     }
     worker->noteLeaseEnd(order.leaseEndMs);
-    if (task.startSentAt == Instant()) {
-        task.startSentAt = now;
-        task.watched = watched;
-    }
+    open.sentAt = now;
+    task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
 
@@ -144,7 +142,7 @@
     open.inFlight = false;
     if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent &&
         outcome != OrderOutcome::OtherIncarnation) {
-        worker->noteReply(now);
+        this->noteReply(*worker, open.sentAt, now);
     }
     switch (outcome) {
     case OrderOutcome::Accepted:
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -539,7 +539,8 @@
     task.phase = TaskPhase::Recording;
     task.startTaken = false;
     task.startSentAt = Instant();
-    task.watched = false;
+    task.closing = jobs::POSSIBLE;
+    task.watched = job.crashesUnder(ref) >= crashesToWatch;
     task.startMayArriveLate = false;
     task.delayedRunLapses = Instant();
     task.listed = false;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -42,6 +42,7 @@
         detailed.set_sign(crash.sign);
         detailed.set_evidence(crash.evidence);
         detailed.set_worker_born_ms(crash.incarnationStartMs);
+        detailed.set_counted_ms(crash.countedMs);
     }
 }
 
@@ -67,6 +68,7 @@
             placed.set_placed_ms(task.placedMs);
             placed.set_confirmed(task.startTaken && !task.startMayArriveLate);
             placed.set_watched(task.watched);
+            placed.set_closing(task.closing);
         }
         if (task.harmless && task.phase != TaskPhase::Done) {
             harmless.resize(done.size());
@@ -344,6 +346,7 @@
             task.workerIncarnationStartMs = placed.worker_born_ms();
             task.placedMs = placed.placed_ms();
             task.watched = placed.watched();
+            task.closing = placed.closing();
             task.since = now;
             task.progressAt = now;
         }
@@ -361,10 +364,7 @@
     for (const jobs::TaskRuns &crashed : message.crashed()) {
         for (const std::uint32_t number : crashed.runs()) {
             if (crashed.index() < run.tasks.size()) {
-                Task &task = run.tasks[crashed.index()];
-                task.crashedRuns.emplace_back().run = number;
-                // It may be held back from now on.
-                task.since = now;
+                run.tasks[crashed.index()].crashedRuns.emplace_back().run = number;
             }
         }
     }
@@ -375,8 +375,9 @@
         // A record of an earlier version has only the numbers of the runs.
         for (CrashedRun &known : run.tasks[crash.index()].crashedRuns) {
             if (known.run == crash.run()) {
-                known = CrashedRun{crash.run(),    crash.evidence(), crash.sign(),
-                                   crash.worker(), crash.epoch(),    crash.worker_born_ms()};
+                known = CrashedRun{crash.run(),       crash.evidence(), crash.sign(),
+                                   crash.worker(),    crash.epoch(),    crash.worker_born_ms(),
+                                   crash.counted_ms()};
             }
         }
     }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -65,6 +65,7 @@
     std::string worker;                  ///< Empty: counted by an earlier version.
     std::uint64_t epoch = 0;             ///< Of the coordinator that counted the crash.
     std::int64_t incarnationStartMs = 0; ///< Of the worker, since 1970; 0: not known.
+    std::int64_t countedMs = 0;          ///< Since 1970; 0: not known.
 };
 
 /** One task of a step. */
@@ -85,8 +86,12 @@
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
     bool startTaken = false;        ///< Its worker has taken the start of its newest run.
     Instant startSentAt; ///< When this coordinator first sent that start; unset: it has not.
-    /** Its worker had just replied when that start was sent, and is asked often from then on. */
+    /** That start is only sent to a worker that has just replied, which is asked often from then
+     * on. */
     bool watched = false;
+    /** What the worker's closing of its connections tells of a watched run; recorded, as this
+     * coordinator may be lost before the next incarnation replies. */
+    jobs::CrashEvidence closing = jobs::POSSIBLE;
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
     Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -62,10 +62,13 @@
     }
 }
 
-void WorkerState::noteReply(Instant now)
+void WorkerState::noteReply(Instant sentAt, Instant now)
 {
     this->repliedAt = now;
-    this->closedAt = Instant();
+    // A reply that was on its way when the connection was closed tells nothing of the time after.
+    if (sentAt > this->closedAt) {
+        this->closedAt = Instant();
+    }
 }
 
 void WorkerState::noteClosed(Instant now)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -135,8 +135,8 @@
      * incarnation may still carry it out. */
     void noteUnanswered(Instant sentAt, Instant now);
 
-    /** Records that its incarnation replied to an order. */
-    void noteReply(Instant now);
+    /** Records that its incarnation replied to an order that was sent at the time. */
+    void noteReply(Instant sentAt, Instant now);
 
     /** Records that it closed, reset or refused a connection. */
     void noteClosed(Instant now);
@@ -199,8 +199,9 @@
     bool responded = false; ///< Its incarnation has replied under the current epoch.
     Instant lastSeenAt;
     Instant repliedAt; ///< When its incarnation last replied to an order of any kind.
-    /** When it first closed or refused a connection after that; unset: it has not. */
+    /** When it first closed or refused a connection; unset: it has replied to a later order. */
     Instant closedAt;
+    bool wasDraining = false;      ///< The entry before the newest one said so.
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
 
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -58,6 +58,12 @@
         }
     }
 
+    /** Tells the coordinator that the worker reset or refused a connection. */
+    void noteClosed(const WorkerId &worker)
+    {
+        this->node->coordination().connectionClosed(worker, Instant(this->simulation.nowMs));
+    }
+
     /** Delivers one order and its reply with the faults of the simulation. */
     void deliver(const OrderTarget &target, std::function<OrderOutcome(SimWorker &)> execute,
                  std::function<void(OrderOutcome)> answer)
@@ -69,6 +75,12 @@
                 answer(outcome);
             }
         };
+        const auto closed = [this, sentIncarnation, worker, reply](OrderOutcome outcome) {
+            if (sentIncarnation == this->incarnation && this->node) {
+                this->noteClosed(worker);
+            }
+            reply(outcome);
+        };
         const std::size_t index = std::stoul(worker.value().substr(1));
         const auto carryOut = [this, index, execute] {
             SimWorker &target = *this->simulation.workers[index];
@@ -88,7 +100,7 @@
             });
             this->simulation.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
         } else if (this->simulation.crashesReset && !this->simulation.workers[index]->up) {
-            this->simulation.after(2, [reply] { reply(OrderOutcome::NotSent); });
+            this->simulation.after(2, [closed] { closed(OrderOutcome::NotSent); });
         } else if (target.incarnationStartMs != 0 &&
                    target.incarnationStartMs != this->simulation.incarnationOf(worker) &&
                    this->simulation.workers[index]->up) {
@@ -186,6 +198,7 @@
         SimWorker &worker = *this->simulation.workers[index];
         const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
         if (!sameLife && this->simulation.crashesReset) {
+            this->noteClosed(order.target.worker);
             this->answerHold(order, sentAt, 2, OrderOutcome::Unanswered, WorkerReport());
             return;
         }
--- a/tests/jobs/test_crashes.cpp
+++ b/tests/jobs/test_crashes.cpp
@@ -21,6 +21,8 @@
         this->simulation.deadly = [this](const TaskRef &task) {
             return this->deadlyJobs.contains(task.job) && task.index == 0;
         };
+        // Without it a crash can't be told from a cut, and no job is closed for one.
+        this->simulation.makeCrashesReset();
         for (std::size_t count = 0; count < addedWorkers; ++count) {
             this->simulation.addWorker();
         }
