--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,6 +11,9 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
+constexpr std::array<const char *, 4> endReasonNames = {"all_done", "attempts_used_up",
+                                                        "workers_crashed", "cancelled"};
+
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
 /** Sorts after the id of any worker; ids are printable. */
@@ -25,6 +28,11 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
+const char *toText(JobEndReason reason)
+{
+    return endReasonNames.at(static_cast<std::size_t>(reason));
+}
+
 Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                          CoordinatorObserver &observer)
     : table(table)
@@ -41,6 +49,7 @@
 {
     this->end();
     this->unixMs = newUnixMs;
+    this->begunAt = now;
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
     this->interference.restore(this->table.pressures());
@@ -89,6 +98,7 @@
     this->starts.clear();
     this->stops.clear();
     this->orphans.clear();
+    this->silentCrashes.clear();
     this->unansweredOfUnlisted.clear();
     this->advice.clear();
     this->dirty.clear();
@@ -128,6 +138,11 @@
                 this->unansweredOfUnlisted[start.worker].push_back(
                     UnansweredStart{ref, start.run, now, 0});
             }
+            for (const CrashedRun &crash : task.crashedRuns) {
+                if (crash.sign == jobs::LEASES_LAPSED) {
+                    this->silentCrashes[crash.worker].push_back(ref);
+                }
+            }
             if (task.worker.empty()) {
                 continue;
             }
@@ -223,6 +238,7 @@
         worker->holdDue = now;
     }
     const std::int64_t previousStartMs = worker->entry.incarnationStartMs;
+    worker->wasDraining = worker->entry.draining;
     worker->entry = entry;
     worker->listed = true;
     this->poolsStale = true;
@@ -267,7 +283,8 @@
 void Coordinator::jobCancelled(Job &job, Instant now)
 {
     if (!job.closed()) {
-        this->closeJob(job, Job::State::CANCELLED, now);
+        this->closeJob(job, Job::State::CANCELLED, JobEnd{JobEndReason::Cancelled, {}, {}, {}},
+                       now);
     }
 }
 
@@ -347,9 +364,11 @@
     }
     EndNumbers &ends = worker->ends;
     ends.discarded = std::max(ends.discarded, std::exchange(ends.discarding, 0));
+    this->withdrawCrashes(*worker);
     const bool first = !worker->responded;
     worker->responded = true;
     worker->lastSeenAt = now;
+    this->noteReply(*worker, sentAt, now);
     this->zones.responded(worker->entry.zone, now);
     worker->sampleClock(report.clockMs, now);
     if (first) {
@@ -515,7 +534,7 @@
     if (ended.how == RunEnd::Done) {
         this->finishTask(job, ended.task, task, now);
     } else if (ended.how == RunEnd::Failed && this->countFailure(job, ended.task, ended.run)) {
-        this->closeJob(job, Job::State::FAILED, now);
+        this->failJob(job, JobEndReason::AttemptsUsedUp, ended.task, now);
     }
 }
 
@@ -572,7 +591,7 @@
 
 void Coordinator::returnTasksOf(WorkerState &worker, Instant now)
 {
-    const JobSet toGiveUp = this->countCrash(worker);
+    const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         if (worker.tasks.contains(ref)) {
@@ -593,10 +612,12 @@
     if (worker.tasks.empty() || now <= worker.lapsesAt(this->bounds)) {
         return;
     }
-    // A worker that left as announced, was cut off with its zone, or replies has not crashed.
+    // A worker that left as announced, was cut off with its zone, replies, or has not been asked
+    // for long enough has not crashed.
     const bool crashed = !worker.entry.draining && !worker.zoneUnresponsive &&
-                         now - worker.lastSeenAt > renewalTimeout;
-    const JobSet toGiveUp = crashed ? this->countCrash(worker) : JobSet();
+                         now - std::max(worker.lastSeenAt, this->begunAt) > renewalTimeout;
+    const GivenUp toGiveUp =
+        crashed ? this->countCrash(worker, jobs::LEASES_LAPSED, now) : GivenUp();
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
@@ -612,7 +633,7 @@
 {
     this->observer.workerRestarted(worker, incarnationStartMs);
     this->removeUnlistedOrphans(worker, {});
-    const JobSet toGiveUp = this->countCrash(worker);
+    const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
     worker.beginIncarnation(incarnationStartMs, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -39,19 +39,55 @@
 /** Returns the outcome's name in logs and metrics. */
 const char *toText(RunOutcome outcome);
 
+/** Why a coordinator closed a job; a closed list in logs and metrics. */
+enum class JobEndReason : std::uint8_t {
+    AllDone,
+    AttemptsUsedUp, ///< Runs of a task ended as failed, as often as the queue allows.
+    WorkersCrashed, ///< Workers crashed under a task.
+    Cancelled,
+};
+
+/** Returns the reason's name in logs and metrics. */
+const char *toText(JobEndReason reason);
+
+/** The end of a job, and the task that it rests on. */
+struct JobEnd
+{
+    JobEndReason reason = JobEndReason::AllDone;
+    TaskRef task;                          ///< Of AttemptsUsedUp and WorkersCrashed.
+    std::vector<std::uint32_t> failedRuns; ///< Of that task.
+    std::vector<CrashedRun> crashedRuns;   ///< Of that task.
+};
+
+/** A crash of a worker that was counted for a task, and what the count rests on. */
+struct CountedCrash
+{
+    TaskRef task;
+    CrashedRun crash;
+    std::size_t causes = 0;              ///< Tasks that may have been the cause of this crash.
+    std::size_t crashes = 0;             ///< Counted under the task so far, this one included.
+    bool startTaken = false;             ///< The worker took the run's start.
+    bool listed = false;                 ///< A report of the worker listed the run.
+    std::optional<Duration> sinceStart;  ///< Since its start was sent by this coordinator.
+    std::optional<Duration> sinceReply;  ///< Since the last reply of the crashed incarnation.
+    std::optional<Duration> sinceClosed; ///< Since it closed or refused a connection after that.
+    bool givenUp = false;                ///< Its job fails for it.
+};
+
 /** Receives the coordinator's decisions and observations; for logs and metrics. */
 class CoordinatorObserver
 {
 public:
     virtual ~CoordinatorObserver() = default;
-    /** A worker crashed, and the run is one of those that may be the cause; crashes: of workers
-     * under the task so far; givenUp: its job fails for it. */
-    virtual void crashCounted(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
-                              std::size_t crashes, bool givenUp) = 0;
+    /** A worker crashed, and the run is one of those that may be the cause. */
+    virtual void crashCounted(const CountedCrash &counted) = 0;
+    /** The worker on which the run was counted as crashed under has not crashed: the same
+     * incarnation replied again. */
+    virtual void crashWithdrawn(const TaskRef &task, std::uint32_t run, const WorkerId &worker) = 0;
     /** A run ended without completing its task, which may be placed again. */
     virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                               RunOutcome outcome) = 0;
-    virtual void jobFinished(const Job &job) = 0;
+    virtual void jobFinished(const Job &job, const JobEnd &end) = 0;
     virtual void workerEjected(const WorkerId &worker, Duration length) = 0;
     /** Another incarnation of the worker has been seen; former: its state as of the one before. */
     virtual void workerRestarted(const WorkerState &former, std::int64_t startMs) = 0;
@@ -114,12 +150,34 @@
      * time is added. */
     static constexpr Duration stallTime{2500};
 
-    /** Crashes of workers under a task after which its job fails, if it was the only one that may
-     * have been the cause of the last. */
+    /** Crashes of workers counted under a task after which its job may fail, if it was the only
+     * one that may have been the cause of the last. */
     static constexpr std::size_t crashesToGiveUpAlone = 3;
-    /** The same beside others; the platform allows two starts after the third crash, the second of
-     * which is left for a crash that a former coordinator has not recorded. */
+    /** The same beside others. */
     static constexpr std::size_t crashesToGiveUp = 4;
+    /** Of these, those without which no job fails: as many certain ones, */
+    static constexpr std::size_t certainCrashesToGiveUp = 2;
+    /** or as many that are likely at least, */
+    static constexpr std::size_t likelyCrashesToGiveUp = 2;
+    /** among as many that are more than possible. */
+    static constexpr std::size_t silentCrashesToGiveUp = 3;
+    /** Crashes counted under a task from which its starts are watched: sent to a worker that has
+     * just replied and that is asked often afterwards, so that the next crash is more than
+     * possible. */
+    static constexpr std::size_t crashesToWatch = 2;
+    /** Greatest age of a worker's reply when a watched start is sent to it. */
+    static constexpr Duration watchedReplyAge{100};
+    /** Longest wait of the holds of a worker with a watched start. */
+    static constexpr Duration watchedHoldWait{100};
+    /** Crashes counted under a task from which it is held back before each start; the platform
+     * allows two starts after the third crash. */
+    static constexpr std::size_t crashesToHoldBack = 5;
+    /** Time for which it is held back; doubles with each further crash. Leaves an innocent task
+     * time to run before the platform asks for its end. */
+    static constexpr Duration firstHoldBack{10000};
+    /** The same of a task with silentCrashesToGiveUp crashes that are more than possible. */
+    static constexpr Duration firstHoldBackOfLikelyCause{60000};
+    static constexpr Duration longestHoldBack{120000};
     /** Time that a run has been at work from which its task is not taken for the cause of crashes.
      */
     static constexpr Duration harmlessAge{5000};
@@ -128,6 +186,9 @@
     static constexpr Duration adoptedHarmlessAge{20000};
     /** Longest time from the start of a task until its worker crashes for it. */
     static constexpr Duration crashDelay{1000};
+    /** Time without a reply after which it is not known whether a worker was reachable; above
+     * watchedHoldWait with a round trip, and unresponsiveHoldGap. */
+    static constexpr Duration contactGap{400};
 
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
@@ -179,6 +240,10 @@
     void paceAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                       std::uint32_t percent, OrderOutcome outcome);
 
+    /** Notes that the worker closed, reset or refused the connection of an order; the order's
+     * outcome follows. */
+    void connectionClosed(const WorkerId &id, Instant now);
+
     /** Applies the advisory service's reply; nothing if it did not reply in time. */
     void adviceAnswered(const StepRef &step, const std::optional<Advice> &advice, Instant now);
 
@@ -230,6 +295,7 @@
         std::uint64_t number = 0; ///< Rises with each start that is opened.
         unsigned priority = 0;
         unsigned tries = 0;
+        Instant sentAt;          ///< Of the newest try.
         bool unanswered = false; ///< Some try had no reply and may still be carried out.
         bool inFlight = false;
         bool acknowledged = false;
@@ -270,6 +336,8 @@
         }
     };
     using JobSet = std::set<Job *, ById>;
+    /** Jobs to give up, each with the task under which workers crashed. */
+    using GivenUp = std::vector<std::pair<Job *, TaskRef>>;
 
     /** Results that are valid within one plan, in which free capacity only shrinks. */
     struct PlanRound
@@ -366,15 +434,39 @@
     bool mayBeCause(const TaskRef &ref, const Task &task) const;
     /** Returns the tasks that may be why the worker crashed: those that began last. */
     std::vector<std::pair<TaskRef, Job *>> causesOfCrash(const WorkerState &worker) const;
+    /** Returns what tells that the worker crashed while the task's run was at work. */
+    static jobs::CrashEvidence evidenceOf(const WorkerState &worker, const Task &task,
+                                          jobs::CrashSign sign);
+    /** Returns what the worker's closing of its connections tells of the task's run. */
+    static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
+    /** Notes that the worker replied to an order that was sent at the time. */
+    void noteReply(WorkerState &worker, Instant sentAt, Instant now);
+    /** Has the records of watched runs say what the worker's closing of connections tells; nothing
+     * if it replies again. */
+    void setClosing(WorkerState &worker, bool replies);
+    /** Counts the crashes with at least the evidence. */
+    static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
+    /** Returns whether what is known of the crashes is enough to give the task up. */
+    static bool isCause(const std::vector<CrashedRun> &crashes, std::size_t enough);
+    /** Returns whether the waiting task is held back after crashes. */
+    bool isHeldBack(const Job &job, const TaskRef &ref) const;
+    /** Returns whether the worker has a watched start, or waits for one. */
+    static bool isWatched(const WorkerState &worker, Instant now);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
      * to be given up. */
-    JobSet countCrash(const WorkerState &worker);
+    GivenUp countCrash(const WorkerState &worker, jobs::CrashSign sign, Instant now);
+    /** Discards the crashes that were counted as the worker was silent: it replies, as the same
+     * incarnation. */
+    void withdrawCrashes(const WorkerState &worker);
     /** Closes the jobs as failed. */
-    void giveUp(const JobSet &toGiveUp, Instant now);
+    void giveUp(const GivenUp &tasks, Instant now);
     /** Places the waiting tasks of the step under which workers have crashed, apart from others,
      * as far as workers can take them. */
     void placeSuspects(Job &job, StepRun &run, const std::vector<WorkerState *> &candidates,
                        PlacementRequest request, Instant now);
+    /** Returns whether the waiting task may be placed: no earlier run of it may be running, and it
+     * is not held back after crashes. */
+    bool mayPlace(const Job &job, const StepRun &run, std::uint32_t index, Instant now) const;
     /** Takes the task for harmless, and discards its crashes, once its run has been at work for
      * harmlessAge. */
     void noteAtWork(WorkerState &worker, Job &job, const TaskRef &ref, Task &task, Instant now);
@@ -387,7 +479,9 @@
     void returnTask(Job &job, const TaskRef &ref, Task &task, RunOutcome outcome, Instant now);
     /** Stops the other members of a gang after one of its runs has ended. */
     void breakGang(Job &job, const TaskRef &ref, Instant now);
-    void closeJob(Job &job, Job::State state, Instant now);
+    void closeJob(Job &job, Job::State state, const JobEnd &end, Instant now);
+    /** Closes the job as failed because of the task. */
+    void failJob(Job &job, JobEndReason reason, const TaskRef &ref, Instant now);
     void stopAll(Job &job, Instant now);
     void stopTask(const TaskRef &ref, Task &task, Instant now);
     /** Takes the task off its worker and drops its open orders. */
@@ -484,6 +578,7 @@
     JobConfig config;
 
     std::uint64_t epoch = 0;
+    Instant begunAt; ///< When this coordinator took over.
     Instant formerLeasesLapse;
     std::int64_t unixMs = 0;
     Workers workers;
@@ -499,6 +594,8 @@
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
     std::map<std::pair<TaskRef, std::string>, OrphanRun> orphans;
+    /** Tasks for which a crash was counted as their worker was silent, by worker. */
+    std::map<std::string, std::vector<TaskRef>> silentCrashes;
     /** Starts without a reply on workers that are not listed, by worker. */
     std::map<std::string, std::vector<UnansweredStart>> unansweredOfUnlisted;
     JobSet dirty;                      ///< Jobs whose progress the next batch records.
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -60,33 +60,193 @@
     return begun;
 }
 
-Coordinator::JobSet Coordinator::countCrash(const WorkerState &worker)
+jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
+{
+    // A process that crashes closes its connections; on a path that is cut they stay silent. A run
+    // that had ended before would have been reported, as the worker replied until then.
+    const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
+                        worker.closedAt - worker.repliedAt <= contactGap;
+    if (closed && task.startTaken) {
+        return jobs::CERTAIN;
+    }
+    const bool justSent =
+        task.startSentAt != Instant() && worker.closedAt - task.startSentAt <= crashDelay;
+    return closed && justSent ? jobs::LIKELY : jobs::POSSIBLE;
+}
+
+jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
+                                            jobs::CrashSign sign)
+{
+    if (worker.entry.draining || worker.wasDraining) {
+        return jobs::POSSIBLE;
+    }
+    const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
+    if (closing != jobs::POSSIBLE) {
+        return closing;
+    }
+    const bool silent = task.startSentAt == Instant()
+                            ? task.phase == TaskPhase::Unconfirmed
+                            : worker.repliedAt - task.startSentAt <= contactGap;
+    return sign == jobs::OTHER_INCARNATION && task.watched && silent ? jobs::SILENT
+                                                                     : jobs::POSSIBLE;
+}
+
+void Coordinator::setClosing(WorkerState &worker, bool replies)
+{
+    for (const TaskRef &ref : worker.suspects) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        // What a former coordinator saw counts until a reply.
+        const jobs::CrashEvidence closing =
+            replies ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+        if (task.watched && task.closing != closing) {
+            task.closing = closing;
+            this->markDirty(job, ref);
+        }
+    }
+}
+
+void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
+{
+    worker.noteReply(sentAt, now);
+    if (worker.closedAt == Instant()) {
+        this->setClosing(worker, true);
+    }
+}
+
+std::size_t Coordinator::countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least)
+{
+    return static_cast<std::size_t>(
+        std::count_if(crashes.begin(), crashes.end(),
+                      [&](const CrashedRun &crash) { return crash.evidence >= least; }));
+}
+
+bool Coordinator::isCause(const std::vector<CrashedRun> &crashes, std::size_t enough)
+{
+    // Silence alone closes no job: cuts and restarts may follow each other in step with the starts.
+    const bool certain = countOf(crashes, jobs::CERTAIN) >= certainCrashesToGiveUp;
+    const bool likely = countOf(crashes, jobs::LIKELY) >= likelyCrashesToGiveUp &&
+                        countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
+    return crashes.size() >= enough && (certain || likely);
+}
+
+bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
+{
+    const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
+    Duration length = firstHoldBack;
+    std::size_t doublings = 0;
+    if (job.stepSpec(ref.step).long_running()) {
+        // It has to run again however its runs end, and is only held back as the cause.
+        if (!isCause(crashes, crashesToGiveUpAlone)) {
+            return false;
+        }
+        doublings = countOf(crashes, jobs::LIKELY) - certainCrashesToGiveUp;
+    } else {
+        if (crashes.size() < crashesToHoldBack) {
+            return false;
+        }
+        const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
+        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
+        doublings = crashes.size() - crashesToHoldBack;
+    }
+    for (; doublings > 0 && length < longestHoldBack; --doublings) {
+        length = std::min(length * 2, longestHoldBack);
+    }
+    std::int64_t countedMs = 0;
+    for (const CrashedRun &crash : crashes) {
+        countedMs = std::max(countedMs, crash.countedMs);
+    }
+    // A clock that was set back does not prolong it by more than its length.
+    const std::int64_t left = countedMs + length.count() - this->unixMs;
+    return left > 0 && left <= 2 * length.count();
+}
+
+bool Coordinator::isWatched(const WorkerState &worker, Instant now)
+{
+    return std::any_of(worker.suspects.begin(), worker.suspects.end(), [&](const TaskRef &ref) {
+        Job &job = *worker.tasks.at(ref);
+        const Task &task = *job.task(ref);
+        return job.crashesUnder(ref) >= crashesToWatch &&
+               (task.startSentAt == Instant() || now - task.startSentAt < harmlessAge);
+    });
+}
+
+Coordinator::GivenUp Coordinator::countCrash(const WorkerState &worker, jobs::CrashSign sign,
+                                             Instant now)
 {
     const std::vector<std::pair<TaskRef, Job *>> causes = this->causesOfCrash(worker);
     const std::size_t enough = causes.size() == 1 ? crashesToGiveUpAlone : crashesToGiveUp;
-    JobSet toGiveUp;
+    const auto since = [&](Instant at) {
+        return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
+    };
+    GivenUp toGiveUp;
     for (const auto &[ref, job] : causes) {
-        const std::uint32_t run = job->task(ref)->run;
-        std::vector<std::uint32_t> &crashed = countedTask(*job, ref).crashedRuns;
-        if (job->closed() || std::find(crashed.begin(), crashed.end(), run) != crashed.end()) {
+        const Task &task = *job->task(ref);
+        std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
+        const bool isCounted =
+            std::any_of(crashed.begin(), crashed.end(),
+                        [&](const CrashedRun &crash) { return crash.run == task.run; });
+        if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(run);
+        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
+                                     worker.entry.id.value(), this->epoch,
+                                     worker.entry.incarnationStartMs, this->unixMs});
+        if (sign == jobs::LEASES_LAPSED) {
+            this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
+        }
         this->markDirty(*job, countedRef(*job, ref));
-        const bool givenUp = crashed.size() >= enough;
-        this->observer.crashCounted(ref, run, worker.entry.id, crashed.size(), givenUp);
+        const bool lasts = job->stepSpec(ref.step).long_running();
+        const bool givenUp = !lasts && isCause(crashed, enough);
+        this->observer.crashCounted(CountedCrash{
+            ref, crashed.back(), causes.size(), crashed.size(), task.startTaken, task.listed,
+            since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
-            toGiveUp.insert(job);
+            toGiveUp.emplace_back(job, countedRef(*job, ref));
         }
     }
     return toGiveUp;
 }
 
-void Coordinator::giveUp(const JobSet &toGiveUp, Instant now)
+void Coordinator::withdrawCrashes(const WorkerState &worker)
 {
-    for (Job *job : toGiveUp) {
+    const auto silent = this->silentCrashes.extract(worker.entry.id.value());
+    if (!silent) {
+        return;
+    }
+    const auto isWithdrawn = [&](const CrashedRun &crash) {
+        return crash.sign == jobs::LEASES_LAPSED && crash.worker == worker.entry.id.value() &&
+               crash.incarnationStartMs == worker.entry.incarnationStartMs;
+    };
+    for (const TaskRef &ref : silent.mapped()) {
+        Job *job = this->table.find(ref.job);
+        Task *task = job ? job->task(ref) : nullptr;
+        if (!task || job->closed()) {
+            continue;
+        }
+        for (const CrashedRun &crash : task->crashedRuns) {
+            if (isWithdrawn(crash)) {
+                this->markDirty(*job, ref);
+                this->observer.crashWithdrawn(ref, crash.run, worker.entry.id);
+            }
+        }
+        std::erase_if(task->crashedRuns, isWithdrawn);
+    }
+}
+
+void Coordinator::connectionClosed(const WorkerId &id, Instant now)
+{
+    if (WorkerState *worker = this->findWorker(id)) {
+        worker->noteClosed(now);
+        this->setClosing(*worker, false);
+    }
+}
+
+void Coordinator::giveUp(const GivenUp &tasks, Instant now)
+{
+    for (const auto &[job, ref] : tasks) {
         if (!job->closed()) {
-            this->closeJob(*job, Job::State::FAILED, now);
+            this->failJob(*job, JobEndReason::WorkersCrashed, ref, now);
         }
     }
 }
@@ -98,7 +258,7 @@
         return;
     }
     task.harmless = true;
-    std::vector<std::uint32_t> &crashed = countedTask(job, ref).crashedRuns;
+    std::vector<CrashedRun> &crashed = countedTask(job, ref).crashedRuns;
     if (!crashed.empty()) {
         crashed.clear();
         worker.suspects.erase(ref);
@@ -106,6 +266,13 @@
     }
 }
 
+bool Coordinator::mayPlace(const Job &job, const StepRun &run, std::uint32_t index,
+                           Instant now) const
+{
+    const TaskRef ref{job.id(), run.occurrence, run.step, index};
+    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
+}
+
 void Coordinator::placeSuspects(Job &job, StepRun &run,
                                 const std::vector<WorkerState *> &candidates,
                                 PlacementRequest request, Instant now)
@@ -114,7 +281,7 @@
         Task &task = run.tasks[index];
         request.crashes = task.crashedRuns.size();
         if (request.crashes == 0 || task.phase != TaskPhase::Waiting ||
-            this->hasOrphanRun(TaskRef{job.id(), run.occurrence, run.step, index}, now)) {
+            !this->mayPlace(job, run, index, now)) {
             continue;
         }
         if (WorkerState *worker = this->policy.choose(candidates, request, now)) {
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -62,7 +62,9 @@
         this->abandonStart(job, ref, task, now);
         return;
     }
-    if (worker->ordersInFlight >= ordersPerWorker) {
+    const bool waitsForReply = task.watched && (worker->closedAt != Instant() ||
+                                                now - worker->repliedAt > watchedReplyAge);
+    if (worker->ordersInFlight >= ordersPerWorker || waitsForReply) {
         open.retryAt = now;
         return;
     }
@@ -81,6 +83,8 @@
         order.ticket = *ticket;
     }
     worker->noteLeaseEnd(order.leaseEndMs);
+    open.sentAt = now;
+    task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
 
@@ -136,6 +140,10 @@
         return;
     }
     open.inFlight = false;
+    if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent &&
+        outcome != OrderOutcome::OtherIncarnation) {
+        this->noteReply(*worker, open.sentAt, now);
+    }
     switch (outcome) {
     case OrderOutcome::Accepted:
         task->phase = TaskPhase::Running;
@@ -179,7 +187,7 @@
         this->abandonStart(*job, ref, *task, now);
     }
     if (outcome == OrderOutcome::OtherIncarnation) {
-        this->giveUp(this->countCrash(*worker), now);
+        this->giveUp(this->countCrash(*worker, jobs::OTHER_INCARNATION, now), now);
     }
 }
 
@@ -321,7 +329,8 @@
     open.retryAt = now + orderRetry;
     if (outcome == OrderOutcome::OtherIncarnation) {
         const WorkerState *worker = this->findWorker(id);
-        const JobSet toGiveUp = worker ? this->countCrash(*worker) : JobSet();
+        const GivenUp toGiveUp =
+            worker ? this->countCrash(*worker, jobs::OTHER_INCARNATION, now) : GivenUp();
         Job *job = this->table.find(ref.job);
         if (Task *task = job ? job->task(ref) : nullptr) {
             this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
@@ -351,7 +360,10 @@
         worker.noteLeaseEnd(order.leaseEndMs);
         const bool settled = ends.applied == ends.acknowledged;
         const bool shared = worker.bestEffortMilliCores > 0 && worker.reserved.milliCores > 0;
-        order.wait = !settled ? Duration(0) : shared ? sharedHoldWait : holdWait;
+        const Duration wait = shared ? sharedHoldWait : holdWait;
+        order.wait = !settled                 ? Duration(0)
+                     : isWatched(worker, now) ? std::min(wait, watchedHoldWait)
+                                              : wait;
     }
     const bool forAnyIncarnation = order.leaseEndMs == 0 && order.acknowledged == 0;
     order.target = forAnyIncarnation ? this->targetOf(worker) : this->targetOfIncarnation(worker);
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -56,14 +56,25 @@
     Instant at;
 };
 
+/** A run under which a worker may have crashed. */
+struct CrashedRun
+{
+    std::uint32_t run = 0;
+    jobs::CrashEvidence evidence = jobs::POSSIBLE;
+    jobs::CrashSign sign = jobs::OTHER_INCARNATION;
+    std::string worker;                  ///< Empty: counted by an earlier version.
+    std::uint64_t epoch = 0;             ///< Of the coordinator that counted the crash.
+    std::int64_t incarnationStartMs = 0; ///< Of the worker, since 1970; 0: not known.
+    std::int64_t countedMs = 0;          ///< Since 1970; 0: not known.
+};
+
 /** One task of a step. */
 struct Task
 {
     TaskPhase phase = TaskPhase::Waiting;
     std::uint32_t run = 0;                 ///< Number of the newest start; 0 before the first.
     std::vector<std::uint32_t> failedRuns; ///< Run numbers of the failed attempts that count.
-    /** Run numbers under which a worker crashed and that may be the cause. */
-    std::vector<std::uint32_t> crashedRuns;
+    std::vector<CrashedRun> crashedRuns;   ///< Under which a worker crashed; each may be the cause.
     /** It has been at work for a while, so that it is not why workers crash that start it. */
     bool harmless = false;
     std::string worker; ///< Where it is placed; empty when not placed.
@@ -74,6 +85,13 @@
     std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it as running.
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
     bool startTaken = false;        ///< Its worker has taken the start of its newest run.
+    Instant startSentAt; ///< When this coordinator first sent that start; unset: it has not.
+    /** That start is only sent to a worker that has just replied, which is asked often from then
+     * on. */
+    bool watched = false;
+    /** What the worker's closing of its connections tells of a watched run; recorded, as this
+     * coordinator may be lost before the next incarnation replies. */
+    jobs::CrashEvidence closing = jobs::POSSIBLE;
     /** An order to start it may still be carried out, also by a later incarnation. */
     bool startMayArriveLate = false;
     Instant startMayArriveUntil; ///< Until when, while startMayArriveLate is set.
@@ -170,8 +188,12 @@
         return this->runs;
     }
 
-    /** Returns how many workers have crashed under the task, or under its gang. */
-    std::size_t crashesUnder(const TaskRef &ref) const;
+    /** Returns the crashes of workers that are counted under the task, or under its gang; the
+     * reference is valid until the next change. */
+    const std::vector<CrashedRun> &crashesOf(const TaskRef &ref) const;
+
+    /** Returns how many workers may have crashed under the task, or under its gang. */
+    std::size_t crashesUnder(const TaskRef &ref) const { return this->crashesOf(ref).size(); }
 
     /** Returns whether all steps that the step depends on are done. */
     bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
