Take connections that closed for a cut where later orders time out

Callers would see a job as failed though no worker had crashed under it, or none is known to: connections were reset, the path was cut soon after, and the closing counted as certain for the loss that came later, or for leases that lapsed while the worker was up.

Where a process has crashed, further connections are refused at once; on a cut path they end by timeouts. An order that is sent after the last closing and ends without a reply and without another closing now withdraws what the closing told, also in the record.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -344,6 +344,9 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
+            this->noteNoReply(*worker, sentAt);
+        }
         if (outcome == OrderOutcome::Unanswered && worker->holdRenews) {
             worker->noteUnanswered(sentAt, now);
         }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -445,9 +445,11 @@
     static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
     /** Notes that the worker replied to an order that was sent at the time. */
     void noteReply(WorkerState &worker, Instant sentAt, Instant now);
+    /** Notes that an order that was sent to the worker at the time ended without a reply. */
+    void noteNoReply(WorkerState &worker, Instant sentAt);
     /** Has the records of watched runs say what the worker's closing of connections tells; nothing
-     * if it replies again. */
-    void setClosing(WorkerState &worker, bool replies);
+     * if it is refuted, as the worker replies again or its path is cut. */
+    void setClosing(WorkerState &worker, bool refuted);
     /** Counts the crashes with at least the evidence. */
     static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
     /** Returns whether what is known of the crashes is enough to give the task up. */
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -91,14 +91,14 @@
                                                                      : jobs::POSSIBLE;
 }
 
-void Coordinator::setClosing(WorkerState &worker, bool replies)
+void Coordinator::setClosing(WorkerState &worker, bool refuted)
 {
     for (const TaskRef &ref : worker.suspects) {
         Job &job = *worker.tasks.at(ref);
         Task &task = *job.task(ref);
-        // What a former coordinator saw counts until a reply.
+        // What a former coordinator saw counts until it is refuted.
         const jobs::CrashEvidence closing =
-            replies ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+            refuted ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
         if (task.watched && task.closing != closing) {
             task.closing = closing;
             this->markDirty(job, ref);
@@ -114,6 +114,13 @@
     }
 }
 
+void Coordinator::noteNoReply(WorkerState &worker, Instant sentAt)
+{
+    if (worker.noteNoReply(sentAt)) {
+        this->setClosing(worker, true);
+    }
+}
+
 std::size_t Coordinator::countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least)
 {
     return static_cast<std::size_t>(
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -140,8 +140,9 @@
         return;
     }
     open.inFlight = false;
-    if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent &&
-        outcome != OrderOutcome::OtherIncarnation) {
+    if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
+        this->noteNoReply(*worker, open.sentAt);
+    } else if (outcome != OrderOutcome::OtherIncarnation) {
         this->noteReply(*worker, open.sentAt, now);
     }
     switch (outcome) {
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -40,6 +40,7 @@
     this->responded = false;
     this->repliedAt = Instant();
     this->closedAt = Instant();
+    this->lastClosedAt = Instant();
     this->holdDue = now;
     this->earlierLeasesLapse = now;
     this->latestLeaseEndMs = 0;
@@ -74,6 +75,17 @@
 void WorkerState::noteClosed(Instant now)
 {
     this->closedAt = this->closedAt == Instant() ? now : this->closedAt;
+    this->lastClosedAt = now;
+}
+
+bool WorkerState::noteNoReply(Instant sentAt)
+{
+    // Where a process has crashed, connections are refused; calls on a cut path end by timeouts.
+    const bool timedOut = sentAt > this->lastClosedAt;
+    if (timedOut) {
+        this->closedAt = Instant();
+    }
+    return timedOut;
 }
 
 void WorkerState::sampleClock(std::int64_t clockMs, Instant receivedAt)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -141,6 +141,10 @@
     /** Records that it closed, reset or refused a connection. */
     void noteClosed(Instant now);
 
+    /** Records that an order that was sent at the time ended without a reply. Returns whether this
+     * shows that closed connections are no sign of a crash: a later order ended by a timeout. */
+    bool noteNoReply(Instant sentAt);
+
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
@@ -201,6 +205,7 @@
     Instant repliedAt; ///< When its incarnation last replied to an order of any kind.
     /** When it first closed or refused a connection; unset: it has replied to a later order. */
     Instant closedAt;
+    Instant lastClosedAt;          ///< When it last did so.
     bool wasDraining = false;      ///< The entry before the newest one said so.
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
