Take no draining worker for one that crashed, also after a takeover

Callers would see a job as failed as workers left as announced: what a draining worker's closing of its connections told was recorded as certain, and a successor, to which the next incarnation replied, did not know that the worker had been draining.

A draining worker's closing now tells nothing, and once a worker is seen to drain the records of its runs say that they are not watched.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -242,6 +242,9 @@
     worker->entry = entry;
     worker->listed = true;
     this->poolsStale = true;
+    if (worker->entry.draining) {
+        this->endWatches(*worker);
+    }
     if (previousStartMs != 0) {
         worker->entry.incarnationStartMs = previousStartMs;
         if (entry.incarnationStartMs > previousStartMs &&
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -450,6 +450,9 @@
     /** Has the records of watched runs say what the worker's closing of connections tells; nothing
      * if it is refuted, as the worker replies again or its path is cut. */
     void setClosing(WorkerState &worker, bool refuted);
+    /** Has the records of runs on a worker that leaves say that they are not watched: it closes its
+     * connections and is silent then, which a successor could take for a crash. */
+    void endWatches(WorkerState &worker);
     /** Counts the crashes with at least the evidence. */
     static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
     /** Returns whether what is known of the crashes is enough to give the task up. */
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -62,6 +62,9 @@
 
 jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
 {
+    if (worker.entry.draining || worker.wasDraining) {
+        return jobs::POSSIBLE;
+    }
     // A process that crashes closes its connections; on a path that is cut they stay silent. A run
     // that had ended before would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
@@ -106,6 +109,19 @@
     }
 }
 
+void Coordinator::endWatches(WorkerState &worker)
+{
+    for (const TaskRef &ref : worker.suspects) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        if (task.watched) {
+            task.watched = false;
+            task.closing = jobs::POSSIBLE;
+            this->markDirty(job, ref);
+        }
+    }
+}
+
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
     worker.noteReply(sentAt, now);
