Take a start that later reports do not list for one that has not begun

Callers would see a job as failed as workers crashed to which its starts came late or never: an unanswered start counted as likely though reports that the worker was asked for after it, and sent before it closed its connections, do not list the run.

Such a report now marks the run, until another try of its start is sent or the worker lists it, and the crash counts as possible. A task that crashes its worker as it starts is not affected, as that worker sends no report any more.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -438,6 +438,7 @@
         task->progressAt = now;
     }
     task->listed = true;
+    task->unlisted = false;
     task->lastListedIn = this->reports;
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
@@ -566,6 +567,11 @@
             this->returnTask(*job, ref, task, RunOutcome::Lost, now);
             continue;
         }
+        const auto start = this->starts.find(ref);
+        if (task.phase == TaskPhase::Starting && start != this->starts.end() &&
+            task.startSentAt != Instant() && start->second.sentAt < sentAt) {
+            task.unlisted = true;
+        }
         const auto stop = this->stops.find(ref);
         if (task.phase == TaskPhase::Stopping && stop != this->stops.end() &&
             stop->second.acknowledged && stop->second.acknowledgedAt < sentAt) {
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -62,7 +62,7 @@
 
 jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
 {
-    if (worker.entry.draining || worker.wasDraining) {
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
     // A process that crashes closes its connections; on a path that is cut they stay silent. A run
@@ -80,7 +80,7 @@
 jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
                                             jobs::CrashSign sign)
 {
-    if (worker.entry.draining || worker.wasDraining) {
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
     const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -84,6 +84,7 @@
     }
     worker->noteLeaseEnd(order.leaseEndMs);
     open.sentAt = now;
+    task.unlisted = false;
     task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -539,6 +539,7 @@
     task.phase = TaskPhase::Recording;
     task.startTaken = false;
     task.startSentAt = Instant();
+    task.unlisted = false;
     task.closing = jobs::POSSIBLE;
     task.watched = job.crashesUnder(ref) >= crashesToWatch;
     task.startMayArriveLate = false;
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -86,6 +86,8 @@
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
     bool startTaken = false;        ///< Its worker has taken the start of its newest run.
     Instant startSentAt; ///< When this coordinator first sent that start; unset: it has not.
+    /** A report that was asked for after the newest try of that start does not list the run. */
+    bool unlisted = false;
     /** That start is only sent to a worker that has just replied, which is asked often from then
      * on. */
     bool watched = false;
