Date replies that waited while the coordinator was paused

Callers would see a job as failed as the coordinator was frozen: a reply that lay in its buffers was dated by when it was processed, so that a worker that was replaced meanwhile seemed to have replied until it closed its connections, and runs that may have ended by themselves counted as certain.

After a pause between ticks, replies that are processed at once count as received at its beginning at the earliest. Silence is still judged by the latest time.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -95,6 +95,7 @@
     this->open.clear();
     this->unplaced.clear();
     this->tickedAt = Instant(-1000000);
+    this->resumedAt = Instant();
     this->starts.clear();
     this->stops.clear();
     this->orphans.clear();
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -192,6 +192,10 @@
     /** Time without a reply after which it is not known whether a worker was reachable; above
      * watchedHoldWait with a round trip, and unresponsiveHoldGap. */
     static constexpr Duration contactGap{400};
+    /** Time between ticks from which replies may have waited in buffers; a part of contactGap. */
+    static constexpr Duration longestProcessingGap{200};
+    /** Time after such a pause in which replies that have waited are processed. */
+    static constexpr Duration backlogTime{200};
 
     /** Delay of a long-running task from which it is reported; above a usual move to another
      * worker, half of what the platform allows. */
@@ -443,6 +447,9 @@
                                           jobs::CrashSign sign);
     /** Returns what the worker's closing of its connections tells of the task's run. */
     static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
+    /** Returns since when what is processed now may have waited: the coordinator may have been
+     * paused, or have had no processor. */
+    Instant receivedNotBefore(Instant now) const;
     /** Notes that the worker replied to an order that was sent at the time. */
     void noteReply(WorkerState &worker, Instant sentAt, Instant now);
     /** Notes that an order that was sent to the worker at the time ended without a reply. */
@@ -587,7 +594,9 @@
     JobConfig config;
 
     std::uint64_t epoch = 0;
-    Instant begunAt; ///< When this coordinator took over.
+    Instant begunAt;   ///< When this coordinator took over.
+    Instant pausedAt;  ///< When it last ticked before a pause.
+    Instant resumedAt; ///< When it first ticked after that; unset: there was none.
     Instant formerLeasesLapse;
     std::int64_t unixMs = 0;
     Workers workers;
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -68,7 +68,7 @@
     // A process that crashes closes its connections; on a path that is cut they stay silent. A run
     // that had ended before would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - worker.repliedAt <= contactGap;
+                        worker.closedAt - worker.repliedNotBefore <= contactGap;
     if (closed && task.startTaken) {
         return jobs::CERTAIN;
     }
@@ -109,6 +109,16 @@
     }
 }
 
+Instant Coordinator::receivedNotBefore(Instant now) const
+{
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        return tickedLast;
+    }
+    const bool resumed = this->resumedAt != Instant() && now - this->resumedAt < backlogTime;
+    return resumed ? this->pausedAt : now;
+}
+
 void Coordinator::endWatches(WorkerState &worker)
 {
     for (const TaskRef &ref : worker.suspects) {
@@ -124,7 +134,7 @@
 
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
-    worker.noteReply(sentAt, now);
+    worker.noteReply(sentAt, this->receivedNotBefore(now), now);
     if (worker.closedAt == Instant()) {
         this->setClosing(worker, true);
     }
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -403,6 +403,11 @@
     if (now < this->tickedAt + tickGap) {
         return;
     }
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        this->pausedAt = tickedLast;
+        this->resumedAt = now;
+    }
     this->tickedAt = now;
     this->retryOrders(now, mayRenew);
     this->recordConfirmations(now);
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -39,6 +39,7 @@
     this->ends = EndNumbers();
     this->responded = false;
     this->repliedAt = Instant();
+    this->repliedNotBefore = Instant();
     this->closedAt = Instant();
     this->lastClosedAt = Instant();
     this->holdDue = now;
@@ -63,9 +64,10 @@
     }
 }
 
-void WorkerState::noteReply(Instant sentAt, Instant now)
+void WorkerState::noteReply(Instant sentAt, Instant notBefore, Instant now)
 {
     this->repliedAt = now;
+    this->repliedNotBefore = std::max(sentAt, notBefore);
     // A reply that was on its way when the connection was closed tells nothing of the time after.
     if (sentAt > this->closedAt) {
         this->closedAt = Instant();
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -135,8 +135,9 @@
      * incarnation may still carry it out. */
     void noteUnanswered(Instant sentAt, Instant now);
 
-    /** Records that its incarnation replied to an order that was sent at the time. */
-    void noteReply(Instant sentAt, Instant now);
+    /** Records that its incarnation replied to an order that was sent at the time; the reply came
+     * notBefore at the earliest. */
+    void noteReply(Instant sentAt, Instant notBefore, Instant now);
 
     /** Records that it closed, reset or refused a connection. */
     void noteClosed(Instant now);
@@ -202,7 +203,9 @@
     bool listed = true;     ///< The registry lists it.
     bool responded = false; ///< Its incarnation has replied under the current epoch.
     Instant lastSeenAt;
-    Instant repliedAt; ///< When its incarnation last replied to an order of any kind.
+    Instant
+        repliedAt; ///< When its incarnation last replied to an order of any kind, at the latest.
+    Instant repliedNotBefore; ///< The same at the earliest.
     /** When it first closed or refused a connection; unset: it has replied to a later order. */
     Instant closedAt;
     Instant lastClosedAt;          ///< When it last did so.
