Count the end of a connection for the incarnation of its order only

A call to a worker may end after the next incarnation of the worker has replied. Its end was then taken for one of the next incarnation, so a run that this one had taken counted as CERTAIN once its path was cut, and two such counts close the job as failed.

Cause: Coordinator::connectionClosed() got the worker's id, not the incarnation that the order was for, though OrderTarget names it.

The incarnation start is passed along and a closing that names another one than the worker's entry is ignored; 0, of orders that any incarnation may carry out, counts as before.

Tests: ClosingTest, of which the case "former" is red without the check (1 of 3 cases; CERTAIN instead of POSSIBLE). test_ordersender has that a closed, reset and refused connection is reported as closed by the worker, and a time-out of a reply or of the connecting is not; with resets and refusals left out and time-outs added to isClosedByPeer(), four of its tests are red.

Run: test_crashevidence, test_ordersender, test_closedjobs, test_crashes pass.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -113,7 +113,8 @@
               },
               [this] { return this->now(); },
               [this](const OrderTarget &target) {
-                  this->node.coordination().connectionClosed(target.worker, this->now());
+                  this->node.coordination().connectionClosed(target.worker, this->now(),
+                                                             target.incarnationStartMs);
               }})
     , node(JobNodeSettings{this->settings.instance, incarnation, this->settings.peerAddress,
                            this->settings.processors, this->settings.worker,
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -244,8 +244,9 @@
                       std::uint32_t percent, OrderOutcome outcome);
 
     /** Notes that the worker closed, reset or refused the connection of an order; the order's
-     * outcome follows. */
-    void connectionClosed(const WorkerId &id, Instant now);
+     * outcome follows. Ignored if the order was for another incarnation than the present one; its
+     * start is in ms since 1970, 0: any. */
+    void connectionClosed(const WorkerId &id, Instant now, std::int64_t incarnationStartMs = 0);
 
     /** Applies the advisory service's reply; nothing if it did not reply in time. */
     void adviceAnswered(const StepRef &step, const std::optional<Advice> &advice, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -233,12 +233,16 @@
     }
 }
 
-void Coordinator::connectionClosed(const WorkerId &id, Instant now)
+void Coordinator::connectionClosed(const WorkerId &id, Instant now, std::int64_t incarnationStartMs)
 {
-    if (WorkerState *worker = this->findWorker(id)) {
-        worker->noteClosed(now);
-        this->setClosing(*worker, false);
+    WorkerState *worker = this->findWorker(id);
+    // The end of a call to a former incarnation may be processed after a reply of the next one.
+    if (!worker ||
+        (incarnationStartMs != 0 && incarnationStartMs != worker->entry.incarnationStartMs)) {
+        return;
     }
+    worker->noteClosed(now);
+    this->setClosing(*worker, false);
 }
 
 void Coordinator::giveUp(const GivenUp &tasks, Instant now)
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -59,9 +59,10 @@
     }
 
     /** Tells the coordinator that the worker reset or refused a connection. */
-    void noteClosed(const WorkerId &worker)
+    void noteClosed(const OrderTarget &target)
     {
-        this->node->coordination().connectionClosed(worker, Instant(this->simulation.nowMs));
+        this->node->coordination().connectionClosed(target.worker, Instant(this->simulation.nowMs),
+                                                    target.incarnationStartMs);
     }
 
     /** Delivers one order and its reply with the faults of the simulation. */
@@ -75,9 +76,9 @@
                 answer(outcome);
             }
         };
-        const auto closed = [this, sentIncarnation, worker, reply](OrderOutcome outcome) {
+        const auto closed = [this, sentIncarnation, target, reply](OrderOutcome outcome) {
             if (sentIncarnation == this->incarnation && this->node) {
-                this->noteClosed(worker);
+                this->noteClosed(target);
             }
             reply(outcome);
         };
@@ -198,7 +199,7 @@
         SimWorker &worker = *this->simulation.workers[index];
         const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
         if (!sameLife && this->simulation.crashesReset) {
-            this->noteClosed(order.target.worker);
+            this->noteClosed(order.target);
             this->answerHold(order, sentAt, 2, OrderOutcome::Unanswered, WorkerReport());
             return;
         }
--- a/tests/jobs/test_crashevidence.cpp
+++ b/tests/jobs/test_crashevidence.cpp
@@ -226,6 +226,53 @@
     EXPECT_NE(this->crashes().back().evidence, jobs::POSSIBLE);
 }
 
+/** A closing of a connection whose order was for the incarnation, and what it tells of a run that
+ * the worker's incarnation of 2000 has taken. */
+struct ClosingCase
+{
+    const char *name;
+    std::int64_t incarnationStartMs;
+    jobs::CrashEvidence evidence;
+};
+
+class ClosingTest : public CrashEvidenceTest, public testing::WithParamInterface<ClosingCase>
+{};
+
+// Guards against a job that is closed as failed as the calls to a former incarnation end late: the
+// next one has replied and taken a start meanwhile, and is only cut off.
+TEST_P(ClosingTest, CountsForItsIncarnationOnly)
+{
+    this->submit(false);
+    const WorkerId worker("w1");
+    const auto replyOf = [&](std::int64_t startMs, const std::vector<TaskRef> &running) {
+        this->world.reply(worker, this->now, this->now - beginMs + 500, running, startMs);
+    };
+    WorkerEntry entry = entryOf(worker.value());
+    entry.incarnationStartMs = 1000;
+    this->world.coordinator.setWorker(entry, Instant(this->now));
+    replyOf(1000, {});
+    replyOf(2000, {});
+    this->advance(50);
+    ASSERT_EQ(this->world.orders.starts.size(), 1U);
+    EXPECT_EQ(this->world.orders.starts.front().target.incarnationStartMs, 2000);
+    this->answerStart(worker, OrderOutcome::Accepted);
+    this->advance(50);
+    replyOf(2000, {this->ref()});
+    this->advance(20);
+    this->world.coordinator.connectionClosed(worker, Instant(this->now),
+                                             this->GetParam().incarnationStartMs);
+    this->advance(700);
+    replyOf(3000, {});
+    ASSERT_EQ(this->crashes().size(), 1U);
+    EXPECT_EQ(this->crashes().back().evidence, this->GetParam().evidence) << this->evidence();
+}
+
+INSTANTIATE_TEST_SUITE_P(Incarnations, ClosingTest,
+                         testing::Values(ClosingCase{"former", 1000, jobs::POSSIBLE},
+                                         ClosingCase{"present", 2000, jobs::CERTAIN},
+                                         ClosingCase{"any", 0, jobs::CERTAIN}),
+                         [](const auto &info) { return info.param.name; });
+
 /** Jobs that were closed as failed though fewer than two workers crashed under a run of any task of
  * theirs that had begun. Some workers are cut off in turns, and restarted behind the cut. */
 struct Storm
--- a/tests/net/incarnationserver.h
+++ b/tests/net/incarnationserver.h
@@ -52,6 +52,16 @@
         this->sockets.clear();
     }
 
+    /** Breaks the connections with a reset each. */
+    void resetConnections()
+    {
+        boost::system::error_code ignored;
+        for (const auto &socket : this->sockets) {
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        }
+        this->breakConnections();
+    }
+
     /** From now on nothing on the present connections is carried out or answered; new ones work. */
     void silenceConnections() { this->silentUpTo = this->accepted; }
 
--- a/tests/platform/test_ordersender.cpp
+++ b/tests/platform/test_ordersender.cpp
@@ -8,6 +8,7 @@
 
 #include <gtest/gtest.h>
 
+#include "address.h"
 #include "httpclient.h"
 #include "net/incarnationserver.h"
 #include "platform/names.h"
@@ -38,8 +39,9 @@
                                 {},
                                 {},
                                 [this](const OrderTarget &, std::int64_t) { ++this->others; },
-                                [] {
-                                    return Instant();
+                                [] { return Instant(); },
+                                [this](const OrderTarget &target) {
+                                    this->closed.push_back(target);
                                 }})
     {}
 
@@ -115,6 +117,7 @@
     std::optional<OrderOutcome> outcome;
     std::int64_t reportedStartMs = 0;
     int others = 0;
+    std::vector<OrderTarget> closed; ///< Targets of orders whose connection the worker closed.
 };
 
 // Guards against a start, or a number of ends, that reaches an incarnation that began after the
@@ -189,6 +192,71 @@
     EXPECT_EQ(this->worker.requests.size(), 2U);
 }
 
+/** How the connection of an order ends without a reply, and what is reported. */
+struct UnansweredCase
+{
+    const char *name;
+    /** Ends the connections on which the orders wait for their replies. */
+    void (*end)(IncarnationServer &);
+    bool closed = false;
+};
+
+class UnansweredOrderTest : public OrderSenderTest,
+                            public testing::WithParamInterface<UnansweredCase>
+{};
+
+// Guards against a crash that shows as silence, and a path that is cut and shows as a crash: only
+// the end of a connection tells that the process is gone.
+TEST_P(UnansweredOrderTest, OnlyTheEndOfAConnectionIsReportedAsClosed)
+{
+    this->worker.restart(1000);
+    this->keepConnections(2);
+    this->worker.silenceConnections();
+    this->sendStart(1000);
+    this->orders.hold(HoldOrder{this->target(1000), 500, 0, Duration(0)});
+    this->wait(std::chrono::milliseconds(50));
+    this->GetParam().end(this->worker);
+    EXPECT_EQ(this->await(), OrderOutcome::Unanswered);
+    EXPECT_EQ(this->await(), OrderOutcome::Unanswered);
+    ASSERT_EQ(this->closed.size(), this->GetParam().closed ? 2U : 0U);
+    for (const OrderTarget &target : this->closed) {
+        EXPECT_EQ(target.worker, WorkerId("w1"));
+        EXPECT_EQ(target.incarnationStartMs, 1000);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ends, UnansweredOrderTest,
+    testing::Values(
+        UnansweredCase{"closed", [](IncarnationServer &worker) { worker.breakConnections(); },
+                       true},
+        UnansweredCase{"reset", [](IncarnationServer &worker) { worker.resetConnections(); }, true},
+        UnansweredCase{"timeOut", [](IncarnationServer &) {}, false}),
+    [](const auto &info) { return info.param.name; });
+
+TEST_F(OrderSenderTest, ARefusedConnectionIsReportedAsClosed)
+{
+    EXPECT_EQ(this->start(1000), OrderOutcome::NotSent);
+    EXPECT_EQ(this->hold(1000, 0), OrderOutcome::NotSent);
+    ASSERT_EQ(this->closed.size(), 2U);
+    EXPECT_EQ(this->closed.back().incarnationStartMs, 1000);
+}
+
+// Guards against a worker behind a cut path that is taken for one that has crashed.
+TEST_F(OrderSenderTest, AConnectionThatIsNotEstablishedInTimeIsNotReportedAsClosed)
+{
+    // Further connections get no reply once the queue of accepted ones is full.
+    asio::ip::tcp::acceptor full(this->context, asio::ip::tcp::v4());
+    full.set_option(asio::socket_base::reuse_address(true));
+    full.bind(*parseEndpoint(address));
+    full.listen(0);
+    asio::ip::tcp::socket queued(this->context);
+    queued.connect(*parseEndpoint(address));
+    EXPECT_EQ(this->start(1000), OrderOutcome::NotSent);
+    EXPECT_EQ(this->hold(1000, 0), OrderOutcome::NotSent);
+    EXPECT_TRUE(this->closed.empty());
+}
+
 /** Servers at several addresses, and a client that is to keep few connections to them. */
 class KeptConnectionsTest : public testing::Test
 {
