Log why a job ended on each instance, and what is held back

Beside many completed jobs the line on a failed one could be suppressed, as all lines of an event shared one rate limit. A task that is held back after crashes waited without a line.

Cause: followers read the published state only, which did not say why; the progress of a closed job drops the counts of its tasks, so a successor could not tell either.

The status and the progress of a failed job have the task that it rests on, its failed runs and its crashes (JobFailure).

- job_end_read: an instance reads from the log that a job has ended which it has not closed itself.
- closed_job_adopted: a new coordinator finds a job that its predecessor closed as failed or cancelled, or without publishing it.
- task_held_back, godwitfall_tasks_held_back_total: once for each hold, and again by a coordinator that takes over meanwhile.
- Lines on the ends of jobs have a rate limit for each state, and those on failed jobs are warnings.

Tests, red with the part of the code that they are for taken out: LogLineTest and EntryInstanceTest.LogsFailuresBesideManyCompletedJobs (one limit for an event), ClosedJobTest.RecordsTellWhyAJobFailed (no failure in the status), ClosedJobSimulationTest.FollowersAndSuccessorsTellOfTheEnd (ends not told apart from repeated states). AHoldBackIsReportedOnce was not tried that way.

Run: test_closedjobs, test_crashevidence, test_crashes, test_observability and the new test of test_entryinstance pass; godwitfall builds.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -624,6 +624,27 @@
     return list.empty() ? "none" : list;
 }
 
+/** Returns the kind of a line on a job that has ended; failures are not to be suppressed by the
+ * numerous lines on jobs that are completed. */
+LogEvent endEvent(const char *name, jobs::JobState state)
+{
+    return LogEvent(name, jobs::JobState_Name(state));
+}
+
+LogLevel endLevel(jobs::JobState state)
+{
+    return state == jobs::FAILED ? LogLevel::Warning : LogLevel::Info;
+}
+
+/** Returns why the job ended, as far as its records say. */
+std::string reasonOf(const Job &job, jobs::JobState state)
+{
+    if (state == jobs::FAILED) {
+        return job.failure ? toText(job.failure->reason) : "not_recorded";
+    }
+    return toText(state == jobs::CANCELLED ? JobEndReason::Cancelled : JobEndReason::AllDone);
+}
+
 } // namespace
 
 void EntryInstance::crashCounted(const CountedCrash &counted)
@@ -688,7 +709,7 @@
         this->metrics.observe("godwitfall_job_wait_ms",
                               static_cast<double>((job.firstPlacedAt - job.knownSince).count()));
     }
-    logLine(LogLevel::Info, "job_finished",
+    logLine(endLevel(job.state), endEvent("job_finished", job.state),
             {{"job", job.id().value()},
              {"queue", job.spec().queue()},
              {"state", jobs::JobState_Name(job.state)},
@@ -704,6 +725,51 @@
              {"crashes", listOf(end.crashedRuns)}});
 }
 
+void EntryInstance::jobEndRead(const Job &job)
+{
+    const JobEnd end = job.failure.value_or(JobEnd());
+    logLine(endLevel(job.published), endEvent("job_end_read", job.published),
+            {{"job", job.id().value()},
+             {"queue", job.spec().queue()},
+             {"state", jobs::JobState_Name(job.published)},
+             {"reason", reasonOf(job, job.published)},
+             {"task", job.failure ? platform::taskName(end.task) : "none"},
+             {"failed_runs", listOf(end.failedRuns)},
+             {"crashes", listOf(end.crashedRuns)}});
+}
+
+void EntryInstance::closedJobAdopted(const Job &job)
+{
+    const JobEnd end = job.failure.value_or(JobEnd());
+    std::size_t placed = 0;
+    for (const auto &[key, run] : job.stepRuns()) {
+        placed += static_cast<std::size_t>(
+            std::count_if(run.tasks.begin(), run.tasks.end(),
+                          [](const Task &task) { return !task.worker.empty(); }));
+    }
+    logLine(endLevel(job.state), endEvent("closed_job_adopted", job.state),
+            {{"job", job.id().value()},
+             {"queue", job.spec().queue()},
+             {"state", jobs::JobState_Name(job.state)},
+             {"published", jobs::JobState_Name(job.published)},
+             {"finished", std::to_string(job.finishedMs)},
+             {"placed", std::to_string(placed)},
+             {"reason", reasonOf(job, job.state)},
+             {"task", job.failure ? platform::taskName(end.task) : "none"},
+             {"failed_runs", listOf(end.failedRuns)},
+             {"crashes", listOf(end.crashedRuns)}});
+}
+
+void EntryInstance::taskHeldBack(const TaskRef &task, std::size_t crashes, const HoldBack &hold)
+{
+    this->metrics.count("godwitfall_tasks_held_back_total");
+    logLine(LogLevel::Info, "task_held_back",
+            {{"task", platform::taskName(task)},
+             {"crashes", std::to_string(crashes)},
+             {"for_ms", std::to_string(hold.length.count())},
+             {"until", std::to_string(hold.untilMs)}});
+}
+
 void EntryInstance::workerEjected(const WorkerId &worker, Duration length)
 {
     logLine(LogLevel::Info, "worker_rests",
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -59,6 +59,8 @@
     void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                       RunOutcome outcome) override;
     void jobFinished(const Job &job, const JobEnd &end) override;
+    void closedJobAdopted(const Job &job) override;
+    void taskHeldBack(const TaskRef &task, std::size_t crashes, const HoldBack &hold) override;
     void workerEjected(const WorkerId &worker, Duration length) override;
     void workerRestarted(const WorkerState &former, std::int64_t startMs) override;
     void orderFenced(const WorkerId &worker) override;
@@ -69,6 +71,7 @@
     void startsPaused(bool held, Duration viewAge) override;
     void recordsRejected(const std::vector<JobRecord> &records) override;
     void recordUnreadable(const JobRecord &record) override;
+    void jobEndRead(const Job &job) override;
     void configOutdated() override;
 
     Instant now() const;
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -29,6 +29,8 @@
                "noticed."},
     MetricHelp{"godwitfall_crashes_withdrawn_total",
                "Counted crashes of workers that were only silent."},
+    MetricHelp{"godwitfall_tasks_held_back_total",
+               "Times that a task was held back after crashes of workers."},
     MetricHelp{"godwitfall_ownership_changes_total",
                "Times this instance gained or lost coordination."},
     MetricHelp{"godwitfall_log_lines_held_back_total", "Log lines suppressed by the rate limit."},
--- a/src/godwitfall/logging.cpp
+++ b/src/godwitfall/logging.cpp
@@ -42,12 +42,15 @@
     return guarded;
 }
 
-LogRateLimiter::Verdict admit(std::string_view event)
+LogRateLimiter::Verdict admit(const LogEvent &event)
 {
     const auto since = std::chrono::steady_clock::now().time_since_epoch();
     const Instant now(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+    std::string kind(event.name);
+    kind += '/';
+    kind += event.group;
     std::lock_guard lock(rateLimiter().mutex);
-    return rateLimiter().limiter.admit(std::string(event), now);
+    return rateLimiter().limiter.admit(kind, now);
 }
 
 std::string &instanceName()
@@ -119,7 +122,7 @@
     return true;
 }
 
-void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void logLine(LogLevel level, const LogEvent &event, std::initializer_list<LogField> fields)
 {
     static logs::sources::severity_logger_mt<int> logger;
     const LogRateLimiter::Verdict verdict = admit(event);
@@ -128,7 +131,8 @@
     }
     const int severity = static_cast<int>(level);
     std::string line = "level=" + std::string(levelNames.at(static_cast<std::size_t>(severity))) +
-                       " instance=" + quotedValue(instanceName()) + " event=" + std::string(event);
+                       " instance=" + quotedValue(instanceName()) +
+                       " event=" + std::string(event.name);
     for (const LogField &field : fields) {
         line += " " + std::string(field.name) + "=" + quotedValue(field.value);
     }
--- a/src/godwitfall/logging.h
+++ b/src/godwitfall/logging.h
@@ -14,6 +14,19 @@
     std::string value;
 };
 
+/** The kind of a log line. */
+struct LogEvent
+{
+    /** Lines with the same name and group share a rate limit. */
+    LogEvent(const char *name, std::string_view group = {})
+        : name(name)
+        , group(group)
+    {}
+
+    std::string_view name;
+    std::string_view group;
+};
+
 enum class LogLevel {
     Trace,
     Debug,
@@ -26,10 +39,10 @@
 bool startLogging(const std::string &level, const std::string &instance);
 
 /**
- * Writes one log line as key=value, or suppresses it if its event exceeds the rate limit; the next
- * line of that event then has the number of suppressed lines as held_back.
+ * Writes one log line as key=value, or suppresses it if its kind exceeds the rate limit; the next
+ * line of that kind then has the number of suppressed lines as held_back.
  */
-void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+void logLine(LogLevel level, const LogEvent &event, std::initializer_list<LogField> fields = {});
 
 /** Returns the number of lines suppressed by the rate limit so far. */
 std::uint64_t suppressedLogLines();
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,9 +11,6 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
-constexpr std::array<const char *, 4> endReasonNames = {"all_done", "attempts_used_up",
-                                                        "workers_crashed", "cancelled"};
-
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
 /** Sorts after the id of any worker; ids are printable. */
@@ -28,11 +25,6 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
-const char *toText(JobEndReason reason)
-{
-    return endReasonNames.at(static_cast<std::size_t>(reason));
-}
-
 Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                          CoordinatorObserver &observer)
     : table(table)
@@ -125,6 +117,10 @@
 
 void Coordinator::adopt(Job &job, Instant now)
 {
+    const bool isPublished = job.published == job.state;
+    if (job.closed() && (job.state != Job::State::COMPLETED || !isPublished)) {
+        this->observer.closedJobAdopted(job);
+    }
     bool placed = false;
     for (auto &[key, run] : job.stepRuns()) {
         for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
@@ -143,6 +139,9 @@
                     this->silentCrashes[crash.worker].push_back(ref);
                 }
             }
+            if (!task.crashedRuns.empty() && !job.closed()) {
+                this->reportHoldBack(job, ref);
+            }
             if (task.worker.empty()) {
                 continue;
             }
@@ -765,11 +764,9 @@
 {
     std::vector<JobRecord> records;
     for (Job *job : this->unpublished) {
-        jobs::JobStatus status;
-        status.set_state(job->state);
         JobRecord record;
         record.key = JobTable::statusKey(job->id());
-        record.value = status.SerializeAsString();
+        record.value = job->toStatus().SerializeAsString();
         records.push_back(std::move(record));
         this->publishing.emplace_back(job, job->state);
     }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -39,26 +39,6 @@
 /** Returns the outcome's name in logs and metrics. */
 const char *toText(RunOutcome outcome);
 
-/** Why a coordinator closed a job; a closed list in logs and metrics. */
-enum class JobEndReason : std::uint8_t {
-    AllDone,
-    AttemptsUsedUp, ///< Runs of a task ended as failed, as often as the queue allows.
-    WorkersCrashed, ///< Workers crashed under a task.
-    Cancelled,
-};
-
-/** Returns the reason's name in logs and metrics. */
-const char *toText(JobEndReason reason);
-
-/** The end of a job, and the task that it rests on. */
-struct JobEnd
-{
-    JobEndReason reason = JobEndReason::AllDone;
-    TaskRef task;                          ///< Of AttemptsUsedUp and WorkersCrashed.
-    std::vector<std::uint32_t> failedRuns; ///< Of that task.
-    std::vector<CrashedRun> crashedRuns;   ///< Of that task.
-};
-
 /** A crash of a worker that was counted for a task, and what the count rests on. */
 struct CountedCrash
 {
@@ -74,6 +54,13 @@
     bool givenUp = false;                ///< Its job fails for it.
 };
 
+/** For how long a task is not started after crashes. */
+struct HoldBack
+{
+    Duration length{0};
+    std::int64_t untilMs = 0; ///< Since 1970.
+};
+
 /** Receives the coordinator's decisions and observations; for logs and metrics. */
 class CoordinatorObserver
 {
@@ -84,10 +71,16 @@
     /** The worker on which the run was counted as crashed under has not crashed: the same
      * incarnation replied again. */
     virtual void crashWithdrawn(const TaskRef &task, std::uint32_t run, const WorkerId &worker) = 0;
+    /** The task is held back after the crashes, once for each time, and again by a coordinator that
+     * takes over meanwhile. */
+    virtual void taskHeldBack(const TaskRef &task, std::size_t crashes, const HoldBack &hold) = 0;
     /** A run ended without completing its task, which may be placed again. */
     virtual void taskReturned(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                               RunOutcome outcome) = 0;
     virtual void jobFinished(const Job &job, const JobEnd &end) = 0;
+    /** This coordinator takes over a job that a former one has closed: as failed or cancelled, or
+     * without publishing it. */
+    virtual void closedJobAdopted(const Job &job) = 0;
     virtual void workerEjected(const WorkerId &worker, Duration length) = 0;
     /** Another incarnation of the worker has been seen; former: its state as of the one before. */
     virtual void workerRestarted(const WorkerState &former, std::int64_t startMs) = 0;
@@ -452,8 +445,10 @@
     static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
     /** Returns whether what is known of the crashes is enough to give the task up. */
     static bool isCause(const std::vector<CrashedRun> &crashes, std::size_t enough);
-    /** Returns whether the waiting task is held back after crashes. */
-    bool isHeldBack(const Job &job, const TaskRef &ref) const;
+    /** Returns for how long the waiting task is held back after crashes; nothing if it is not. */
+    std::optional<HoldBack> holdBackOf(const Job &job, const TaskRef &ref) const;
+    /** Tells the observer of the task if it is held back. */
+    void reportHoldBack(const Job &job, const TaskRef &ref);
     /** Returns whether the worker has a watched start, or waits for one. */
     static bool isWatched(const WorkerState &worker, Instant now);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -130,7 +130,7 @@
     return crashes.size() >= enough && (certain || likely);
 }
 
-bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
+std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
     Duration length = longRunningHoldBack;
@@ -138,11 +138,11 @@
     if (job.stepSpec(ref.step).long_running()) {
         // It has to run again soon however its runs end, and is only held back as the cause.
         if (!isCause(crashes, crashesToGiveUpAlone)) {
-            return false;
+            return std::nullopt;
         }
     } else {
         if (crashes.size() < crashesToHoldBack) {
-            return false;
+            return std::nullopt;
         }
         const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
         length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
@@ -156,8 +156,17 @@
         countedMs = std::max(countedMs, crash.countedMs);
     }
     // A clock that was set back does not prolong it by more than its length.
-    const std::int64_t left = countedMs + length.count() - this->unixMs;
-    return left > 0 && left <= 2 * length.count();
+    const std::int64_t untilMs = countedMs + length.count();
+    const std::int64_t left = untilMs - this->unixMs;
+    return left > 0 && left <= 2 * length.count() ? std::optional(HoldBack{length, untilMs})
+                                                  : std::nullopt;
+}
+
+void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref)
+{
+    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref)) {
+        this->observer.taskHeldBack(ref, job.crashesUnder(ref), *hold);
+    }
 }
 
 bool Coordinator::isWatched(const WorkerState &worker, Instant now)
@@ -179,6 +188,7 @@
         return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
     };
     GivenUp toGiveUp;
+    std::map<TaskRef, Job *> goesOn;
     for (const auto &[ref, job] : causes) {
         const Task &task = *job->task(ref);
         std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
@@ -202,8 +212,14 @@
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
             toGiveUp.emplace_back(job, countedRef(*job, ref));
+            goesOn.erase(countedRef(*job, ref));
+        } else {
+            goesOn.emplace(countedRef(*job, ref), job);
         }
     }
+    for (const auto &[ref, job] : goesOn) {
+        this->reportHoldBack(*job, ref);
+    }
     return toGiveUp;
 }
 
@@ -273,7 +289,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
+    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -117,8 +117,8 @@
 void Coordinator::failJob(Job &job, JobEndReason reason, const TaskRef &ref, Instant now)
 {
     const Task &counted = this->countedTask(job, ref);
-    const JobEnd end{reason, countedRef(job, ref), counted.failedRuns, counted.crashedRuns};
-    this->closeJob(job, Job::State::FAILED, end, now);
+    job.failure = JobEnd{reason, countedRef(job, ref), counted.failedRuns, counted.crashedRuns};
+    this->closeJob(job, Job::State::FAILED, *job.failure, now);
 }
 
 void Coordinator::closeJob(Job &job, Job::State state, const JobEnd &end, Instant now)
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -1,11 +1,15 @@
 #include "job.h"
 
 #include <algorithm>
+#include <array>
 
 namespace godwitfall {
 
 namespace {
 
+constexpr std::array<const char *, 4> endReasonNames = {"all_done", "attempts_used_up",
+                                                        "workers_crashed", "cancelled"};
+
 constexpr std::uint32_t bitsPerByte = 8;
 
 bool bitIsSet(const std::string &bits, std::uint32_t index)
@@ -27,6 +31,40 @@
     message.mutable_runs()->Assign(runs.begin(), runs.end());
 }
 
+void fillCrash(jobs::CrashedRun &message, std::uint32_t index, const CrashedRun &crash)
+{
+    message.set_index(index);
+    message.set_run(crash.run);
+    message.set_worker(crash.worker);
+    message.set_epoch(crash.epoch);
+    message.set_sign(crash.sign);
+    message.set_evidence(crash.evidence);
+    message.set_worker_born_ms(crash.incarnationStartMs);
+    message.set_counted_ms(crash.countedMs);
+}
+
+CrashedRun crashOf(const jobs::CrashedRun &message)
+{
+    return CrashedRun{message.run(),       message.evidence(), message.sign(),
+                      message.worker(),    message.epoch(),    message.worker_born_ms(),
+                      message.counted_ms()};
+}
+
+jobs::JobFailure failureOf(const JobEnd &end)
+{
+    jobs::JobFailure message;
+    message.set_reason(end.reason == JobEndReason::WorkersCrashed ? jobs::WORKERS_CRASHED
+                                                                  : jobs::ATTEMPTS_USED_UP);
+    message.set_occurrence(end.task.occurrence);
+    message.set_step(end.task.step);
+    message.set_index(end.task.index);
+    message.mutable_failed_runs()->Assign(end.failedRuns.begin(), end.failedRuns.end());
+    for (const CrashedRun &crash : end.crashedRuns) {
+        fillCrash(*message.add_crashes(), end.task.index, crash);
+    }
+    return message;
+}
+
 void addCrashes(jobs::StepProgress &message, std::uint32_t index,
                 const std::vector<CrashedRun> &crashes)
 {
@@ -34,15 +72,7 @@
     runs.set_index(index);
     for (const CrashedRun &crash : crashes) {
         runs.add_runs(crash.run);
-        jobs::CrashedRun &detailed = *message.add_crashes();
-        detailed.set_index(index);
-        detailed.set_run(crash.run);
-        detailed.set_worker(crash.worker);
-        detailed.set_epoch(crash.epoch);
-        detailed.set_sign(crash.sign);
-        detailed.set_evidence(crash.evidence);
-        detailed.set_worker_born_ms(crash.incarnationStartMs);
-        detailed.set_counted_ms(crash.countedMs);
+        fillCrash(*message.add_crashes(), index, crash);
     }
 }
 
@@ -94,6 +124,11 @@
 
 } // namespace
 
+const char *toText(JobEndReason reason)
+{
+    return endReasonNames.at(static_cast<std::size_t>(reason));
+}
+
 Job::Job(JobId id, jobs::JobSpec spec)
     : identity(std::move(id))
     , submitted(std::move(spec))
@@ -245,6 +280,9 @@
     jobs::JobProgress progress;
     progress.set_state(this->state);
     progress.set_finished_ms(this->finishedMs);
+    if (this->failure) {
+        *progress.mutable_failure() = failureOf(*this->failure);
+    }
     // Of a closed job only steps with tasks that may still run are needed.
     for (const auto &[key, run] : this->runs) {
         jobs::StepProgress message =
@@ -261,6 +299,9 @@
     jobs::JobProgress progress;
     progress.set_state(this->state);
     progress.set_finished_ms(this->finishedMs);
+    if (this->failure) {
+        *progress.mutable_failure() = failureOf(*this->failure);
+    }
     progress.set_in_parts(true);
     return progress;
 }
@@ -293,9 +334,22 @@
     return progress;
 }
 
+jobs::JobStatus Job::toStatus() const
+{
+    jobs::JobStatus status;
+    status.set_state(this->state);
+    if (this->failure) {
+        *status.mutable_failure() = failureOf(*this->failure);
+    }
+    return status;
+}
+
 void Job::applyProgress(const jobs::JobProgress &progress, Instant now)
 {
     this->state = this->published >= State::COMPLETED ? this->published : progress.state();
+    if (progress.has_failure()) {
+        this->applyFailure(progress.failure());
+    }
     this->finishedMs = progress.finished_ms();
     this->wholeRecordOfParts = this->inParts() && !progress.in_parts();
     if (progress.in_parts()) {
@@ -375,14 +429,33 @@
         // A record of an earlier version has only the numbers of the runs.
         for (CrashedRun &known : run.tasks[crash.index()].crashedRuns) {
             if (known.run == crash.run()) {
-                known = CrashedRun{crash.run(),       crash.evidence(), crash.sign(),
-                                   crash.worker(),    crash.epoch(),    crash.worker_born_ms(),
-                                   crash.counted_ms()};
+                known = crashOf(crash);
             }
         }
     }
 }
 
+void Job::applyFailure(const jobs::JobFailure &message)
+{
+    JobEnd end;
+    end.reason = message.reason() == jobs::WORKERS_CRASHED ? JobEndReason::WorkersCrashed
+                                                           : JobEndReason::AttemptsUsedUp;
+    end.task = TaskRef{this->identity, message.occurrence(), message.step(), message.index()};
+    end.failedRuns.assign(message.failed_runs().begin(), message.failed_runs().end());
+    for (const jobs::CrashedRun &crash : message.crashes()) {
+        end.crashedRuns.push_back(crashOf(crash));
+    }
+    this->failure = std::move(end);
+}
+
+void Job::applyStatus(const jobs::JobStatus &status)
+{
+    if (status.has_failure() && this->published < State::COMPLETED) {
+        this->applyFailure(status.failure());
+    }
+    this->applyStatus(status.state());
+}
+
 void Job::applyStatus(State status)
 {
     if (this->published >= State::COMPLETED) {
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -68,6 +68,26 @@
     std::int64_t countedMs = 0;          ///< Since 1970; 0: not known.
 };
 
+/** Why a coordinator closed a job; a closed list in logs and metrics. */
+enum class JobEndReason : std::uint8_t {
+    AllDone,
+    AttemptsUsedUp, ///< Runs of a task ended as failed, as often as the queue allows.
+    WorkersCrashed, ///< Workers crashed under a task.
+    Cancelled,
+};
+
+/** Returns the reason's name in logs and metrics. */
+const char *toText(JobEndReason reason);
+
+/** The end of a job, and the task that it rests on. */
+struct JobEnd
+{
+    JobEndReason reason = JobEndReason::AllDone;
+    TaskRef task;                          ///< Of AttemptsUsedUp and WorkersCrashed.
+    std::vector<std::uint32_t> failedRuns; ///< Of that task.
+    std::vector<CrashedRun> crashedRuns;   ///< Of that task.
+};
+
 /** One task of a step. */
 struct Task
 {
@@ -222,6 +242,9 @@
     /** Returns the progress of the tasks of one part; without steps if nothing of it is needed. */
     jobs::JobProgress toPartProgress(std::uint32_t part) const;
 
+    /** Returns what the record for clients says. */
+    jobs::JobStatus toStatus() const;
+
     /** Replaces the state by that of a record; placed tasks become unconfirmed. */
     void applyProgress(const jobs::JobProgress &progress, Instant now);
 
@@ -230,6 +253,7 @@
 
     /** Sets the published state; a final state does not change any more. */
     void applyStatus(State status);
+    void applyStatus(const jobs::JobStatus &status);
 
     /** Discards the tasks of a closed job. */
     void dropTasks() { this->runs.clear(); }
@@ -259,6 +283,8 @@
     State state = State::QUEUED;
     State published = State::QUEUED; ///< State that clients see; durable.
     bool cancelled = false;
+    /** Why it failed; unset: it has not, or an earlier version closed it. */
+    std::optional<JobEnd> failure;
     std::int64_t finishedMs = 0;      ///< Since 1970; 0 while open.
     std::uint64_t progressOffset = 0; ///< Of the record of the job as a whole.
     /** That record has the progress of all tasks, though the job is in parts: an earlier version
@@ -269,13 +295,14 @@
     std::set<std::uint32_t> storedParts;  ///< Parts of which the store has a record.
     Instant knownSince;
     Instant firstPlacedAt; ///< When this coordinator first placed a task of it; unset: not yet.
-    Instant closedAt;
+    Instant closedAt;      ///< When this coordinator closed it; unset: it has not.
     std::uint32_t returnedRuns = 0; ///< Runs that ended without success under this coordinator.
 
 private:
     /** Computes the totals of the job from the estimates of its steps. */
     void computeTotals();
     void applyStep(const jobs::StepProgress &message, Instant now);
+    void applyFailure(const jobs::JobFailure &message);
 
     JobId identity;
     jobs::JobSpec submitted;
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -72,6 +72,12 @@
     if (change == JobTable::Change::Malformed) {
         this->host.recordUnreadable(record);
     }
+    const bool ended =
+        change == JobTable::Change::Ended ||
+        (change == JobTable::Change::Submitted && job->published >= Job::State::COMPLETED);
+    if (ended && job->closedAt == Instant()) {
+        this->host.jobEndRead(*job);
+    }
     if (change == JobTable::Change::Owner) {
         this->noteConfigVersion(this->table.owner().configVersion);
     }
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -38,6 +38,10 @@
 
     virtual void recordUnreadable(const JobRecord &record) = 0;
 
+    /** The log says that the job has ended, which the present coordinator of this node, if any, has
+     * not decided; once for each reading of the log from its newest records. */
+    virtual void jobEndRead(const Job &job) = 0;
+
     /** The store does not take the records, or some of them; they are not stored. */
     virtual void recordsRejected(const std::vector<JobRecord> &records) = 0;
 
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -151,8 +151,9 @@
     if (!status.ParseFromString(record.value) || !jobs::JobState_IsValid(status.state())) {
         return Change::Malformed;
     }
-    job->applyStatus(status.state());
-    return Change::Published;
+    const bool wasFinal = job->published >= Job::State::COMPLETED;
+    job->applyStatus(status);
+    return !wasFinal && job->published >= Job::State::COMPLETED ? Change::Ended : Change::Published;
 }
 
 JobTable::Change JobTable::applyProgress(const JobId &id, const JobRecord &record, Instant now,
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -51,6 +51,7 @@
         Cancelled,
         Progressed,
         Published,
+        Ended, ///< The same with the first final state.
         Owner,
         Malformed,
     };
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -498,6 +498,24 @@
     return id;
 }
 
+std::size_t JobSimulation::endsRead(const JobId &id) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+            const std::vector<JobId> &ends = instance->host.endsRead;
+            return instance->node && std::find(ends.begin(), ends.end(), id) != ends.end();
+        }));
+}
+
+std::size_t JobSimulation::adoptions(const JobId &id) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+            const std::vector<JobId> &adopted = instance->host.adopted;
+            return instance->node && std::find(adopted.begin(), adopted.end(), id) != adopted.end();
+        }));
+}
+
 void JobSimulation::cancel(const JobId &id)
 {
     for (const auto &instance : this->instances) {
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -17,7 +17,16 @@
 
 namespace godwitfall::jobtests {
 
-/** Records only what a node requests. */
+/** A task that was held back. */
+struct HeldBackTask
+{
+    TaskRef task;
+    std::size_t crashes = 0;
+    HoldBack hold;
+};
+
+/** Records only what a node requests, and what it tells of jobs that others closed and of tasks
+ * that are held back. */
 class RecordingHost : public JobNodeHost
 {
 public:
@@ -25,6 +34,12 @@
     void crashWithdrawn(const TaskRef &, std::uint32_t, const WorkerId &) override {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
     void jobFinished(const Job &, const JobEnd &) override {}
+    void closedJobAdopted(const Job &job) override { this->adopted.push_back(job.id()); }
+    void taskHeldBack(const TaskRef &task, std::size_t crashes, const HoldBack &hold) override
+    {
+        this->heldBack.push_back(HeldBackTask{task, crashes, hold});
+    }
+    void jobEndRead(const Job &job) override { this->endsRead.push_back(job.id()); }
     void workerEjected(const WorkerId &, Duration) override {}
     void workerRestarted(const WorkerState &, std::int64_t) override {}
     void orderFenced(const WorkerId &) override {}
@@ -41,6 +56,9 @@
     bool needsWorkers = false;
     bool needsReload = true;
     bool needsConfig = false;
+    std::vector<JobId> adopted;  ///< Jobs that a former coordinator had closed.
+    std::vector<JobId> endsRead; ///< Jobs of which the log says that they have ended.
+    std::vector<HeldBackTask> heldBack;
 };
 
 /** Probabilities of faults, each in parts of a thousand. */
@@ -98,6 +116,12 @@
     /** Returns the state of the job that most instances show. */
     jobs::JobState shown(const JobId &id);
 
+    /** Returns how many instances that run now have read from the log that the job has ended. */
+    std::size_t endsRead(const JobId &id) const;
+
+    /** Returns how many of them have taken over the job after another had closed it. */
+    std::size_t adoptions(const JobId &id) const;
+
     /** Kills the coordinating instance, if any; it starts again after the time. */
     void killOwner(std::int64_t downMs = 1000);
 
--- a/tests/jobs/test_closedjobs.cpp
+++ b/tests/jobs/test_closedjobs.cpp
@@ -97,6 +97,57 @@
     EXPECT_LE(this->starts, 3U);
 }
 
+// Guards against a failed job of which no log but that of the coordinator tells why it was closed:
+// what followers and a successor read has to say so.
+TEST_F(ClosedJobTest, RecordsTellWhyAJobFailed)
+{
+    this->submit(false);
+    this->loseWorkers(StartEnd::ClosedOnceTaken);
+    ASSERT_EQ(this->state(), jobs::FAILED) << this->evidence();
+    ASSERT_TRUE(this->found().failure);
+    ASSERT_FALSE(this->recorded.empty());
+    const std::vector<JobRecord> statuses = this->world.coordinator.takeStatuses();
+    ASSERT_EQ(statuses.size(), 1U);
+    for (const JobRecord &read : {statuses.front(), this->recorded.front()}) {
+        JobTable follower;
+        Job *job = nullptr;
+        follower.apply(
+            record(JobTable::submissionKey(this->job), oneTask(false).SerializeAsString(), 0),
+            Instant(1), job);
+        follower.apply(record(read.key, read.value, 1), Instant(1), job);
+        ASSERT_TRUE(job && job->failure) << read.key;
+        EXPECT_EQ(job->failure->reason, JobEndReason::WorkersCrashed);
+        EXPECT_EQ(job->failure->task, this->ref());
+        ASSERT_EQ(job->failure->crashedRuns.size(), Coordinator::crashesToGiveUpAlone);
+        for (const CrashedRun &crash : job->failure->crashedRuns) {
+            EXPECT_EQ(crash.evidence, jobs::CERTAIN);
+            EXPECT_EQ(crash.epoch, 1U);
+            EXPECT_FALSE(crash.worker.empty());
+        }
+    }
+}
+
+// Guards against an instance that tells nothing of the end of a job that another one decided, or
+// tells it of each record.
+TEST(ClosedJobSimulationTest, FollowersAndSuccessorsTellOfTheEnd)
+{
+    JobSimulation simulation(1, FaultRates());
+    simulation.fails = [](const TaskRef &, std::uint32_t) {
+        return true;
+    };
+    simulation.run(1500);
+    const JobId id = simulation.submit({stepOf(1, 100)});
+    simulation.run(4000);
+    ASSERT_EQ(simulation.shown(id), jobs::FAILED);
+    EXPECT_EQ(simulation.endsRead(id), 2U) << "the third has decided it";
+    EXPECT_EQ(simulation.adoptions(id), 0U);
+    simulation.killOwner();
+    simulation.run(8000);
+    EXPECT_EQ(simulation.ownersNow(), 1U);
+    EXPECT_EQ(simulation.endsRead(id), 3U) << "one of them has started again";
+    EXPECT_EQ(simulation.adoptions(id), 1U);
+}
+
 // Guards against a job that is closed as failed as its task was on workers that were cut off,
 // replied again later as the same incarnation, and had not crashed at all.
 TEST_F(ClosedJobTest, WorkersCutOffUntilTheirLeasesLapseCloseNoJob)
--- a/tests/jobs/test_crashevidence.cpp
+++ b/tests/jobs/test_crashevidence.cpp
@@ -139,6 +139,34 @@
     EXPECT_TRUE(this->awaitStart(worker, 5000));
 }
 
+// Guards against a task that waits without a word, and against a line for each search for a worker:
+// each coordinator tells once for how long it holds the task back.
+TEST_F(CrashEvidenceTest, AHoldBackIsReportedOnce)
+{
+    this->submit(false);
+    for (std::size_t loss = 1; loss <= Coordinator::crashesToHoldBack; ++loss) {
+        EXPECT_TRUE(this->world.host.heldBack.empty()) << loss;
+        ASSERT_TRUE(this->loseUnseen(3000)) << loss;
+    }
+    ASSERT_EQ(this->world.host.heldBack.size(), 1U);
+    const HeldBackTask reported = this->world.host.heldBack.front();
+    EXPECT_EQ(reported.task, this->ref());
+    EXPECT_EQ(reported.crashes, Coordinator::crashesToHoldBack);
+    EXPECT_EQ(reported.hold.length, Coordinator::firstHoldBack);
+    EXPECT_EQ(reported.hold.untilMs, this->now + Coordinator::firstHoldBack.count());
+    const WorkerId worker = this->addWorker();
+    EXPECT_FALSE(this->awaitStart(worker, 2000));
+    EXPECT_EQ(this->world.host.heldBack.size(), 1U);
+    this->takeOver(2);
+    ASSERT_EQ(this->world.host.heldBack.size(), 2U);
+    EXPECT_EQ(this->world.host.heldBack.back().hold.untilMs, reported.hold.untilMs);
+    ASSERT_TRUE(this->awaitStart(this->addWorker(), 16000));
+    EXPECT_GE(this->now, reported.hold.untilMs);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U);
+    this->takeOver(3);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U) << "its time is over";
+}
+
 // Guards against a task that lasts and is held back for a minute at once, the first time that the
 // counts are enough: starts that may never have arrived double the time.
 TEST_F(CrashEvidenceTest, PossibleCrashesDoNotProlongTheHoldBackOfTasksThatLast)
--- a/tests/net/test_observability.cpp
+++ b/tests/net/test_observability.cpp
@@ -3,7 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/log/core.hpp>
+
 #include "instancemetrics.h"
+#include "logging.h"
 #include "logratelimiter.h"
 
 namespace godwitfall {
@@ -48,6 +51,21 @@
         static_cast<double>(LogRateLimiter::burst + seconds * LogRateLimiter::linesPerSecond), 2.0);
 }
 
+// Guards against rare lines that are lost as numerous ones of the same event use up its limit.
+TEST(LogLineTest, GroupsOfAnEventHaveLimitsOfTheirOwn)
+{
+    boost::log::core::get()->set_logging_enabled(false);
+    for (std::int64_t line = 0; line < LogRateLimiter::burst * 3; ++line) {
+        logLine(LogLevel::Info, {"flood", "frequent"});
+    }
+    const std::uint64_t suppressed = suppressedLogLines();
+    EXPECT_GT(suppressed, 0U);
+    logLine(LogLevel::Info, {"flood", "rare"});
+    logLine(LogLevel::Info, "flood");
+    EXPECT_EQ(suppressedLogLines(), suppressed);
+    boost::log::core::get()->set_logging_enabled(true);
+}
+
 TEST(InstanceMetricsTest, EveryMetricIsDocumented)
 {
     const std::string page = readPage("docs/OPERATIONS.md");
--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -11,11 +11,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/log/core.hpp>
 
 #include "entryinstance.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "jobsimulation.h"
+#include "logging.h"
+#include "logratelimiter.h"
 #include "platform/names.h"
 #include "platformstore.h"
 
@@ -182,6 +185,33 @@
     EXPECT_EQ(shown, 1U);
 }
 
+// Guards against a failed job of which the log tells nothing, as hundreds of others are completed
+// in the same second.
+TEST_F(EntryInstanceTest, LogsFailuresBesideManyCompletedJobs)
+{
+    boost::log::core::get()->set_logging_enabled(false);
+    JobNodeHost &host = this->instance;
+    const auto tell = [&host](jobs::JobState state) {
+        jobs::JobSpec spec;
+        *spec.add_steps() = jobtests::stepOf(1, 100);
+        Job job(JobId(lastJob), std::move(spec));
+        job.applyStatus(state);
+        host.jobFinished(job, JobEnd());
+        host.jobEndRead(job);
+        host.closedJobAdopted(job);
+    };
+    constexpr std::uint64_t lines = 3 * LogRateLimiter::burst;
+    for (std::uint64_t line = 0; line < lines; ++line) {
+        tell(jobs::COMPLETED);
+    }
+    const std::uint64_t suppressed = suppressedLogLines();
+    EXPECT_GT(suppressed, lines) << "of each of the three events";
+    tell(jobs::FAILED);
+    tell(jobs::CANCELLED);
+    EXPECT_EQ(suppressedLogLines(), suppressed);
+    boost::log::core::get()->set_logging_enabled(true);
+}
+
 // Guards against 404 for a queue that was added while the instance could not read the store.
 TEST_F(EntryInstanceTest, DoesNotDenyQueuesOnAnOldConfiguration)
 {
