--- a/tests/jobs/faultschedule.cpp
+++ b/tests/jobs/faultschedule.cpp
@@ -3,22 +3,14 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <map>
-#include <optional>
 #include <set>
-#include <sstream>
+
+#include "longrunningwatch.h"
 
 namespace godwitfall::jobtests {
 
 namespace {
 
-// The platform's rule for long-running tasks. A task is judged from notJudgedMs after its last run;
-// it is LOST when it does not run for longestIdleMs with capacity for it, and those and the
-// calmBeforeMs before them are calm.
-constexpr std::int64_t notJudgedMs = 6000;
-constexpr std::int64_t calmBeforeMs = 4000;
-constexpr std::int64_t longestIdleMs = 3000;
-
 constexpr std::size_t addedWorkers = 8;
 /** Spreads the tasks of a job, so that a fault of a worker leaves some of them running. */
 constexpr std::uint32_t tasksPerWorker = 2;
@@ -45,11 +37,6 @@
     return kind == FaultKind::WorkerLost || kind >= FaultKind::WorkerReplaced;
 }
 
-std::string textOf(const TaskRef &ref)
-{
-    return ref.job.value() + "." + std::to_string(ref.index);
-}
-
 /** Plays one schedule and watches its long-running tasks. */
 class SchedulePlayer
 {
@@ -83,28 +70,18 @@
             this->inject(fault);
         }
         this->playUntil(this->calmFromMs + calmMs);
-        this->noteTasksThatNeverRan();
         std::vector<std::string> violations = this->simulation.ledger().broken;
-        violations.insert(violations.end(), this->late.begin(), this->late.end());
+        const std::vector<std::string> late = this->watch.lateTasks(this->beginMs);
+        violations.insert(violations.end(), late.begin(), late.end());
         return violations;
     }
 
 private:
-    /** What is known of one long-running task. */
-    struct Watched
-    {
-        std::optional<std::int64_t> overdueSinceMs;
-        std::string overdueView; ///< The coordinator's when the bound passed.
-        std::int64_t stoppedMs = 0;
-        std::string view;  ///< The coordinator's at the last check.
-        std::string trace; ///< Changes of the view while it does not run.
-    };
-
     void submitLongRunning(std::uint32_t count)
     {
         const JobId id = this->simulation.submit({longRunningStep(count)});
         for (std::uint32_t index = 0; index < count; ++index) {
-            this->tasks.emplace(TaskRef{id, 0, 0, index}, Watched());
+            this->watch.add(TaskRef{id, 0, 0, index});
         }
     }
 
@@ -121,23 +98,16 @@
                 this->submitLongRunning(1);
             }
             this->simulation.run(std::min(checkGapMs, untilMs - now));
-            this->check();
+            this->watch.check(this->beginMs, this->calmFromMs);
         }
     }
 
-    bool isRunning(const TaskRef &ref) const
-    {
-        const auto &running = this->simulation.ledger().running;
-        const auto found = running.find(ref);
-        return found != running.end() && !found->second.empty();
-    }
-
     /** Returns the workers that run long-running tasks, or all that are up if none does, and then
      * those that earlier faults hit. */
     std::vector<std::size_t> targets() const
     {
         std::set<std::size_t> result;
-        for (const auto &[ref, watched] : this->tasks) {
+        for (const TaskRef &ref : this->watch.tasks()) {
             const auto found = this->simulation.ledger().running.find(ref);
             if (found != this->simulation.ledger().running.end()) {
                 for (const auto &[worker, run] : found->second) {
@@ -203,72 +173,6 @@
         }
     }
 
-    /** Returns when the task must run; nothing if the rule does not judge it. */
-    std::optional<std::int64_t> mustRunBy(const TaskRef &ref) const
-    {
-        const std::optional<std::int64_t> accepted = this->simulation.acceptedAt(ref.job);
-        if (!accepted) {
-            return std::nullopt;
-        }
-        std::int64_t lastRunMs = *accepted;
-        const auto last = this->simulation.ledger().lastEnds.find(ref);
-        if (last != this->simulation.ledger().lastEnds.end()) {
-            if (last->second.startedLate) {
-                return std::nullopt;
-            }
-            lastRunMs = std::max(lastRunMs, last->second.atMs);
-        }
-        return std::max(lastRunMs + notJudgedMs, this->calmFromMs + calmBeforeMs) + longestIdleMs;
-    }
-
-    void check()
-    {
-        const std::int64_t now = this->simulation.now();
-        for (auto &[ref, watched] : this->tasks) {
-            if (this->isRunning(ref)) {
-                if (watched.overdueSinceMs) {
-                    this->noteLate(ref, watched);
-                }
-                watched = Watched();
-                continue;
-            }
-            if (watched.stoppedMs == 0) {
-                watched.stoppedMs = now;
-            }
-            std::string view = this->simulation.ownerView(ref);
-            if (view != watched.view) {
-                watched.trace += "\n    " + std::to_string(now - this->beginMs) + ": " + view;
-                watched.view = std::move(view);
-            }
-            const std::optional<std::int64_t> bound = this->mustRunBy(ref);
-            if (bound && now > *bound && !watched.overdueSinceMs) {
-                watched.overdueSinceMs = *bound;
-                watched.overdueView = watched.view;
-            }
-        }
-    }
-
-    void noteLate(const TaskRef &ref, const Watched &watched)
-    {
-        const std::int64_t now = this->simulation.now();
-        std::ostringstream text;
-        text << textOf(ref) << " did not run from " << watched.stoppedMs - this->beginMs << " to "
-             << now - this->beginMs << " ms, calm from " << this->calmFromMs - this->beginMs
-             << ", had to by " << *watched.overdueSinceMs - this->beginMs << ": "
-             << now - *watched.overdueSinceMs << " late; then " << watched.overdueView
-             << watched.trace;
-        this->late.push_back(text.str());
-    }
-
-    void noteTasksThatNeverRan()
-    {
-        for (const auto &[ref, watched] : this->tasks) {
-            if (watched.overdueSinceMs) {
-                this->noteLate(ref, watched);
-            }
-        }
-    }
-
     const FaultSchedule &schedule;
     JobSimulation simulation;
     std::int64_t beginMs = 0;
@@ -276,8 +180,7 @@
     std::int64_t shortLivedAtMs = 0;
     std::int64_t longRunningAtMs = 0;
     std::vector<std::size_t> hitWorkers; ///< By earlier faults.
-    std::map<TaskRef, Watched> tasks;
-    std::vector<std::string> late;
+    LongRunningWatch watch{this->simulation};
 };
 
 } // namespace
