Check in each simulated schedule that no job fails without cause

Users saw jobs shown as failed though no task had failed so often. No simulated schedule looked: the jobs' states were read by a few tests only, and there for crashes that the test injected. Now the workers keep account of the runs that ended as failed and of the incarnations that crashed under a run that had begun, and the simulation checks each 100 ms, at any instance, that an accepted job that nobody cancelled is not shown as failed unless a short-lived task failed max_attempts times or two workers crashed under one task; a job with a task that lasts never for crashes. What a coordinator says only explains a violation. It is checked in all simulations, also the fault schedules.

The simulated platform can do more: workers crash before they reply, at work, or silently; they drain and leave; the store rejects the calls of all instances; gangs wait for their members, end together, and break. A connection that a crash closes behind a cut no longer shows before the cut is over, and a repeated order counts as no further start.

--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t holdCheckMs = 20;
 /** From a worker's last heartbeat until the registry removes it; set by the platform. */
 constexpr std::int64_t silenceUntilUnlistedMs = 4500;
+/** Time between two checks of the jobs that are shown as failed. */
+constexpr std::int64_t failedCheckMs = 100;
 
 } // namespace
 
@@ -39,6 +41,12 @@
                 done(reply);
             }
         };
+        if (this->simulation.nowMs < this->simulation.storeRejectsUntil) {
+            AppendReply refused;
+            refused.outcome = AppendOutcome::Refused;
+            this->simulation.after(3, [answer, refused] { answer(refused); });
+            return;
+        }
         if (this->simulation.nowMs < this->storeCutUntil) {
             this->simulation.after(appendTimeoutMs, [answer] { answer(AppendReply()); });
             return;
@@ -99,7 +107,7 @@
                 this->simulation.fleet.delayedOrder = false;
             });
             this->simulation.after(orderTimeoutMs, [reply] { reply(OrderOutcome::Unanswered); });
-        } else if (this->simulation.crashesReset && !this->simulation.workers[index]->up) {
+        } else if (this->simulation.resets(index)) {
             this->simulation.after(2, [closed] { closed(OrderOutcome::NotSent); });
         } else if (target.incarnationStartMs != 0 &&
                    target.incarnationStartMs != this->simulation.incarnationOf(worker) &&
@@ -111,10 +119,15 @@
                               this->simulation.disturbs(index, OrderDisturbance::Lost);
             const std::int64_t sentTo =
                 target.incarnationStartMs == 0 ? 0 : this->simulation.incarnationOf(worker);
-            this->simulation.after(2, [this, worker, sentTo, carryOut, reply, lost] {
+            this->simulation.after(2, [this, index, worker, sentTo, carryOut, reply, closed, lost] {
                 // A connection does not outlive the incarnation that accepted it.
                 const bool broken = sentTo != 0 && sentTo != this->simulation.incarnationOf(worker);
+                const bool wasUp = this->simulation.workers[index]->up;
                 const OrderOutcome outcome = broken ? OrderOutcome::Unanswered : carryOut();
+                if (wasUp && this->simulation.resets(index)) {
+                    this->simulation.after(2, [closed] { closed(OrderOutcome::Unanswered); });
+                    return;
+                }
                 const bool noReply = lost || outcome == OrderOutcome::Unanswered;
                 this->simulation.after(noReply ? orderTimeoutMs : 2, [reply, outcome, noReply] {
                     reply(noReply ? OrderOutcome::Unanswered : outcome);
@@ -126,17 +139,21 @@
     void start(StartOrder order) override
     {
         const Job *job = this->node->jobs().find(order.task.job);
-        const std::uint32_t workMs = job->stepSpec(order.task.step).estimated_ms();
+        const jobs::StepSpec &step = job->stepSpec(order.task.step);
+        const std::uint32_t workMs = step.estimated_ms();
+        const std::size_t gangSize = step.gang() ? step.count() : 0;
         const bool fails = this->simulation.fails && this->simulation.fails(order.task, order.run);
         this->deliver(
             order.target,
-            [this, order, workMs, fails](SimWorker &worker) {
-                const OrderOutcome outcome = worker.start(order, workMs, fails);
-                if (outcome == OrderOutcome::Accepted && this->simulation.deadly &&
+            [this, order, workMs, fails, gangSize](SimWorker &worker) {
+                const std::uint64_t starts = this->simulation.fleet.starts;
+                const OrderOutcome outcome = worker.start(order, workMs, fails, gangSize);
+                // A repeated order begins no other run.
+                if (this->simulation.fleet.starts != starts && this->simulation.deadly &&
                     this->simulation.deadly(order.task)) {
                     this->simulation.crashUnder(order.target.worker, order.task);
                 }
-                return outcome;
+                return worker.up ? outcome : OrderOutcome::Unanswered;
             },
             [this, order](OrderOutcome outcome) {
                 this->node->coordination().startAnswered(order.target.worker, order.task, order.run,
@@ -197,7 +214,8 @@
         const std::size_t index = std::stoul(order.target.worker.value().substr(1));
         SimWorker &worker = *this->simulation.workers[index];
         const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
-        if (!sameLife && this->simulation.crashesReset) {
+        if (!sameLife && this->simulation.crashesReset && this->simulation.reaches(*this, index) &&
+            !this->simulation.crashedSilently.contains(index)) {
             this->noteClosed(order.target.worker);
             this->answerHold(order, sentAt, 2, OrderOutcome::Unanswered, WorkerReport());
             return;
@@ -280,6 +298,7 @@
             std::make_unique<SimWorker>("w" + std::to_string(index), capacity,
                                         static_cast<std::int64_t>(index) * 77777, this->fleet));
         this->workers.back()->checksFence = disabled != DisabledMechanism::WorkerFence;
+        this->workers.back()->keepsAccount = disabled != DisabledMechanism::WorkerAccount;
         this->workers.back()->keepsLeases = disabled != DisabledMechanism::WorkerLease;
         this->workerCutUntil.push_back(0);
     }
@@ -299,23 +318,88 @@
 
 void JobSimulation::crashUnder(const WorkerId &worker, const TaskRef &task)
 {
-    constexpr int crashesBeforeBound = 3;
-    constexpr int startsBeyondBound = 3;
-    constexpr std::int64_t crashesAfterMs = 10;
+    constexpr std::int64_t onceTakenMs = 10;
+    constexpr std::int64_t atWorkMs = 1500;
     constexpr std::int64_t downMs = 3200;
-    if (!this->fleet.delayedOrder && this->fleet.crashes[task] >= crashesBeforeBound &&
-        ++this->fleet.startsAfterCrashes[task] == startsBeyondBound) {
-        this->fleet.broken.push_back("three more starts after three crashes under " +
-                                     task.job.value());
-    }
+    this->note(task, worker.value() + " starts it");
+    this->checkStartAfterCrashes(task);
     const std::size_t index = std::stoul(worker.value().substr(1));
     const std::int64_t incarnation = this->incarnationOf(worker);
-    this->after(crashesAfterMs, [this, worker, index, task, incarnation] {
-        if (this->workers[index]->up && this->incarnationOf(worker) == incarnation) {
-            ++this->fleet.crashes[task];
-            this->crashWorker(index, downMs);
+    const auto crash = [this, worker, index, task, incarnation] {
+        const auto &running = this->fleet.running[task];
+        const bool atWork = std::any_of(running.begin(), running.end(), [&](const auto &run) {
+            return run.first == worker.value();
+        });
+        if (!this->workers[index]->up || this->incarnationOf(worker) != incarnation ||
+            (this->crashWay == CrashWay::AtWork && !atWork)) {
+            return;
         }
-    });
+        ++this->fleet.crashes[task];
+        this->fleet.lastCrash[task] = this->nowMs;
+        this->note(task, worker.value() + " crashes under it");
+        if (this->crashWay == CrashWay::Silent) {
+            this->crashedSilently.insert(index);
+        }
+        this->crashWorker(index, downMs);
+    };
+    switch (this->crashWay) {
+    case CrashWay::OnceTaken:
+        this->after(onceTakenMs, crash);
+        break;
+    case CrashWay::AtWork:
+        this->after(atWorkMs, crash);
+        break;
+    case CrashWay::BeforeReply:
+    case CrashWay::Silent:
+        crash();
+        break;
+    }
+}
+
+void JobSimulation::note(const TaskRef &task, const std::string &text)
+{
+    this->notes[task.job] += "\n    " + std::to_string(this->nowMs) + ": " +
+                             std::to_string(task.step) + "." + std::to_string(task.index) + ": " +
+                             text;
+}
+
+std::string JobSimulation::notesOf(const JobId &job) const
+{
+    const auto found = this->notes.find(job);
+    return found == this->notes.end() ? std::string() : found->second;
+}
+
+void JobSimulation::checkStartAfterCrashes(const TaskRef &task)
+{
+    constexpr int crashesBeforeBound = 3;
+    constexpr int startsBeyondBound = 3;
+    // A task that lasts is started however its runs end.
+    const bool lasts = this->specs.at(task.job).steps(static_cast<int>(task.step)).long_running();
+    if (lasts || this->fleet.delayedOrder || this->fleet.crashes[task] < crashesBeforeBound) {
+        return;
+    }
+    const int starts = ++this->fleet.startsAfterCrashes[task];
+    if (this->crashWay != CrashWay::Silent) {
+        if (starts == startsBeyondBound) {
+            this->fleet.broken.push_back("three more starts after three crashes under " +
+                                         task.job.value() + this->notesOf(task.job));
+        }
+        return;
+    }
+    // Its job stays open, so that it is started again once in a while.
+    constexpr std::int64_t leastGapMs = 10000;
+    const std::int64_t gapMs = this->nowMs - this->fleet.lastCrash[task];
+    if (starts >= startsBeyondBound && gapMs < leastGapMs) {
+        this->fleet.broken.push_back("start " + std::to_string(starts) + " after three crashes " +
+                                     std::to_string(gapMs) + " ms after the last one under " +
+                                     task.job.value() + this->notesOf(task.job));
+    }
+}
+
+bool JobSimulation::resets(std::size_t worker) const
+{
+    return this->crashesReset && !this->workers[worker]->up &&
+           !this->crashedSilently.contains(worker);
 }
 
 bool JobSimulation::chance(int perThousand)
@@ -332,6 +416,13 @@
 {
     ++instance.incarnation;
     instance.host = RecordingHost();
+    instance.host.countedCrash = [this, &instance](const CountedCrash &counted) {
+        this->note(counted.task, instance.name + " counts run " +
+                                     std::to_string(counted.crash.run) + " on " +
+                                     counted.crash.worker + " as " +
+                                     jobs::CrashEvidence_Name(counted.crash.evidence) +
+                                     ", one of " + std::to_string(counted.causes) + " causes");
+    };
     instance.chanceSource = std::make_unique<Random>(this->random());
     instance.node = std::make_unique<JobNode>(
         JobNodeSettings{
@@ -362,7 +453,7 @@
         const Instant now(this->nowMs);
         JobNode &node = *instance->node;
         if (this->nowMs >= instance->readAt && this->nowMs >= instance->storeCutUntil &&
-            this->nowMs >= instance->readsStallUntil) {
+            this->nowMs >= this->storeRejectsUntil && this->nowMs >= instance->readsStallUntil) {
             instance->readAt = this->nowMs + readGapMs;
             if (instance->host.needsReload) {
                 instance->host.needsReload = false;
@@ -399,7 +490,8 @@
 
 void JobSimulation::readRegistry(Instance &instance)
 {
-    if (!instance.node->coordinates() || this->nowMs < instance.storeCutUntil) {
+    if (!instance.node->coordinates() || this->nowMs < instance.storeCutUntil ||
+        this->nowMs < this->storeRejectsUntil) {
         return;
     }
     const Instant now(this->nowMs);
@@ -457,6 +549,77 @@
         if (this->nowMs % second == 0) {
             this->injectFaults();
         }
+        if (this->nowMs % failedCheckMs == 0) {
+            this->checkFailedJobs();
+        }
+    }
+    this->checkFailedJobs();
+}
+
+bool JobSimulation::isShownAsFailed(const JobId &id) const
+{
+    return std::any_of(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+        const Job *job = instance->node && this->nowMs >= instance->frozenUntil
+                             ? instance->node->jobService().show(id)
+                             : nullptr;
+        return job && job->published == jobs::FAILED;
+    });
+}
+
+std::string JobSimulation::missingCause(const JobId &id) const
+{
+    constexpr std::size_t crashesForFailure = 2;
+    const jobs::JobSpec &spec = this->specs.at(id);
+    const bool lasts = std::any_of(spec.steps().begin(), spec.steps().end(),
+                                   [](const jobs::StepSpec &step) { return step.long_running(); });
+    std::size_t mostFailed = 0;
+    std::size_t mostCrashed = 0;
+    for (int step = 0; step < spec.steps_size(); ++step) {
+        // The members of a gang fail and crash as one task.
+        const bool gang = spec.steps(step).gang();
+        std::set<std::uint32_t> failed;
+        std::set<std::pair<std::string, std::int64_t>> crashed;
+        for (std::uint32_t index = 0; index < spec.steps(step).count(); ++index) {
+            const TaskRef ref{id, 0, static_cast<std::uint32_t>(step), index};
+            if (!gang) {
+                failed.clear();
+                crashed.clear();
+            }
+            if (const auto found = this->fleet.failedRuns.find(ref);
+                found != this->fleet.failedRuns.end() && !spec.steps(step).long_running()) {
+                failed.insert(found->second.begin(), found->second.end());
+            }
+            if (const auto found = this->fleet.crashedRuns.find(ref);
+                found != this->fleet.crashedRuns.end()) {
+                crashed.insert(found->second.begin(), found->second.end());
+            }
+            mostFailed = std::max(mostFailed, failed.size());
+            mostCrashed = std::max(mostCrashed, crashed.size());
+        }
+    }
+    if (mostFailed >= this->config.queues.front().maxAttempts ||
+        (!lasts && mostCrashed >= crashesForFailure)) {
+        return {};
+    }
+    return std::string(lasts ? "it lasts; " : "") + std::to_string(mostFailed) +
+           " ends as failed of one task, " + std::to_string(mostCrashed) +
+           " workers crashed under one";
+}
+
+void JobSimulation::checkFailedJobs()
+{
+    for (const JobId &id : this->acceptedJobs) {
+        if (this->failedJobs.contains(id) || this->cancelRequests.contains(id) ||
+            !this->isShownAsFailed(id)) {
+            continue;
+        }
+        this->failedJobs.insert(id);
+        const std::string missing = this->missingCause(id);
+        if (!missing.empty()) {
+            this->fleet.broken.push_back("shown as failed without cause: " + id.value() + " at " +
+                                         std::to_string(this->nowMs) + ": " + missing +
+                                         this->notesOf(id));
+        }
     }
 }
 
@@ -480,6 +643,7 @@
     for (const jobs::StepSpec &step : steps) {
         *spec.add_steps() = step;
     }
+    this->specs.emplace(id, spec);
     for (const auto &instance : this->instances) {
         if (!instance->node || this->nowMs < instance->frozenUntil) {
             continue;
@@ -519,6 +683,7 @@
 
 void JobSimulation::cancelAt(Instance &instance, const JobId &id)
 {
+    this->cancelRequests.insert(id);
     instance.node->jobService().cancel(id, Instant(this->nowMs), Duration(3000),
                                        [this, id](const JobServiceReply &reply) {
                                            if (reply.answer == JobServiceResult::Accepted) {
@@ -626,6 +791,11 @@
     }
 }
 
+void JobSimulation::rejectStoreCalls(std::int64_t milliseconds)
+{
+    this->storeRejectsUntil = this->nowMs + milliseconds;
+}
+
 void JobSimulation::stallOwnerReads(std::int64_t milliseconds)
 {
     if (Instance *instance = this->owner()) {
@@ -679,6 +849,7 @@
 {
     this->loseWorker(index);
     this->after(downMs, [this, index, listedAfterMs] {
+        this->crashedSilently.erase(index);
         this->workers[index]->restart(this->nowMs);
         if (listedAfterMs == 0) {
             this->setListed(index, true);
@@ -694,6 +865,25 @@
     });
 }
 
+void JobSimulation::drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs)
+{
+    this->workers[index]->draining = true;
+    this->setListed(index, true);
+    const std::int64_t incarnation = this->workers[index]->entry().incarnationStartMs;
+    this->after(milliseconds, [this, index, incarnation, downMs] {
+        SimWorker &worker = *this->workers[index];
+        if (!worker.up || worker.entry().incarnationStartMs != incarnation) {
+            return;
+        }
+        worker.leave();
+        this->setListed(index, false);
+        this->after(downMs, [this, index] {
+            this->workers[index]->restart(this->nowMs);
+            this->setListed(index, true);
+        });
+    });
+}
+
 void JobSimulation::replaceWorker(std::size_t index, std::int64_t afterMs)
 {
     this->loseWorker(index);
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -21,7 +21,12 @@
 class RecordingHost : public JobNodeHost
 {
 public:
-    void crashCounted(const CountedCrash &) override {}
+    void crashCounted(const CountedCrash &crash) override
+    {
+        if (this->countedCrash) {
+            this->countedCrash(crash);
+        }
+    }
     void crashWithdrawn(const TaskRef &, std::uint32_t, const WorkerId &) override {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
     void jobFinished(const Job &, const JobEnd &) override {}
@@ -41,6 +46,7 @@
     bool needsWorkers = false;
     bool needsReload = true;
     bool needsConfig = false;
+    std::function<void(const CountedCrash &)> countedCrash; ///< Unset: counts are not recorded.
 };
 
 /** Probabilities of faults, each in parts of a thousand. */
@@ -60,6 +66,14 @@
     Delayed, ///< The order gets no reply and is carried out 2 to 12 s later.
 };
 
+/** How a deadly task crashes the workers that start it. */
+enum class CrashWay {
+    OnceTaken,   ///< 10 ms after the start, whose reply is sent before.
+    BeforeReply, ///< Before it replies to the start.
+    AtWork,      ///< 1.5 s after the start, if the run is still at work.
+    Silent,      ///< Before it replies, and without a sign: calls to it end by timeouts.
+};
+
 /** A mechanism that a simulation disables to show that the checks detect its absence. */
 enum class DisabledMechanism {
     None,
@@ -67,13 +81,14 @@
     WorkerLease,
     StoreFence,
     ViewBound,
+    WorkerAccount,
 };
 
 /**
  * Simulates instances, workers and the store with one clock and one seed.
  *
  * Guarantees are checked at the workers: no two runs of a task at once, no start after an
- * acknowledged end.
+ * acknowledged end. No job is shown as failed but for what has happened to its tasks there.
  */
 class JobSimulation
 {
@@ -119,6 +134,13 @@
      * down; before, nobody notices but by a timeout. */
     void makeCrashesReset() { this->crashesReset = true; }
 
+    /** For the time the store rejects all calls of all instances. */
+    void rejectStoreCalls(std::int64_t milliseconds);
+
+    /** Announces that a worker leaves, and ends it after the time; its next incarnation starts
+     * downMs later. */
+    void drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs);
+
     /** Adds a worker that the registry lists at once. */
     void addWorker();
 
@@ -167,6 +189,9 @@
     /** Returns whether the task crashes each worker that starts it; unset: none does. */
     std::function<bool(const TaskRef &)> deadly;
 
+    /** Of all deadly tasks. */
+    CrashWay crashWay = CrashWay::OnceTaken;
+
 private:
     struct Instance;
     struct Event
@@ -183,7 +208,18 @@
     void after(std::int64_t milliseconds, std::function<void()> action);
     /** Crashes the worker that has started the deadly task; checks the bound on its starts. */
     void crashUnder(const WorkerId &worker, const TaskRef &task);
+    void checkStartAfterCrashes(const TaskRef &task);
+    void note(const TaskRef &task, const std::string &text);
+    std::string notesOf(const JobId &job) const;
+    /** Returns whether calls to the worker, which is down, end by its closing the connection. */
+    bool resets(std::size_t worker) const;
     bool chance(int perThousand);
+    /** Checks that each job that is shown as failed has a reason at the workers. */
+    void checkFailedJobs();
+    /** Returns whether any instance shows the job as failed. */
+    bool isShownAsFailed(const JobId &id) const;
+    /** Returns why the job may not be shown as failed; nothing if it may. */
+    std::string missingCause(const JobId &id) const;
     void cancelAt(Instance &instance, const JobId &id);
     void bringUp(Instance &instance);
     void step();
@@ -222,11 +258,19 @@
     std::int64_t nowMs = 1000000;
     std::uint64_t eventOrder = 0;
     bool crashesReset = false;
+    std::set<std::size_t> crashedSilently; ///< Workers that are down and reset no connections.
+    std::int64_t storeRejectsUntil = 0;
     bool holdsWait = false; ///< Off: existing schedules have holds that are answered at once.
     std::uint64_t incarnations = 0;
     std::uint64_t submitted = 0;
     std::vector<JobId> acceptedJobs;
     std::map<JobId, std::int64_t> acceptedAtMs;
+    std::map<JobId, jobs::JobSpec> specs; ///< Of all jobs that were submitted.
+    std::set<JobId> cancelRequests;       ///< Also those that were not acknowledged.
+    std::set<JobId> failedJobs;           ///< Jobs that were shown as failed.
+    /** Starts and crashes of deadly tasks, and what coordinators counted, by job; explains
+     * violations and is not checked. */
+    std::map<JobId, std::string> notes;
     JobConfig config;
 };
 
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr std::int64_t stopMs = 200;
+/** Time for which the members of a gang wait for the others. */
+constexpr std::int64_t gangWaitMs = 3000;
 constexpr std::int64_t taskMilliCores = 1000; ///< Of each task of a simulation.
 /** Time after which a capacity that has shrunk counts; the platform's, with a heartbeat. */
 constexpr std::int64_t shrinkMs = 6500;
@@ -41,15 +43,49 @@
     return false;
 }
 
-void SimWorker::noteEnd(const RunKey &key, const Run &run)
+FleetLedger::GangRun &SimWorker::gangOf(const RunKey &key) const
 {
+    TaskRef first = key.first;
+    first.index = 0;
+    return this->ledger.gangs[{first, key.second}];
+}
+
+std::optional<RunEnd> SimWorker::endOf(const RunKey &key, Run &run)
+{
+    if (run.gang) {
+        const FleetLedger::GangRun &gang = this->gangOf(key);
+        if (gang.broken) {
+            return RunEnd::GangBroken;
+        }
+        if (gang.endsAtMs != 0) {
+            run.endsAtMs = gang.endsAtMs;
+        }
+        if (run.endsAtMs <= this->nowMs && !run.fails) {
+            return gang.endsAtMs == 0 ? RunEnd::GangIncomplete
+                   : gang.fails       ? RunEnd::GangBroken
+                                      : RunEnd::Done;
+        }
+    }
+    if (run.endsAtMs > this->nowMs) {
+        return std::nullopt;
+    }
+    return run.fails ? RunEnd::Failed : RunEnd::Done;
+}
+
+void SimWorker::noteEnd(const RunKey &key, const Run &run, bool done)
+{
+    if (run.gang && !done) {
+        FleetLedger::GangRun &gang = this->gangOf(key);
+        gang.present.erase(key.first.index);
+        gang.broken = gang.broken || gang.endsAtMs != 0;
+    }
     this->ledger.running[key.first].erase({this->id, key.second});
     this->ledger.lastEnds[key.first] = FleetLedger::EndOfRun{this->nowMs, run.startedLate};
 }
 
 void SimWorker::end(const RunKey &key, RunEnd how)
 {
-    this->noteEnd(key, this->runs.at(key));
+    this->noteEnd(key, this->runs.at(key), how == RunEnd::Done);
     this->runs.erase(key);
     auto &highest = this->highestEndedRun[key.first];
     highest = std::max(highest, key.second);
@@ -58,6 +94,9 @@
     if (how == RunEnd::Done) {
         this->ledger.everDone.insert(key.first);
     }
+    if (how == RunEnd::Failed && this->keepsAccount) {
+        this->ledger.failedRuns[key.first].insert(key.second);
+    }
 }
 
 void SimWorker::advance(std::int64_t toMs)
@@ -72,13 +111,15 @@
         // Ends from before a lapse may be discarded: by the platform's rules they do not count.
         this->voidUpTo = this->lastEnd;
     }
-    for (const auto &[key, run] : this->runs) {
+    for (auto &[key, run] : this->runs) {
         if (lapsed) {
             finished.emplace_back(key, RunEnd::Lapsed);
-        } else if (run.endsAtMs <= toMs) {
-            finished.emplace_back(key, run.stopping ? RunEnd::Stopped
-                                       : run.fails  ? RunEnd::Failed
-                                                    : RunEnd::Done);
+        } else if (run.stopping) {
+            if (run.endsAtMs <= toMs) {
+                finished.emplace_back(key, RunEnd::Stopped);
+            }
+        } else if (const std::optional<RunEnd> how = this->endOf(key, run)) {
+            finished.emplace_back(key, *how);
         }
     }
     for (const auto &[key, how] : finished) {
@@ -86,7 +127,8 @@
     }
 }
 
-OrderOutcome SimWorker::start(const StartOrder &order, std::uint32_t workMs, bool fails)
+OrderOutcome SimWorker::start(const StartOrder &order, std::uint32_t workMs, bool fails,
+                              std::size_t gangSize)
 {
     if (this->refusesToken(order.target.fencingToken)) {
         return OrderOutcome::Fenced;
@@ -131,7 +173,18 @@
     live.insert({this->id, order.run});
     ++this->ledger.starts;
     this->runs[key] =
-        Run{this->nowMs, this->nowMs + workMs, fails, false, this->ledger.delayedOrder};
+        Run{this->nowMs, this->nowMs + workMs, fails, false, this->ledger.delayedOrder, false};
+    if (gangSize > 0) {
+        Run &run = this->runs[key];
+        run.gang = true;
+        run.endsAtMs = this->nowMs + gangWaitMs;
+        FleetLedger::GangRun &gang = this->gangOf(key);
+        gang.present.insert(order.task.index);
+        gang.fails = gang.fails || fails;
+        if (gang.present.size() == gangSize) {
+            gang.endsAtMs = this->nowMs + workMs;
+        }
+    }
     return OrderOutcome::Accepted;
 }
 
@@ -211,6 +264,17 @@
 }
 
 void SimWorker::crash()
+{
+    if (this->keepsAccount) {
+        for (const auto &[key, run] : this->runs) {
+            this->ledger.crashedRuns[key.first].insert({this->id, this->incarnationStartMs});
+        }
+    }
+    this->ledger.lastCrashMs = this->nowMs;
+    this->leave();
+}
+
+void SimWorker::leave()
 {
     for (const auto &[key, run] : this->runs) {
         this->noteEnd(key, run);
@@ -232,6 +296,7 @@
     this->incarnationStartMs = atMs;
     this->nowMs = atMs;
     this->up = true;
+    this->draining = false;
 }
 
 WorkerEntry SimWorker::entry() const
@@ -243,6 +308,7 @@
     entry.capacity = this->capacity;
     entry.kind = "a";
     entry.rack = "r1";
+    entry.draining = this->draining;
     entry.incarnationStartMs = this->incarnationStartMs;
     return entry;
 }
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,9 +29,27 @@
     std::set<TaskRef> everDone;                ///< Tasks with a run that has ended as done.
     std::vector<std::string> broken;           ///< Descriptions of the violated guarantees.
     std::map<JobId, std::int64_t> cancelledAt; ///< When cancels were acknowledged, in ms.
+    /** Numbers of the runs that have ended as failed, by task. */
+    std::map<TaskRef, std::set<std::uint32_t>> failedRuns;
+    /** Workers, with the starts of their incarnations in ms, that crashed under a run that had
+     * begun there, by task. */
+    std::map<TaskRef, std::set<std::pair<std::string, std::int64_t>>> crashedRuns;
     std::map<TaskRef, int> crashes;            ///< Workers that crashed under a deadly task.
     std::map<TaskRef, int> startsAfterCrashes; ///< Of a deadly task, after the third crash.
-    bool delayedOrder = false;                 ///< The order carried out now was delayed.
+    std::map<TaskRef, std::int64_t> lastCrash; ///< Under a deadly task, in ms.
+    std::int64_t lastCrashMs = 0;              ///< Of any worker, or its next start, in ms.
+
+    /** One run of a gang, whose members work only while all of them are there. */
+    struct GangRun
+    {
+        std::set<std::uint32_t> present;
+        std::int64_t endsAtMs = 0; ///< 0: not all members are there yet.
+        bool broken = false;
+        bool fails = false;
+    };
+    /** By the first member and the number of the run. */
+    std::map<std::pair<TaskRef, std::uint32_t>, GangRun> gangs;
+    bool delayedOrder = false; ///< The order carried out now was delayed.
     std::uint64_t starts = 0;
     std::uint64_t done = 0;
 };
@@ -44,7 +63,9 @@
     /** Advances leases, runs and their ends to the time. */
     void advance(std::int64_t nowMs);
 
-    OrderOutcome start(const StartOrder &order, std::uint32_t workMs, bool fails);
+    /** A gang size of 0 is that of a task that works alone. */
+    OrderOutcome start(const StartOrder &order, std::uint32_t workMs, bool fails,
+                       std::size_t gangSize = 0);
     OrderOutcome stop(const StopOrder &order);
     OrderOutcome hold(const HoldOrder &order, WorkerReport &report);
 
@@ -54,6 +75,9 @@
     /** Ends all runs and replies to nothing until it restarts. */
     void crash();
 
+    /** The same as announced, which is no crash. */
+    void leave();
+
     /** Loses all state and starts its next incarnation at the time. */
     void restart(std::int64_t nowMs);
 
@@ -69,8 +93,10 @@
     }
 
     bool up = true;
+    bool draining = false;      ///< Its entry says so until it restarts.
     bool guardsCapacity = true; ///< Off: takes whatever it is told to start.
     bool checksFence = true;    ///< Off: accepts any token, to show that checks notice.
+    bool keepsAccount = true;   ///< Off: notes no failed runs and crashes, for the same reason.
     bool keepsLeases = true;    ///< Off: runs continue past the lease, to show that checks notice.
 
 private:
@@ -81,13 +107,17 @@
         bool fails = false;
         bool stopping = false;
         bool startedLate = false;
+        bool gang = false;
     };
     using RunKey = std::pair<TaskRef, std::uint32_t>;
 
     bool refusesToken(std::uint64_t token);
     void end(const RunKey &key, RunEnd how);
     /** Removes the run from the ledger and notes its end there. */
-    void noteEnd(const RunKey &key, const Run &run);
+    void noteEnd(const RunKey &key, const Run &run, bool done = false);
+    FleetLedger::GangRun &gangOf(const RunKey &key) const;
+    /** Returns how a run that is not stopped has ended; nothing if it goes on. */
+    std::optional<RunEnd> endOf(const RunKey &key, Run &run);
 
     const std::string id;
     /** Returns the capacity that starts have to go by: also a former one, for a while. */
