Simulate cuts, restarts, drains and deadly tasks that may close jobs

test_closingschedules plays series of cuts behind which workers restart, beside lost coordinators, a store that rejects calls for 6 s and draining workers; cuts until leases lapse; tasks that crash their workers before the reply, after it, after 1.5 s or silently, also in gangs; and tasks that last.

Two kinds of real faults are apart as closingschedules_starts and closingschedules_closed, which fail; KNOWN-RED.txt needs their entries. Starts: crashes of a gang at work are not counted, as the ends "broken" of the other members stop the run before its worker's loss shows; crashes more than a second after the start are not counted when other tasks were started there meanwhile. The passing property therefore leaves out starts beyond the bound of tasks that crash their workers after 1.5 s. Closed: tasks without fault are placed beside a deadly one three times, as few workers are reachable, and their job is closed.

--- /dev/null
+++ b/tests/jobs/test_closingschedules.cpp
@@ -0,0 +1,297 @@
+// No job is shown as failed but for what the workers account for, and no deadly task is started
+// beyond its bound, however cuts, restarts, losses of coordinators and outages of the store follow
+// each other; see docs/incidents/jobs-closed-without-cause.md.
+#include <iostream>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "closingschedule.h"
+
+namespace godwitfall::jobtests {
+namespace {
+
+struct NamedSchedule
+{
+    const char *name;
+    ClosingSchedule schedule;
+};
+
+std::ostream &operator<<(std::ostream &stream, const NamedSchedule &named)
+{
+    return stream << named.name << ' ' << named.schedule;
+}
+
+std::string nameOf(const ::testing::TestParamInfo<NamedSchedule> &info)
+{
+    return info.param.name;
+}
+
+/** Returns whether a long-running task was late as an earlier run had not ended for certain: issue
+ * 26, in KNOWN-RED.txt with test_faultschedule. */
+bool waitedForAnEarlierRun(const std::string &violation)
+{
+    const std::string reason = violation.substr(0, violation.find('\n'));
+    return reason.ends_with("lease") || reason.ends_with("delayed_start");
+}
+
+/** Prints the violations as the lines that KNOWN-RED.txt names. */
+void print(const std::vector<std::string> &violations)
+{
+    for (const std::string &violation : violations) {
+        std::cout << "broken: " << violation << std::endl;
+    }
+}
+
+/** Plays the schedule; leaves out the violations of issue 26. */
+PlayedSchedule played(const ClosingSchedule &schedule)
+{
+    PlayedSchedule result = play(schedule);
+    std::erase_if(result.violations, waitedForAnEarlierRun);
+    print(result.violations);
+    return result;
+}
+
+// Guards against a check that sees nothing: a job fails, and no worker accounts for it.
+TEST(AccountTest, JobsThatFailWithoutAccountAreNoticed)
+{
+    JobSimulation simulation(1, FaultRates(), DisabledMechanism::WorkerAccount);
+    simulation.fails = [](const TaskRef &, std::uint32_t) {
+        return true;
+    };
+    simulation.run(1500);
+    simulation.submit({stepOf(1, 200)});
+    simulation.run(5000);
+    ASSERT_EQ(simulation.ledger().broken.size(), 1U);
+    EXPECT_TRUE(simulation.ledger().broken.front().starts_with("shown as failed without cause"));
+}
+
+class CutScheduleTest : public ::testing::TestWithParam<NamedSchedule>
+{};
+
+// Guards against jobs that are closed as failed for crashes that did not happen under them, and
+// lasting tasks that run no more, on days of cuts behind which workers are restarted.
+TEST_P(CutScheduleTest, ClosesNoJobWithoutCause)
+{
+    const PlayedSchedule result = played(GetParam().schedule);
+    EXPECT_EQ(result.violations, std::vector<std::string>());
+    EXPECT_GT(result.completedJobs, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Restarts, CutScheduleTest,
+    ::testing::Values(
+        NamedSchedule{"Short", {.gapMs = 1200, .cutMs = 700, .restartedAfterMs = 350}},
+        NamedSchedule{"AsInTheReport",
+                      {.gapMs = 2200, .cutMs = 1400, .restartedAfterMs = 700, .percentCut = 17}},
+        NamedSchedule{"LongerRuns",
+                      {.gapMs = 2200,
+                       .cutMs = 1400,
+                       .restartedAfterMs = 100,
+                       .percentCut = 45,
+                       .taskMs = 3000}},
+        NamedSchedule{"ShortRuns",
+                      {.gapMs = 900, .cutMs = 650, .restartedAfterMs = 600, .taskMs = 300}},
+        NamedSchedule{"OwnersLost", {.seed = 35, .ownerLossGap = 5}},
+        NamedSchedule{"OwnersLostOften",
+                      {.gapMs = 2200, .cutMs = 1600, .restartedAfterMs = 800, .ownerLossGap = 3}},
+        NamedSchedule{"StoreRejects", {.gapMs = 2200, .cutMs = 1400, .storeRejectsIn = 5}},
+        NamedSchedule{"StoreRejectsAndOwnersLost", {.ownerLossGap = 4, .storeRejectsIn = 6}},
+        NamedSchedule{"Draining", {.drainGap = 1}},
+        NamedSchedule{"DrainingAndOwnersLost", {.ownerLossGap = 6, .drainGap = 2}},
+        NamedSchedule{"Gangs", {.percentCut = 20, .gangs = true}},
+        NamedSchedule{"GangsAndOwnersLost", {.percentCut = 20, .ownerLossGap = 5, .gangs = true}},
+        NamedSchedule{"Failing", {.percentCut = 20, .failing = true}}),
+    nameOf);
+
+class LapseScheduleTest : public ::testing::TestWithParam<NamedSchedule>
+{};
+
+// Guards against jobs that are closed as failed though no worker has crashed: workers are cut off
+// until their leases lapse, and reply again.
+TEST_P(LapseScheduleTest, ClosesNoJob)
+{
+    const PlayedSchedule result = played(GetParam().schedule);
+    EXPECT_EQ(result.violations, std::vector<std::string>());
+    EXPECT_EQ(result.crashes, 0U);
+    EXPECT_EQ(result.failedJobs, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, LapseScheduleTest,
+                         ::testing::Values(NamedSchedule{"Lapsing",
+                                                         {.rounds = 12,
+                                                          .gapMs = 4500,
+                                                          .cutMs = 9000,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 15}},
+                                           NamedSchedule{"BarelyLapsing",
+                                                         {.rounds = 12,
+                                                          .gapMs = 4500,
+                                                          .cutMs = 6500,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 25}},
+                                           NamedSchedule{"OwnersLost",
+                                                         {.rounds = 12,
+                                                          .gapMs = 4500,
+                                                          .cutMs = 8000,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 15,
+                                                          .ownerLossGap = 3}},
+                                           NamedSchedule{"StoreRejects",
+                                                         {.rounds = 12,
+                                                          .gapMs = 3000,
+                                                          .cutMs = 8000,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 10,
+                                                          .storeRejectsIn = 3}},
+                                           NamedSchedule{"StoreRejectsAndOwnersLost",
+                                                         {.rounds = 12,
+                                                          .gapMs = 3000,
+                                                          .cutMs = 8000,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 10,
+                                                          .ownerLossGap = 4,
+                                                          .storeRejectsIn = 4,
+                                                          .gangs = true}},
+                                           NamedSchedule{"Draining",
+                                                         {.rounds = 12,
+                                                          .gapMs = 3000,
+                                                          .cutMs = 8000,
+                                                          .restartedAfterMs = std::nullopt,
+                                                          .percentCut = 10,
+                                                          .drainGap = 1}}),
+                         nameOf);
+
+class DeadlyScheduleTest : public ::testing::TestWithParam<NamedSchedule>
+{};
+
+// Guards against deadly tasks that are started on and on, or innocent jobs closed beside them.
+TEST_P(DeadlyScheduleTest, BoundsTheStarts)
+{
+    const PlayedSchedule result = played(GetParam().schedule);
+    EXPECT_EQ(result.violations, std::vector<std::string>());
+    EXPECT_EQ(result.deadlyJobs.size(), GetParam().schedule.deadlyJobs);
+    for (const jobs::JobState state : result.deadlyJobs) {
+        if (GetParam().schedule.crashWay == CrashWay::Silent) {
+            EXPECT_EQ(state, jobs::RUNNING) << "silence alone closes no job";
+        } else {
+            EXPECT_EQ(state, jobs::FAILED) << jobs::JobState_Name(state);
+        }
+    }
+}
+
+/** A schedule in which only deadly tasks crash workers. */
+NamedSchedule deadly(const char *name, CrashWay way, unsigned ownerLossGap = 0, bool gangs = false)
+{
+    return NamedSchedule{name,
+                         {.seed = 3,
+                          .rounds = 12,
+                          .percentCut = 0,
+                          .ownerLossGap = ownerLossGap,
+                          .deadlyJobs = 3,
+                          .crashWay = way,
+                          .deadlyGangs = gangs,
+                          .calmMs = 40000}};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ways, DeadlyScheduleTest,
+    ::testing::Values(deadly("BeforeReply", CrashWay::BeforeReply),
+                      deadly("BeforeReplyOwnersLost", CrashWay::BeforeReply, 4),
+                      deadly("OnceTaken", CrashWay::OnceTaken),
+                      deadly("OnceTakenOwnersLost", CrashWay::OnceTaken, 4),
+                      deadly("BeforeReplyGangs", CrashWay::BeforeReply, 0, true),
+                      deadly("OnceTakenGangs", CrashWay::OnceTaken, 0, true),
+                      deadly("AtWork", CrashWay::AtWork),
+                      deadly("AtWorkOwnersLost", CrashWay::AtWork, 4),
+                      deadly("Silent", CrashWay::Silent),
+                      deadly("SilentOwnersLost", CrashWay::Silent, 4),
+                      deadly("SilentGangs", CrashWay::Silent, 0, true)),
+    nameOf);
+
+// In KNOWN-RED.txt: no crash of a gang at work is counted, as the ends of its other members are
+// listed first, and end the run for the coordinator.
+INSTANTIATE_TEST_SUITE_P(KnownRedStarts, DeadlyScheduleTest,
+                         ::testing::Values(deadly("AtWorkGangs", CrashWay::AtWork, 0, true)),
+                         nameOf);
+
+class DeadlyLastingTest : public ::testing::TestWithParam<NamedSchedule>
+{};
+
+// Guards against a job that is closed, or a task that is held back for long, as it lasts and has
+// crashed workers for a while.
+TEST_P(DeadlyLastingTest, RunsAgainWithinTheBound)
+{
+    const PlayedSchedule result = played(GetParam().schedule);
+    EXPECT_EQ(result.violations, std::vector<std::string>());
+    EXPECT_GT(result.crashes, 3U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ways, DeadlyLastingTest,
+    ::testing::Values(
+        NamedSchedule{"BeforeReply",
+                      {.percentCut = 0, .crashWay = CrashWay::BeforeReply, .deadlyLasts = true}},
+        NamedSchedule{"OnceTaken", {.percentCut = 0, .deadlyLasts = true}},
+        NamedSchedule{"AtWork",
+                      {.percentCut = 0, .crashWay = CrashWay::AtWork, .deadlyLasts = true}},
+        NamedSchedule{"Silent",
+                      {.percentCut = 0, .crashWay = CrashWay::Silent, .deadlyLasts = true}},
+        NamedSchedule{"OwnersLost", {.percentCut = 0, .ownerLossGap = 5, .deadlyLasts = true}}),
+    nameOf);
+
+class FoundScheduleTest : public ::testing::TestWithParam<std::uint64_t>
+{};
+
+TEST_P(FoundScheduleTest, ClosesNoJobWithoutCause)
+{
+    const PlayedSchedule result = played(randomClosingSchedule(GetParam()));
+    EXPECT_EQ(result.violations, std::vector<std::string>());
+}
+
+// In KNOWN-RED.txt: of the crashes 1.5 s after a start some are not counted, as other tasks were
+// started on the worker shortly before.
+INSTANTIATE_TEST_SUITE_P(KnownRedStarts, FoundScheduleTest, ::testing::Values(179));
+
+// In KNOWN-RED.txt: tasks without fault are placed beside a deadly one three times, while few
+// workers are reachable, and one of their jobs is closed.
+INSTANTIATE_TEST_SUITE_P(KnownRedClosed, FoundScheduleTest, ::testing::Values(334));
+
+/** Plays a random schedule; returns the violations. randomClosingSchedule(seed) returns the
+ * schedule that is printed. */
+std::vector<std::string> playRandom(ClosingSchedule &schedule)
+{
+    schedule = randomClosingSchedule(*rc::gen::inRange<std::uint64_t>(0, 100000).as("seed"));
+    RC_LOG() << schedule << std::endl;
+    std::vector<std::string> violations = play(schedule).violations;
+    std::erase_if(violations, waitedForAnEarlierRun);
+    for (const std::string &violation : violations) {
+        RC_LOG() << violation << std::endl;
+    }
+    return violations;
+}
+
+// The same over random schedules; the starts of tasks that crash workers at work are known red.
+RC_GTEST_PROP(ClosingScheduleProperty, ClosesNoJobWithoutCause, ())
+{
+    ClosingSchedule schedule;
+    std::vector<std::string> violations = playRandom(schedule);
+    if (schedule.crashWay == CrashWay::AtWork) {
+        std::erase_if(violations, [](const std::string &violation) {
+            return violation.starts_with("three more starts");
+        });
+    }
+    RC_ASSERT(violations.empty());
+}
+
+// The full check; in KNOWN-RED.txt.
+RC_GTEST_PROP(KnownRedStartsProperty, BoundsTheStarts, ())
+{
+    ClosingSchedule schedule;
+    const std::vector<std::string> violations = playRandom(schedule);
+    print(violations);
+    RC_ASSERT(violations.empty());
+}
+
+} // namespace
+} // namespace godwitfall::jobtests
