--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -242,6 +242,9 @@
     worker->entry = entry;
     worker->listed = true;
     this->poolsStale = true;
+    if (worker->entry.draining) {
+        this->endWatches(*worker);
+    }
     if (previousStartMs != 0) {
         worker->entry.incarnationStartMs = previousStartMs;
         if (entry.incarnationStartMs > previousStartMs &&
@@ -344,6 +347,9 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
+            this->noteNoReply(*worker, sentAt);
+        }
         if (outcome == OrderOutcome::Unanswered && worker->holdRenews) {
             worker->noteUnanswered(sentAt, now);
         }
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -62,6 +62,9 @@
 
 jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
 {
+    if (worker.entry.draining || worker.wasDraining) {
+        return jobs::POSSIBLE;
+    }
     // A process that crashes closes its connections; on a path that is cut they stay silent. A run
     // that had ended before would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
@@ -91,14 +94,14 @@
                                                                      : jobs::POSSIBLE;
 }
 
-void Coordinator::setClosing(WorkerState &worker, bool replies)
+void Coordinator::setClosing(WorkerState &worker, bool refuted)
 {
     for (const TaskRef &ref : worker.suspects) {
         Job &job = *worker.tasks.at(ref);
         Task &task = *job.task(ref);
-        // What a former coordinator saw counts until a reply.
+        // What a former coordinator saw counts until it is refuted.
         const jobs::CrashEvidence closing =
-            replies ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+            refuted ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
         if (task.watched && task.closing != closing) {
             task.closing = closing;
             this->markDirty(job, ref);
@@ -106,6 +109,19 @@
     }
 }
 
+void Coordinator::endWatches(WorkerState &worker)
+{
+    for (const TaskRef &ref : worker.suspects) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        if (task.watched) {
+            task.watched = false;
+            task.closing = jobs::POSSIBLE;
+            this->markDirty(job, ref);
+        }
+    }
+}
+
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
     worker.noteReply(sentAt, now);
@@ -114,6 +130,13 @@
     }
 }
 
+void Coordinator::noteNoReply(WorkerState &worker, Instant sentAt)
+{
+    if (worker.noteNoReply(sentAt)) {
+        this->setClosing(worker, true);
+    }
+}
+
 std::size_t Coordinator::countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least)
 {
     return static_cast<std::size_t>(
@@ -233,12 +256,16 @@
     }
 }
 
-void Coordinator::connectionClosed(const WorkerId &id, Instant now)
+void Coordinator::connectionClosed(const WorkerId &id, Instant now, std::int64_t incarnationStartMs)
 {
-    if (WorkerState *worker = this->findWorker(id)) {
-        worker->noteClosed(now);
-        this->setClosing(*worker, false);
+    WorkerState *worker = this->findWorker(id);
+    // The end of a call to a former incarnation may be processed after a reply of the next one.
+    if (!worker ||
+        (incarnationStartMs != 0 && incarnationStartMs != worker->entry.incarnationStartMs)) {
+        return;
     }
+    worker->noteClosed(now);
+    this->setClosing(*worker, false);
 }
 
 void Coordinator::giveUp(const GivenUp &tasks, Instant now)
