--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -55,6 +55,7 @@
     highest = std::max(highest, key.second);
     this->ended.push_back(EndedTask{++this->lastEnd, key.first, key.second, how, {}});
     this->ledger.done += how == RunEnd::Done ? 1 : 0;
+    this->ledger.failedEnds[key.first] += how == RunEnd::Failed ? 1 : 0;
     if (how == RunEnd::Done) {
         this->ledger.everDone.insert(key.first);
     }
@@ -213,6 +214,7 @@
 void SimWorker::crash()
 {
     for (const auto &[key, run] : this->runs) {
+        ++this->ledger.crashesUnderRuns[key.first];
         this->noteEnd(key, run);
     }
     this->runs.clear();
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -28,6 +28,8 @@
     std::set<TaskRef> everDone;                ///< Tasks with a run that has ended as done.
     std::vector<std::string> broken;           ///< Descriptions of the violated guarantees.
     std::map<JobId, std::int64_t> cancelledAt; ///< When cancels were acknowledged, in ms.
+    std::map<TaskRef, int> failedEnds;         ///< Runs that ended as failed, by task.
+    std::map<TaskRef, int> crashesUnderRuns;   ///< Workers that crashed under begun runs, by task.
     std::map<TaskRef, int> crashes;            ///< Workers that crashed under a deadly task.
     std::map<TaskRef, int> startsAfterCrashes; ///< Of a deadly task, after the third crash.
     bool delayedOrder = false;                 ///< The order carried out now was delayed.
--- a/tests/soak/configcheck.cpp
+++ b/tests/soak/configcheck.cpp
@@ -30,7 +30,8 @@
 {
     return R"({"name":")" + name + R"(","host":")" + SoakLayout::queueHost +
            R"(","path_prefix":")" + prefix + R"(","service":")" + SoakLayout::serviceName +
-           R"(","max_attempts":3,"stretch":3,"timeout_ms":3000,"target_latency_ms":1000})";
+           R"(","max_attempts":)" + std::to_string(SoakLayout::maxAttempts) +
+           R"(,"stretch":3,"timeout_ms":3000,"target_latency_ms":1000})";
 }
 
 } // namespace
--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -67,6 +67,7 @@
     static constexpr const char *queueHost = "plans.example";
     static constexpr const char *queuePrefix = "/plan/";
     static constexpr const char *serviceName = "orchard";
+    static constexpr int maxAttempts = 3; ///< Of a task of the queues.
 
 private:
     static constexpr unsigned port = 7300;
