--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -28,6 +28,8 @@
     std::function<void()> publishConfig;
     /** Has the worker begin its next incarnation, which the registry lists after the time. */
     std::function<void(std::size_t worker, Duration listedAfter)> rebirthWorker;
+    /** The same for a worker that is cut off or has crashed: callers see no connection end now. */
+    std::function<void(std::size_t worker, Duration listedAfter)> restartUnseen;
     std::function<void(std::size_t instance)> writeSettings;
 };
 
@@ -55,6 +57,9 @@
     /** Kills the instance. */
     void kill(std::size_t instance);
 
+    /** Stops the process of the instance for a drawn time, unless it is frozen. */
+    void freeze(std::size_t instance);
+
     /** Stops the instance as planned, unless it is stopping or frozen; returns whether it does. */
     bool stop(std::size_t instance);
 
@@ -85,7 +90,6 @@
     void troubleOrders();
     /** Sets the percentage for two seconds. */
     void troubleAppends(unsigned &percentage, unsigned percent);
-    void freeze(std::size_t instance);
     /** Draws what is wrong with the link and for how long; returns that time. */
     std::int64_t trouble(LinkProxy &link, std::int64_t longestMs);
     void troubleStoreLink(std::size_t instance);
--- a/tests/soak/linkproxy.cpp
+++ b/tests/soak/linkproxy.cpp
@@ -71,6 +71,15 @@
     this->pairs.clear();
 }
 
+void LinkProxy::breakTargets()
+{
+    for (const auto &known : this->pairs) {
+        if (const auto pair = known.lock()) {
+            breakOff(pair->target);
+        }
+    }
+}
+
 void LinkProxy::silenceConnections()
 {
     for (const auto &known : this->pairs) {
--- a/tests/soak/linkproxy.h
+++ b/tests/soak/linkproxy.h
@@ -36,6 +36,9 @@
     /** Breaks all connections, as when the target's machine is lost. */
     void breakConnections();
 
+    /** Breaks the connections on the target's side; callers see it once the link passes replies. */
+    void breakTargets();
+
     /** From now on nothing passes on the present connections, which stay open; new ones work. */
     void silenceConnections();
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,6 +11,8 @@
 #include <tclap/CmdLine.h>
 
 #include "callafter.h"
+#include "closedcheck.h"
+#include "closingplan.h"
 #include "configcheck.h"
 #include "connectionplan.h"
 #include "faultplan.h"
@@ -68,7 +70,9 @@
     void callEnded(std::size_t instance, Duration waited, bool answered);
     void listen();
     void publishWorker(std::size_t worker);
+    void publishWorkerAfter(std::size_t worker, Duration time);
     void rebirthWorker(std::size_t worker, Duration listedAfter);
+    void restartUnseen(std::size_t worker, Duration listedAfter);
     void writeSettings(std::size_t instance);
     void checkLasting(std::int64_t now);
     void scheduleTick();
@@ -87,7 +91,8 @@
     std::mt19937_64 faultRandom;
     jobtests::FleetLedger ledger;
     PlatformStore store;
-    std::unique_ptr<KeptCallers> kept; ///< Null without the extended plan.
+    ClosedCheck closed;
+    std::unique_ptr<KeptCallers> kept; ///< Null without the extended or the closing plan.
     SoakClients clients;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
@@ -96,6 +101,7 @@
     std::unique_ptr<ConfigCheck> configs;
     std::unique_ptr<OperationPlan> operations;
     std::unique_ptr<ConnectionPlan> connections;
+    std::unique_ptr<ClosingPlan> closing;
     LastingCheck lasting;
     std::int64_t tickedAt = 0;
     unsigned answersInStops = 0; ///< Of instances that stopped as planned, undisturbed.
@@ -115,9 +121,12 @@
     , clientRandom(seed + 1)
     , faultRandom(seed + 2)
     , store(this->context, this->random)
-    , kept(layout.extended ? std::make_unique<KeptCallers>(this->context, layout, seed + 3)
-                           : nullptr)
-    , clients(this->context, layout, this->clientRandom, this->ledger, this->kept.get())
+    , closed(this->ledger)
+    , kept(layout.extended || layout.closing
+               ? std::make_unique<KeptCallers>(this->context, layout, seed + 3)
+               : nullptr)
+    , clients(this->context, layout, this->clientRandom, this->ledger, this->closed,
+              this->kept.get())
     , timer(this->context)
 {
     for (std::size_t index = 0; index < layout.workers; ++index) {
@@ -153,6 +162,9 @@
                               [this](std::size_t worker, Duration listedAfter) {
                                   this->rebirthWorker(worker, listedAfter);
                               },
+                              [this](std::size_t worker, Duration listedAfter) {
+                                  this->restartUnseen(worker, listedAfter);
+                              },
                               [this](std::size_t instance) {
                                   this->writeSettings(instance);
                               }};
@@ -165,6 +177,13 @@
     this->clients.ended = [this](std::size_t instance, Duration waited, bool answered) {
         this->callEnded(instance, waited, answered);
     };
+    this->clients.broken = [this](const std::string &what) {
+        this->breakPromise(what);
+    };
+    if (layout.closing) {
+        this->closing =
+            std::make_unique<ClosingPlan>(this->context, *this->plan, targets, seed + 7, faultMs);
+    }
     if (layout.connections) {
         this->connections =
             std::make_unique<ConnectionPlan>(*this->plan, targets, seed + 6, faultMs);
@@ -252,11 +271,23 @@
     }
     this->workerLinks[worker]->breakConnections();
     this->workers[worker]->restart(unixMs());
-    if (listedAfter == Duration(0)) {
+    this->publishWorkerAfter(worker, listedAfter);
+}
+
+void Soak::restartUnseen(std::size_t worker, Duration listedAfter)
+{
+    this->workerLinks[worker]->breakTargets();
+    this->workers[worker]->restart(unixMs());
+    this->publishWorkerAfter(worker, listedAfter);
+}
+
+void Soak::publishWorkerAfter(std::size_t worker, Duration time)
+{
+    if (time == Duration(0)) {
         this->publishWorker(worker);
         return;
     }
-    callAfter(this->context, listedAfter, [this, worker] {
+    callAfter(this->context, time, [this, worker] {
         if (!this->workers[worker]->lost()) {
             this->publishWorker(worker);
         }
@@ -290,6 +321,9 @@
     if (this->connections) {
         this->connections->tick(now);
     }
+    if (this->closing) {
+        this->closing->tick(now);
+    }
     this->store.tick(std::chrono::steady_clock::now());
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
@@ -298,6 +332,9 @@
     switch (this->phase) {
     case Phase::Faults:
         if (now >= this->faultMs) {
+            if (this->closing) {
+                this->closing->heal();
+            }
             this->plan->heal();
             this->plan->note("all healed");
             this->lasting.calmSince(now + restartMs);
@@ -422,7 +459,8 @@
               << this->clients.keptAnswers() << ", in planned stops " << this->answersInStops
               << ", longest gap of a lasting task ms " << this->lasting.longestGap()
               << ", answers on new and removed queues " << this->configs->answers()
-              << ", pauses of the soak " << this->pauses << "\nfaults:";
+              << ", jobs shown as failed " << this->clients.failedCount() << ", pauses of the soak "
+              << this->pauses << "\nfaults:";
     for (const auto &[name, count] : this->plan->counts()) {
         std::cout << " " << name << " " << count;
     }
@@ -455,6 +493,10 @@
         "also connections that go silent, and workers that are back before "
         "the registry lists them",
         flags);
+    TCLAP::SwitchArg closing("", "closing",
+                             "also cuts, restarts and crashes of workers in series, beside a store "
+                             "that rejects calls and lost coordinators",
+                             flags);
     TCLAP::ValueArg<std::string> folder("", "folder", "settings, logs and process ids", true, "",
                                         "path", flags);
     TCLAP::SwitchArg workerFence("", "without-worker-fence", "workers take any token", flags);
@@ -468,6 +510,7 @@
     layout.instances = instances.getValue();
     layout.extended = extended.getValue();
     layout.connections = connections.getValue();
+    layout.closing = closing.getValue();
     layout.workers += layout.extended ? sparesOfExtended : 0;
     layout.folder = folder.getValue();
     const Weakening weakening{workerFence.getValue(), workerLease.getValue(), storeFence.getValue(),
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -144,6 +144,13 @@
     });
 }
 
+void PlatformWorker::crash()
+{
+    this->dropHolds();
+    this->worker.advance(this->nowMs);
+    this->worker.crash();
+}
+
 void PlatformWorker::lose(bool staysSilent)
 {
     this->dropHolds();
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -39,8 +39,12 @@
     /** Loses everything and begins a new life. */
     void restart(std::int64_t unixMs);
 
+    /** Loses everything and resets connections until it restarts. */
+    void crash();
+
     /** Loses everything and never comes back; silent: callers wait instead of seeing a reset. */
     void lose(bool silent);
+    /** Returns whether it has crashed or is lost for good. */
     bool lost() const { return !this->worker.up; }
 
     /** Returns its entry in the platform's registry. */
@@ -93,7 +97,7 @@
     unsigned ordersLost = 0;  ///< In percent; neither done nor answered.
     unsigned answersLost = 0; ///< In percent; done all the same.
     unsigned ordersLate = 0;  ///< In percent of starts and stops; done seconds later.
-    bool silent = false;      ///< Once lost, does not even reset connections.
+    bool silent = false;      ///< While lost, does not even reset connections.
     std::list<Waiting> waiting;
 };
 
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -33,11 +33,12 @@
 
 SoakClients::SoakClients(boost::asio::io_context &context, const SoakLayout &layout,
                          std::mt19937_64 &random, const jobtests::FleetLedger &ledger,
-                         KeptCallers *kept)
+                         ClosedCheck &closed, KeptCallers *kept)
     : context(context)
     , layout(layout)
     , random(random)
     , ledger(ledger)
+    , closed(closed)
     , kept(kept)
     , http(context)
 {}
@@ -62,7 +63,7 @@
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(this->jobs.size() + 1));
     made->id = JobId(id);
-    const bool extended = this->layout.extended;
+    const bool extended = this->layout.extended || this->layout.closing;
     const unsigned every = extended ? lastingEveryExtended : lastingEvery;
     const unsigned most = extended ? mostLastingExtended : mostLasting;
     const bool lasts = this->jobs.size() % every == 1 && this->jobs.size() / every < most;
@@ -151,7 +152,27 @@
     }
     for (KeptCallers::Caller *caller : this->kept->idle(true)) {
         const SoakJob &job = *this->jobs[this->kept->below(this->jobs.size())];
-        this->call(0, caller, "GET", job, {}, [](const auto &) {});
+        const std::size_t instance = caller->instance;
+        this->call(instance, caller, "GET", job, {}, [this, &job, instance](const auto &result) {
+            this->noteShown(job, instance, result);
+        });
+    }
+}
+
+void SoakClients::noteShown(const SoakJob &job, std::size_t instance,
+                            const Result<HttpResponse> &result)
+{
+    if (!result || result->status != 200) {
+        return;
+    }
+    if (ClosedCheck::isFailed(result->body)) {
+        this->failedJobs.insert(job.id);
+    }
+    const std::string fault =
+        this->closed.check(job, this->layout.instanceName(instance), result->body);
+    if (!fault.empty()) {
+        std::cout << "after ms: " << this->nowMs << " " << fault << "\n";
+        this->broken(fault);
     }
 }
 
@@ -211,14 +232,18 @@
     }
     for (std::size_t instance = 0; instance < this->layout.instances; ++instance) {
         this->call(instance, nullptr, "GET", job, {}, [this, &job, instance](const auto &result) {
+            this->noteShown(job, instance, result);
             const std::string state = result ? result->body : result.error().text();
             this->lastShown[job.id.value()] = state;
             const bool cancelled = state.find("cancelled") != std::string::npos;
             const bool completed = state.find("completed") != std::string::npos;
             const bool running = state.find("running") != std::string::npos;
-            const bool ended = job.cancelSent ? cancelled || completed
-                               : job.lasts()  ? running
-                                              : completed;
+            // Crashes under a task are part of the closing plan only.
+            const bool failed =
+                this->layout.closing && ClosedCheck::isFailed(state) && this->closed.hasCause(job);
+            const bool ended = failed || (job.cancelSent ? cancelled || completed
+                                          : job.lasts()  ? running
+                                                         : completed);
             if (ended && result->status == 200) {
                 this->agreed[job.id.value()].insert(instance);
                 job.settled = this->agreed[job.id.value()].size() == this->layout.instances;
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "closedcheck.h"
 #include "httpclient.h"
 #include "keptcallers.h"
 #include "simworker.h"
@@ -25,9 +26,10 @@
 class SoakClients
 {
 public:
-    /** kept: callers through which half of the calls go, and questions; null: none do. */
+    /** closed: told of each shown state; kept: callers through which half of the calls go, and
+     * questions; null: none do. */
     SoakClients(boost::asio::io_context &context, const SoakLayout &layout, std::mt19937_64 &random,
-                const jobtests::FleetLedger &ledger, KeptCallers *kept);
+                const jobtests::FleetLedger &ledger, ClosedCheck &closed, KeptCallers *kept);
 
     /** Submits new jobs and cancels old ones; the time is in ms since the run began. */
     void tick(std::int64_t now);
@@ -52,10 +54,15 @@
     std::size_t rejections() const { return this->rejected; }
     std::size_t unknowns() const { return this->unknown; }
     std::size_t keptAnswers() const { return this->answeredOnKept; }
+    /** Returns how many jobs were shown as failed. */
+    std::size_t failedCount() const { return this->failedJobs.size(); }
 
     /** Told when a sent call was answered, or its connection broke before its time was over. */
     std::function<void(std::size_t instance, Duration waited, bool answered)> ended;
 
+    /** Called with each broken promise that an answer shows. */
+    std::function<void(const std::string &)> broken;
+
 private:
     using Handler = std::function<void(const Result<HttpResponse> &)>;
 
@@ -68,12 +75,15 @@
               const SoakJob &job, std::string body, const Handler &handler);
     void callAny(const char *method, const SoakJob &job, std::string body, const Handler &handler);
     void askOnKept();
+    /** Checks the state that the instance shows. */
+    void noteShown(const SoakJob &job, std::size_t instance, const Result<HttpResponse> &result);
     std::uint64_t below(std::uint64_t bound) { return this->random() % bound; }
 
     boost::asio::io_context &context;
     const SoakLayout layout;
     std::mt19937_64 &random;
     const jobtests::FleetLedger &ledger;
+    ClosedCheck &closed;
     KeptCallers *const kept;
     HttpClient http;
     std::vector<std::unique_ptr<SoakJob>> jobs;
@@ -85,6 +95,7 @@
     std::size_t rejected = 0;
     std::size_t unknown = 0;
     std::size_t answeredOnKept = 0;
+    std::set<JobId> failedJobs; ///< Shown as failed, with cause or without.
     bool finishing = false;
 };
 
--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -16,6 +16,9 @@
     bool extended = false;
     /** Also plays connections that go silent, and workers that restart within a heartbeat. */
     bool connections = false;
+    /** Also plays cuts, restarts and crashes of workers in series, beside a store that rejects
+     * calls and lost coordinators: what could close a job without cause. */
+    bool closing = false;
     std::filesystem::path folder; ///< Of settings, logs and process ids.
 
     std::string storeAddress() const { return this->address(0, 1); }
