--- a/tests/soak/closingplan.cpp
+++ b/tests/soak/closingplan.cpp
@@ -19,9 +19,9 @@
 /** Range of cuts in a wave, which end before the next one or shortly after it. */
 constexpr std::uint64_t waveCutRangeMs = 1500;
 constexpr std::int64_t waveGapMs = 2200; ///< Of the bench's days.
-constexpr std::uint64_t fewestWaves = 3;
+constexpr std::uint64_t fewestWaves = 4;
 constexpr std::uint64_t waveRange = 4;
-constexpr std::uint64_t mostWorkersOfWave = 2;
+constexpr std::uint64_t mostWorkersOfWave = 3;
 /** Range of the time from a restart until the registry lists the worker; a heartbeat. */
 constexpr std::uint64_t listedRangeMs = 1500;
 constexpr std::int64_t shortestCrashMs = 200;
@@ -46,8 +46,12 @@
              plan.cut(plan.anyWorker(), plan.drawMs(shortestCutMs, cutRangeMs));
          }},
         {"cut_wave", 3, &Plan::cutWave},
-        {"restart_behind_cut", 2, &Plan::restartBehindCut},
+        {"restart_behind_cut", 2,
+         [](Plan &plan) {
+             plan.cutAndRestart(plan.anyWorker(), plan.drawMs(shortestCutMs, cutRangeMs));
+         }},
         {"restart_wave", 4, &Plan::restartWave},
+        {"restart_series_of_task", 3, &Plan::restartSeriesOfTask},
         {"crash", 1,
          [](Plan &plan) {
              plan.crash(plan.anyWorker());
@@ -125,12 +129,10 @@
     }
 }
 
-void ClosingPlan::restartBehindCut()
+void ClosingPlan::cutAndRestart(std::size_t worker, std::int64_t lengthMs)
 {
-    const std::size_t worker = this->anyWorker();
-    const std::int64_t length = this->drawMs(shortestCutMs, cutRangeMs);
-    this->cut(worker, length);
-    this->later(this->drawMs(0, static_cast<std::uint64_t>(length)),
+    this->cut(worker, lengthMs);
+    this->later(this->drawMs(0, static_cast<std::uint64_t>(lengthMs)),
                 [this, worker] { this->restart(worker); });
 }
 
@@ -142,10 +144,33 @@
     for (std::uint64_t wave = 0; wave < waves; ++wave) {
         this->later(static_cast<std::int64_t>(wave) * waveGapMs, [this, share, length] {
             for (std::uint64_t count = 0; count < share; ++count) {
-                const std::size_t worker = this->anyWorker();
-                this->cut(worker, length);
-                this->later(this->drawMs(0, static_cast<std::uint64_t>(length)),
-                            [this, worker] { this->restart(worker); });
+                this->cutAndRestart(this->anyWorker(), length);
+            }
+        });
+    }
+}
+
+void ClosingPlan::restartSeriesOfTask()
+{
+    std::vector<TaskRef> tasks = this->targets.runningTasks(true);
+    if (tasks.empty() || this->below(3) == 0) {
+        tasks = this->targets.runningTasks(false);
+    }
+    if (tasks.empty()) {
+        return;
+    }
+    const TaskRef task = tasks[this->below(tasks.size())];
+    const std::int64_t length = this->drawMs(shortestCutMs, waveCutRangeMs);
+    const bool crashes = this->below(3) == 0;
+    const std::uint64_t waves = fewestWaves + this->below(waveRange);
+    for (std::uint64_t wave = 0; wave < waves; ++wave) {
+        this->later(static_cast<std::int64_t>(wave) * waveGapMs, [this, task, length, crashes] {
+            for (const std::size_t worker : this->targets.workersOf(task)) {
+                if (crashes) {
+                    this->crash(worker);
+                } else {
+                    this->cutAndRestart(worker, length);
+                }
             }
         });
     }
--- a/tests/soak/closingplan.h
+++ b/tests/soak/closingplan.h
@@ -44,12 +44,14 @@
     static const std::vector<Kind> &kinds();
 
     void cutWave();
-    void restartBehindCut();
     void restartWave();
+    /** Restarts or crashes the worker that runs one task, again and again. */
+    void restartSeriesOfTask();
     void crashSeries();
     void loseStoreAndOwner();
     void troubleOwner();
     void cut(std::size_t worker, std::int64_t lengthMs);
+    void cutAndRestart(std::size_t worker, std::int64_t lengthMs);
     /** Restarts the worker, unseen from outside as long as it is cut off. */
     void restart(std::size_t worker);
     void crash(std::size_t worker);
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -31,6 +31,10 @@
     /** The same for a worker that is cut off or has crashed: callers see no connection end now. */
     std::function<void(std::size_t worker, Duration listedAfter)> restartUnseen;
     std::function<void(std::size_t instance)> writeSettings;
+    /** Returns the workers on which the task runs, by number. */
+    std::function<std::vector<std::size_t>(const TaskRef &task)> workersOf;
+    /** Returns the tasks that run; lasting: only those that last. */
+    std::function<std::vector<TaskRef>(bool lasting)> runningTasks;
 };
 
 /** Draws faults from a seed and does them: signals to instances, faults of links, store, workers.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -74,6 +75,8 @@
     void rebirthWorker(std::size_t worker, Duration listedAfter);
     void restartUnseen(std::size_t worker, Duration listedAfter);
     void writeSettings(std::size_t instance);
+    std::vector<std::size_t> workersOf(const TaskRef &task) const;
+    std::vector<TaskRef> runningTasks(bool lasting) const;
     void checkLasting(std::int64_t now);
     void scheduleTick();
     void tick();
@@ -165,8 +168,10 @@
                               [this](std::size_t worker, Duration listedAfter) {
                                   this->restartUnseen(worker, listedAfter);
                               },
-                              [this](std::size_t instance) {
-                                  this->writeSettings(instance);
+                              [this](std::size_t instance) { this->writeSettings(instance); },
+                              [this](const TaskRef &task) { return this->workersOf(task); },
+                              [this](bool lasting) {
+                                  return this->runningTasks(lasting);
                               }};
     this->plan = std::make_unique<FaultPlan>(this->context, layout, targets, this->faultRandom);
     this->configs =
@@ -264,6 +269,36 @@
     std::filesystem::rename(written, file);
 }
 
+std::vector<std::size_t> Soak::workersOf(const TaskRef &task) const
+{
+    std::vector<std::size_t> found;
+    const auto runs = this->ledger.running.find(task);
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+        const auto isThere = [&](const auto &run) {
+            return run.first == this->workers[index]->name();
+        };
+        if (runs != this->ledger.running.end() &&
+            std::any_of(runs->second.begin(), runs->second.end(), isThere)) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+std::vector<TaskRef> Soak::runningTasks(bool lasting) const
+{
+    const std::vector<TaskRef> lastingTasks = this->clients.lastingTasks();
+    std::vector<TaskRef> found;
+    for (const auto &[task, runs] : this->ledger.running) {
+        const bool lasts =
+            std::find(lastingTasks.begin(), lastingTasks.end(), task) != lastingTasks.end();
+        if (!runs.empty() && (lasts || !lasting)) {
+            found.push_back(task);
+        }
+    }
+    return found;
+}
+
 void Soak::rebirthWorker(std::size_t worker, Duration listedAfter)
 {
     if (this->workers[worker]->lost()) {
