--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -41,6 +41,7 @@
 /** Pause of this process itself that counts as one of the platform. */
 constexpr std::int64_t longestPauseMs = 500;
 constexpr std::int64_t withholdAfterMs = 3000; ///< See Weakening::newConfigs.
+constexpr Duration workerRestart{30}; ///< Time in which a worker that restarts takes no order.
 constexpr std::size_t slotsOfWorker = 4;
 constexpr std::size_t sparesOfExtended = 4; ///< Workers that may be lost.
 
@@ -305,6 +306,10 @@
         return;
     }
     this->workerLinks[worker]->breakConnections();
+    if (this->layout.closing) {
+        this->restartUnseen(worker, listedAfter);
+        return;
+    }
     this->workers[worker]->restart(unixMs());
     this->publishWorkerAfter(worker, listedAfter);
 }
@@ -312,8 +317,12 @@
 void Soak::restartUnseen(std::size_t worker, Duration listedAfter)
 {
     this->workerLinks[worker]->breakTargets();
-    this->workers[worker]->restart(unixMs());
-    this->publishWorkerAfter(worker, listedAfter);
+    this->workers[worker]->crash();
+    // The server still reads what had arrived on connections of the former incarnation.
+    callAfter(this->context, workerRestart, [this, worker, listedAfter] {
+        this->workers[worker]->restart(unixMs());
+        this->publishWorkerAfter(worker, listedAfter);
+    });
 }
 
 void Soak::publishWorkerAfter(std::size_t worker, Duration time)
