--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -16,6 +16,9 @@
     bool extended = false;
     /** Also plays connections that go silent, and workers that restart within a heartbeat. */
     bool connections = false;
+    /** Also plays cuts, restarts and crashes of workers in series, beside a store that rejects
+     * calls and lost coordinators: what could close a job without cause. */
+    bool closing = false;
     std::filesystem::path folder; ///< Of settings, logs and process ids.
 
     std::string storeAddress() const { return this->address(0, 1); }
@@ -67,6 +70,7 @@
     static constexpr const char *queueHost = "plans.example";
     static constexpr const char *queuePrefix = "/plan/";
     static constexpr const char *serviceName = "orchard";
+    static constexpr int maxAttempts = 3; ///< Of a task of the queues.
 
 private:
     static constexpr unsigned port = 7300;
