Red storms of a review: resets before cuts, and innocent tasks that wait

StormTest plays coordinators that never see a connection end: no call of makeCrashesReset, so no count is above SILENT and no job can be closed for crashes at all; it passes whatever isCause makes of closings. These storms have holds that wait and connections that end.

Where connections are reset 100 ms before the cuts, jobs are closed as failed under which one worker or none has crashed.

--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -197,12 +197,13 @@
         const std::size_t index = std::stoul(order.target.worker.value().substr(1));
         SimWorker &worker = *this->simulation.workers[index];
         const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
-        if (!sameLife && this->simulation.crashesReset) {
+        const bool reached = this->simulation.reaches(*this, index);
+        if (!sameLife && this->simulation.crashesReset && reached) {
             this->noteClosed(order.target.worker);
             this->answerHold(order, sentAt, 2, OrderOutcome::Unanswered, WorkerReport());
             return;
         }
-        if (!sameLife || !this->simulation.reaches(*this, index)) {
+        if (!sameLife || !reached) {
             this->answerHold(order, sentAt, std::max<std::int64_t>(0, leftMs) + orderTimeoutMs,
                              OrderOutcome::Unanswered, WorkerReport());
             return;
@@ -596,6 +597,10 @@
     if (!state->worker.empty()) {
         text += " on " + state->worker;
     }
+    for (const CrashedRun &crash : job->crashesOf(task)) {
+        text += (&crash == &job->crashesOf(task).front() ? ", crashes " : " ") +
+                jobs::CrashEvidence_Name(crash.evidence);
+    }
     const std::vector<DelayedTask> delayed =
         instance->node->coordination().delayedTasks(Instant(this->nowMs));
     const auto found = std::find_if(delayed.begin(), delayed.end(),
@@ -728,6 +733,15 @@
            this->nowMs < found->second.untilMs && this->disturbanceRandom() % 2 == 0;
 }
 
+void JobSimulation::resetConnections(std::size_t index)
+{
+    for (const auto &instance : this->instances) {
+        if (instance->node && this->reaches(*instance, index)) {
+            instance->noteClosed(WorkerId("w" + std::to_string(index)));
+        }
+    }
+}
+
 void JobSimulation::cutWorker(std::size_t index, std::int64_t milliseconds)
 {
     this->workerCutUntil[index] = this->nowMs + milliseconds;
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -141,6 +141,9 @@
     /** From now on no worker refuses what exceeds its capacity. */
     void trustCoordinator();
 
+    /** Resets a connection of each instance to the worker, which stays up. */
+    void resetConnections(std::size_t index);
+
     /** Disconnects a worker from all instances. */
     void cutWorker(std::size_t index, std::int64_t milliseconds);
 
@@ -153,8 +156,8 @@
     /** Returns when the job was accepted, in ms; nothing if it was not. */
     std::optional<std::int64_t> acceptedAt(const JobId &id) const;
 
-    /** Describes how the coordinating instance sees a long-running task: phase, worker and reason
-     * of its delay; for traces. */
+    /** Describes how the coordinating instance sees a long-running task: phase, worker, counted
+     * crashes, and reason of its delay; for traces. */
     std::string ownerView(const TaskRef &task);
 
     const FleetLedger &ledger() const { return this->fleet; }
--- a/tests/jobs/test_reviewedcrashes.cpp
+++ b/tests/jobs/test_reviewedcrashes.cpp
@@ -1,6 +1,10 @@
 // Sequences found in a review in which nothing crashed under a task, or nobody can know that it
 // did; see docs/incidents/jobs-closed-without-cause.md.
+#include <map>
 #include <optional>
+#include <ostream>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -199,5 +203,169 @@
     EXPECT_LE(this->starts, 3U) << this->evidence() << "held back for 10 s, 20 s and 40 s";
 }
 
+/** Cuts behind which workers are restarted; times are in ms. */
+struct Cuts
+{
+    std::uint32_t taskMs = 0;
+    std::int64_t gapMs = 0;
+    std::int64_t lengthMs = 0;
+    std::int64_t restartedAfterMs = 0;
+    unsigned share = 0; ///< Of the workers, in percent.
+};
+
+void PrintTo(const Cuts &cuts, std::ostream *out)
+{
+    *out << cuts.share << "% of the workers for " << cuts.lengthMs << " ms each " << cuts.gapMs
+         << " ms, tasks of " << cuts.taskMs << " ms";
+}
+
+/** A day of cuts, as it looks to a coordinator whose holds wait and that sees the end of
+ * connections where the path is sound. */
+struct ResetStorm
+{
+    static constexpr std::uint32_t taskCount = 6;
+
+    Cuts cuts;
+    bool losesOwners = false;
+    bool resets = false; ///< Connections are reset 100 ms before paths are cut.
+
+    /** Jobs that were closed as failed though fewer than two workers crashed under a run of any
+     * task of theirs that had begun. */
+    std::vector<std::string> failedWithoutCause;
+    /** Jobs that are not closed 14 s after the last cut, and have tasks that wait. */
+    std::vector<std::string> waiting;
+
+    void play(std::uint64_t seed)
+    {
+        JobSimulation simulation(seed, FaultRates());
+        simulation.makeHoldsWait();
+        simulation.makeCrashesReset();
+        for (int count = 0; count < 8; ++count) {
+            simulation.addWorker();
+        }
+        simulation.run(1500);
+        std::mt19937_64 random(seed);
+        std::map<TaskRef, unsigned> crashes;
+        std::set<JobId> failed;
+        for (int round = 0; round < 29; ++round) {
+            simulation.submit({stepOf(taskCount, this->cuts.taskMs), stepOf(1, 300, {0})});
+            std::vector<std::size_t> cut;
+            for (std::size_t index = 0; index < simulation.workersEver(); ++index) {
+                if (random() % 100 < this->cuts.share) {
+                    cut.push_back(index);
+                }
+            }
+            for (const std::size_t index : cut) {
+                if (this->resets) {
+                    simulation.resetConnections(index);
+                }
+            }
+            simulation.run(100);
+            for (const std::size_t index : cut) {
+                simulation.cutWorker(index, this->cuts.lengthMs);
+            }
+            simulation.run(this->cuts.restartedAfterMs);
+            for (const std::size_t index : cut) {
+                const std::string name = "w" + std::to_string(index);
+                for (const auto &[task, runs] : simulation.ledger().running) {
+                    crashes[task] += std::any_of(runs.begin(), runs.end(), [&](const auto &run) {
+                        return run.first == name;
+                    });
+                }
+                simulation.crashWorker(index, 20, 900);
+            }
+            simulation.run(this->cuts.gapMs - this->cuts.restartedAfterMs - 100);
+            if (this->losesOwners && round % 8 == 5) {
+                simulation.killOwner(1000);
+            }
+            this->noteFailed(simulation, failed);
+        }
+        simulation.run(14000);
+        this->noteFailed(simulation, failed);
+        const std::string storm = "seed " + std::to_string(seed) + ": ";
+        for (const JobId &id : simulation.accepted()) {
+            const std::string waiting = waitingTasks(simulation, id);
+            if (simulation.shown(id) == jobs::RUNNING && !waiting.empty()) {
+                this->waiting.push_back(storm + id.value() + waiting);
+            }
+        }
+        for (const JobId &id : failed) {
+            unsigned most = 0;
+            for (const auto &[task, count] : crashes) {
+                most = std::max(most, task.job == id ? count : 0);
+            }
+            if (most < 2) {
+                this->failedWithoutCause.push_back(storm + id.value() + ", crashes " +
+                                                   std::to_string(most));
+            }
+        }
+    }
+
+    static std::string waitingTasks(JobSimulation &simulation, const JobId &id)
+    {
+        std::string text;
+        for (std::uint32_t index = 0; index < taskCount; ++index) {
+            const std::string view = simulation.ownerView(TaskRef{id, 0, 0, index});
+            text += view.find("waiting") == std::string::npos ? "" : ", " + view;
+        }
+        return text;
+    }
+
+    static void noteFailed(JobSimulation &simulation, std::set<JobId> &failed)
+    {
+        for (const JobId &id : simulation.accepted()) {
+            if (simulation.shown(id) == jobs::FAILED) {
+                failed.insert(id);
+            }
+        }
+    }
+};
+
+/** Seeds of each storm. */
+constexpr std::uint64_t stormSeeds = 40;
+
+class ResetStormTest : public ::testing::TestWithParam<Cuts>
+{
+protected:
+    ResetStorm play(bool resets, bool losesOwners)
+    {
+        ResetStorm storm;
+        storm.cuts = GetParam();
+        storm.resets = resets;
+        storm.losesOwners = losesOwners;
+        for (std::uint64_t seed = 1; seed <= stormSeeds; ++seed) {
+            storm.play(seed);
+        }
+        return storm;
+    }
+};
+
+// Guards against jobs that are closed as failed on days of cuts and restarts, for crashes that did
+// not happen, by a coordinator that sees the end of connections.
+TEST_P(ResetStormTest, CutsCloseNoJobWithoutCause)
+{
+    EXPECT_EQ(this->play(false, false).failedWithoutCause, std::vector<std::string>());
+    EXPECT_EQ(this->play(false, true).failedWithoutCause, std::vector<std::string>());
+}
+
+// The same where connections are reset shortly before paths are cut.
+TEST_P(ResetStormTest, ResetsBeforeCutsCloseNoJobWithoutCause)
+{
+    EXPECT_EQ(this->play(true, false).failedWithoutCause, std::vector<std::string>());
+}
+
+// Guards against innocent tasks that are held back for so long that their job does not run when the
+// platform asks for it, 14 s after the end of the traffic: cuts have hit each of their runs.
+TEST_P(ResetStormTest, JobsRunSoonAfterTheCuts)
+{
+    EXPECT_EQ(this->play(false, false).waiting, std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Days, ResetStormTest,
+                         ::testing::Values(Cuts{640, 2200, 1400, 700, 17},
+                                           Cuts{2200, 2200, 1400, 700, 17},
+                                           Cuts{640, 1200, 700, 350, 30},
+                                           Cuts{1500, 1200, 700, 350, 30}));
+
 } // namespace
 } // namespace godwitfall::jobtests
