--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -737,7 +737,8 @@
 {
     for (const auto &instance : this->instances) {
         if (instance->node && this->reaches(*instance, index)) {
-            instance->noteClosed(WorkerId("w" + std::to_string(index)));
+            instance->node->coordination().connectionClosed(WorkerId("w" + std::to_string(index)),
+                                                            Instant(this->nowMs));
         }
     }
 }
