--- a/tests/jobs/test_reviewedcrashes.cpp
+++ b/tests/jobs/test_reviewedcrashes.cpp
@@ -1,5 +1,6 @@
 // Sequences found in a review in which nothing crashed under a task, or nobody can know that it
 // did; see docs/incidents/jobs-closed-without-cause.md.
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <ostream>
@@ -226,6 +227,7 @@
     static constexpr std::uint32_t taskCount = 6;
 
     Cuts cuts;
+    unsigned lastingJobs = 0; ///< Of tasks that last, submitted before the others.
     bool losesOwners = false;
     bool resets = false; ///< Connections are reset 100 ms before paths are cut.
 
@@ -234,6 +236,8 @@
     std::vector<std::string> failedWithoutCause;
     /** Jobs that are not closed 14 s after the last cut, and have tasks that wait. */
     std::vector<std::string> waiting;
+    /** Tasks that last and do not run 9 s after the last cut. */
+    std::vector<std::string> notRunning;
 
     void play(std::uint64_t seed)
     {
@@ -244,6 +248,12 @@
             simulation.addWorker();
         }
         simulation.run(1500);
+        std::vector<JobId> lasting;
+        for (unsigned count = 0; count < this->lastingJobs; ++count) {
+            jobs::StepSpec step = stepOf(taskCount, 60000);
+            step.set_long_running(true);
+            lasting.push_back(simulation.submit({step}));
+        }
         std::mt19937_64 random(seed);
         std::map<TaskRef, unsigned> crashes;
         std::set<JobId> failed;
@@ -280,12 +290,17 @@
             }
             this->noteFailed(simulation, failed);
         }
-        simulation.run(14000);
+        simulation.run(longestDelayMs);
+        for (const JobId &id : lasting) {
+            this->noteNotRunning(simulation, id, seed);
+        }
+        simulation.run(14000 - longestDelayMs);
         this->noteFailed(simulation, failed);
         const std::string storm = "seed " + std::to_string(seed) + ": ";
         for (const JobId &id : simulation.accepted()) {
             const std::string waiting = waitingTasks(simulation, id);
-            if (simulation.shown(id) == jobs::RUNNING && !waiting.empty()) {
+            const bool lasts = std::find(lasting.begin(), lasting.end(), id) != lasting.end();
+            if (!lasts && simulation.shown(id) == jobs::RUNNING && !waiting.empty()) {
                 this->waiting.push_back(storm + id.value() + waiting);
             }
         }
@@ -301,6 +316,16 @@
         }
     }
 
+    void noteNotRunning(JobSimulation &simulation, const JobId &id, std::uint64_t seed)
+    {
+        for (std::uint32_t index = 0; index < taskCount; ++index) {
+            const std::string view = simulation.ownerView(TaskRef{id, 0, 0, index});
+            if (view.find("running") == std::string::npos) {
+                this->notRunning.push_back("seed " + std::to_string(seed) + ": " + view);
+            }
+        }
+    }
+
     static std::string waitingTasks(JobSimulation &simulation, const JobId &id)
     {
         std::string text;
@@ -327,12 +352,13 @@
 class ResetStormTest : public ::testing::TestWithParam<Cuts>
 {
 protected:
-    ResetStorm play(bool resets, bool losesOwners)
+    ResetStorm play(bool resets, bool losesOwners, unsigned lastingJobs)
     {
         ResetStorm storm;
         storm.cuts = GetParam();
         storm.resets = resets;
         storm.losesOwners = losesOwners;
+        storm.lastingJobs = lastingJobs;
         for (std::uint64_t seed = 1; seed <= stormSeeds; ++seed) {
             storm.play(seed);
         }
@@ -344,21 +370,30 @@
 // not happen, by a coordinator that sees the end of connections.
 TEST_P(ResetStormTest, CutsCloseNoJobWithoutCause)
 {
-    EXPECT_EQ(this->play(false, false).failedWithoutCause, std::vector<std::string>());
-    EXPECT_EQ(this->play(false, true).failedWithoutCause, std::vector<std::string>());
+    EXPECT_EQ(this->play(false, false, 0).failedWithoutCause, std::vector<std::string>());
+    EXPECT_EQ(this->play(false, true, 0).failedWithoutCause, std::vector<std::string>());
 }
 
 // The same where connections are reset shortly before paths are cut.
 TEST_P(ResetStormTest, ResetsBeforeCutsCloseNoJobWithoutCause)
 {
-    EXPECT_EQ(this->play(true, false).failedWithoutCause, std::vector<std::string>());
+    EXPECT_EQ(this->play(true, false, 3).failedWithoutCause, std::vector<std::string>());
 }
 
 // Guards against innocent tasks that are held back for so long that their job does not run when the
 // platform asks for it, 14 s after the end of the traffic: cuts have hit each of their runs.
 TEST_P(ResetStormTest, JobsRunSoonAfterTheCuts)
 {
-    EXPECT_EQ(this->play(false, false).waiting, std::vector<std::string>());
+    EXPECT_EQ(this->play(false, false, 0).waiting, std::vector<std::string>());
+}
+
+// Guards against tasks that last and do not run, as their job was closed or as they are held back,
+// after cuts, resets and changes of the coordinator.
+TEST_P(ResetStormTest, LastingTasksRunSoonAfterTheCuts)
+{
+    for (const bool resets : {false, true}) {
+        EXPECT_EQ(this->play(resets, true, 3).notRunning, std::vector<std::string>()) << resets;
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(Days, ResetStormTest,
