--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -242,6 +242,9 @@
     worker->entry = entry;
     worker->listed = true;
     this->poolsStale = true;
+    if (worker->entry.draining) {
+        this->endWatches(*worker);
+    }
     if (previousStartMs != 0) {
         worker->entry.incarnationStartMs = previousStartMs;
         if (entry.incarnationStartMs > previousStartMs &&
@@ -344,6 +347,9 @@
         return;
     }
     if (outcome != OrderOutcome::Accepted) {
+        if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
+            this->noteNoReply(*worker, sentAt);
+        }
         if (outcome == OrderOutcome::Unanswered && worker->holdRenews) {
             worker->noteUnanswered(sentAt, now);
         }
@@ -432,6 +438,7 @@
         task->progressAt = now;
     }
     task->listed = true;
+    task->unlisted = false;
     task->lastListedIn = this->reports;
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
@@ -560,6 +567,11 @@
             this->returnTask(*job, ref, task, RunOutcome::Lost, now);
             continue;
         }
+        const auto start = this->starts.find(ref);
+        if (task.phase == TaskPhase::Starting && start != this->starts.end() &&
+            task.startSentAt != Instant() && start->second.sentAt < sentAt) {
+            task.unlisted = true;
+        }
         const auto stop = this->stops.find(ref);
         if (task.phase == TaskPhase::Stopping && stop != this->stops.end() &&
             stop->second.acknowledged && stop->second.acknowledgedAt < sentAt) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -244,8 +244,9 @@
                       std::uint32_t percent, OrderOutcome outcome);
 
     /** Notes that the worker closed, reset or refused the connection of an order; the order's
-     * outcome follows. */
-    void connectionClosed(const WorkerId &id, Instant now);
+     * outcome follows. Ignored if the order was for another incarnation than the present one; its
+     * start is in ms since 1970, 0: any. */
+    void connectionClosed(const WorkerId &id, Instant now, std::int64_t incarnationStartMs = 0);
 
     /** Applies the advisory service's reply; nothing if it did not reply in time. */
     void adviceAnswered(const StepRef &step, const std::optional<Advice> &advice, Instant now);
@@ -444,9 +445,14 @@
     static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
     /** Notes that the worker replied to an order that was sent at the time. */
     void noteReply(WorkerState &worker, Instant sentAt, Instant now);
+    /** Notes that an order that was sent to the worker at the time ended without a reply. */
+    void noteNoReply(WorkerState &worker, Instant sentAt);
     /** Has the records of watched runs say what the worker's closing of connections tells; nothing
-     * if it replies again. */
-    void setClosing(WorkerState &worker, bool replies);
+     * if it is refuted, as the worker replies again or its path is cut. */
+    void setClosing(WorkerState &worker, bool refuted);
+    /** Has the records of runs on a worker that leaves say that they are not watched: it closes its
+     * connections and is silent then, which a successor could take for a crash. */
+    void endWatches(WorkerState &worker);
     /** Counts the crashes with at least the evidence. */
     static std::size_t countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least);
     /** Returns whether what is known of the crashes is enough to give the task up. */
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -84,6 +84,7 @@
     }
     worker->noteLeaseEnd(order.leaseEndMs);
     open.sentAt = now;
+    task.unlisted = false;
     task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
@@ -140,8 +141,9 @@
         return;
     }
     open.inFlight = false;
-    if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent &&
-        outcome != OrderOutcome::OtherIncarnation) {
+    if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
+        this->noteNoReply(*worker, open.sentAt);
+    } else if (outcome != OrderOutcome::OtherIncarnation) {
         this->noteReply(*worker, open.sentAt, now);
     }
     switch (outcome) {
