Hold tasks back by the coordinator's own clock, not by the time of day

A task under which workers crash was started without bound once the clock of the coordinator was set back, or where that of its predecessor was ahead: a hold-back that seemed too long was ended. The time of the newest crash is now kept on the coordinator's monotonic clock as well; a successor derives it from the record, and takes a time that lies ahead for now, so that neither ends a hold-back nor prolongs one.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -135,13 +135,18 @@
                 this->unansweredOfUnlisted[start.worker].push_back(
                     UnansweredStart{ref, start.run, now, 0});
             }
-            for (const CrashedRun &crash : task.crashedRuns) {
+            for (CrashedRun &crash : task.crashedRuns) {
+                // By a clock that was ahead or set back since, it was counted just now at the
+                // latest.
+                const std::int64_t ageMs =
+                    std::max<std::int64_t>(0, this->unixMs - crash.countedMs);
+                crash.countedAt = crash.countedMs == 0 ? Instant() : now - Duration(ageMs);
                 if (crash.sign == jobs::LEASES_LAPSED) {
                     this->silentCrashes[crash.worker].push_back(ref);
                 }
             }
             if (!task.crashedRuns.empty() && !job.closed()) {
-                this->reportHoldBack(job, ref);
+                this->reportHoldBack(job, ref, now);
             }
             if (task.worker.empty()) {
                 continue;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -458,9 +458,9 @@
     /** Returns whether what is known of the crashes is enough to give the task up. */
     static bool isCause(const std::vector<CrashedRun> &crashes, std::size_t enough);
     /** Returns for how long the waiting task is held back after crashes; nothing if it is not. */
-    std::optional<HoldBack> holdBackOf(const Job &job, const TaskRef &ref) const;
+    std::optional<HoldBack> holdBackOf(const Job &job, const TaskRef &ref, Instant now) const;
     /** Tells the observer of the task if it is held back. */
-    void reportHoldBack(const Job &job, const TaskRef &ref);
+    void reportHoldBack(const Job &job, const TaskRef &ref, Instant now);
     /** Returns whether the worker has a watched start, or waits for one. */
     static bool isWatched(const WorkerState &worker, Instant now);
     /** Counts a crash of the worker for its tasks that may be the cause; returns the jobs that are
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -163,7 +163,8 @@
     return crashes.size() >= enough && (certain || likely);
 }
 
-std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref) const
+std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref,
+                                                Instant now) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
     Duration length = longRunningHoldBack;
@@ -184,20 +185,17 @@
     for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
     }
-    std::int64_t countedMs = 0;
-    for (const CrashedRun &crash : crashes) {
-        countedMs = std::max(countedMs, crash.countedMs);
-    }
-    // A clock that was set back does not prolong it by more than its length.
-    const std::int64_t untilMs = countedMs + length.count();
-    const std::int64_t left = untilMs - this->unixMs;
-    return left > 0 && left <= 2 * length.count() ? std::optional(HoldBack{length, untilMs})
-                                                  : std::nullopt;
+    const auto newest = std::max_element(
+        crashes.begin(), crashes.end(),
+        [](const CrashedRun &a, const CrashedRun &b) { return a.countedAt < b.countedAt; });
+    const Duration left = newest->countedAt + length - now;
+    return left > Duration(0) ? std::optional(HoldBack{length, this->unixMs + left.count()})
+                              : std::nullopt;
 }
 
-void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref)
+void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref, Instant now)
 {
-    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref)) {
+    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref, now)) {
         this->observer.taskHeldBack(ref, job.crashesUnder(ref), *hold);
     }
 }
@@ -233,7 +231,7 @@
         }
         crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
                                      worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs, this->unixMs});
+                                     worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -251,7 +249,7 @@
         }
     }
     for (const auto &[ref, job] : goesOn) {
-        this->reportHoldBack(*job, ref);
+        this->reportHoldBack(*job, ref, now);
     }
     return toGiveUp;
 }
@@ -322,7 +320,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref);
+    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref, now);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -113,7 +113,7 @@
     if (this->hasOrphanRun(ref, now)) {
         return DelayReason::OrphanRun;
     }
-    if (const Job *job = this->table.find(ref.job); job && this->holdBackOf(*job, ref)) {
+    if (const Job *job = this->table.find(ref.job); job && this->holdBackOf(*job, ref, now)) {
         return DelayReason::HeldBack;
     }
     const bool yields = task.run == 0 && wait && wait->yields;
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -45,9 +45,9 @@
 
 CrashedRun crashOf(const jobs::CrashedRun &message)
 {
-    return CrashedRun{message.run(),       message.evidence(), message.sign(),
-                      message.worker(),    message.epoch(),    message.worker_born_ms(),
-                      message.counted_ms()};
+    return CrashedRun{message.run(),        message.evidence(), message.sign(),
+                      message.worker(),     message.epoch(),    message.worker_born_ms(),
+                      message.counted_ms(), Instant()};
 }
 
 jobs::JobFailure failureOf(const JobEnd &end)
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -66,6 +66,7 @@
     std::uint64_t epoch = 0;             ///< Of the coordinator that counted the crash.
     std::int64_t incarnationStartMs = 0; ///< Of the worker, since 1970; 0: not known.
     std::int64_t countedMs = 0;          ///< Since 1970; 0: not known.
+    Instant countedAt;                   ///< The same on this coordinator's clock; not recorded.
 };
 
 /** Why a coordinator closed a job; a closed list in logs and metrics. */
