Hold tasks back for ten seconds at most on crashes that are only possible

Such counts now hold back for 10 s each time; the time doubles only where three crashes are more than possible.

AClockThatIsSetBackEndsNoHoldBack expected the doubled times, three starts within a minute; it now asks for one start in ten seconds, six.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -165,10 +165,11 @@
     /** Crashes counted under a task from which it is held back before each start; the platform
      * allows two starts after the third crash. */
     static constexpr std::size_t crashesToHoldBack = 5;
-    /** Time for which it is held back; doubles with each further crash. Leaves an innocent task
-     * time to run before the platform asks for its end. */
-    static constexpr Duration firstHoldBack{10000};
-    /** The same of a task with silentCrashesToGiveUp crashes that are more than possible. */
+    /** Time for which it is held back. Leaves an innocent task time to run before the platform asks
+     * for its end. */
+    static constexpr Duration holdBackOfPossibleCause{10000};
+    /** The same of a task with silentCrashesToGiveUp crashes that are more than possible; doubles
+     * with each further crash. */
     static constexpr Duration firstHoldBackOfLikelyCause{60000};
     static constexpr Duration longestHoldBack{120000};
     /** Time for which a long-running task is held back that is the cause of crashes; well below
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -178,9 +178,10 @@
         if (crashes.size() < crashesToHoldBack) {
             return std::nullopt;
         }
+        // Cuts may hit each run of an innocent task.
         const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
-        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
-        doublings = crashes.size() - crashesToHoldBack;
+        length = likely ? firstHoldBackOfLikelyCause : holdBackOfPossibleCause;
+        doublings = likely ? crashes.size() - crashesToHoldBack : 0;
     }
     for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
