Take closed connections for a crash only where the next call is refused too

Callers would see a job as failed as connections were reset and the path was cut soon after for less than any timeout: the next incarnation replied before an order had timed out, so nothing refuted that the worker had closed its connections as it crashed.

A process that has ended closes its connections and refuses the next call, 300 ms later, or another incarnation replies within 400 ms. One of these is now asked for before the closing counts, or is recorded.

test_closedjobs and test_crashevidence closed the connections of crashed workers once and refused nothing afterwards, which no ended process does; they now refuse the next call (endConnections). Their expectations stay.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -438,9 +438,11 @@
     std::vector<std::pair<TaskRef, Job *>> causesOfCrash(const WorkerState &worker) const;
     /** Returns what tells that the worker crashed while the task's run was at work. */
     static jobs::CrashEvidence evidenceOf(const WorkerState &worker, const Task &task,
-                                          jobs::CrashSign sign);
-    /** Returns what the worker's closing of its connections tells of the task's run. */
-    static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task);
+                                          jobs::CrashSign sign, Instant now);
+    /** Returns what the worker's closing of its connections tells of the task's run;
+     * replacedAtOnce: another incarnation replied soon after. */
+    static jobs::CrashEvidence evidenceOfClosing(const WorkerState &worker, const Task &task,
+                                                 bool replacedAtOnce);
     /** Returns since when what is processed now may have waited: the coordinator may have been
      * paused, or have had no processor. */
     Instant receivedNotBefore(Instant now) const;
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -60,15 +60,18 @@
     return begun;
 }
 
-jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
+jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task,
+                                                   bool replacedAtOnce)
 {
     if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
-    // A process that crashes closes its connections; on a path that is cut they stay silent. A run
-    // that had ended before would have been reported, as the worker replied until then.
+    // A process that crashes closes its connections and refuses the next one, until another
+    // incarnation replies; on a path that is cut they stay silent. A run that had ended before
+    // would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - worker.repliedNotBefore <= contactGap;
+                        worker.closedAt - worker.repliedNotBefore <= contactGap &&
+                        (worker.closedAgain || replacedAtOnce);
     if (closed && task.startTaken) {
         return jobs::CERTAIN;
     }
@@ -78,12 +81,15 @@
 }
 
 jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
-                                            jobs::CrashSign sign)
+                                            jobs::CrashSign sign, Instant now)
 {
     if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
-    const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
+    const bool replacedAtOnce =
+        sign == jobs::OTHER_INCARNATION && now - worker.closedAt <= contactGap;
+    const jobs::CrashEvidence closing =
+        std::max(task.closing, evidenceOfClosing(worker, task, replacedAtOnce));
     if (closing != jobs::POSSIBLE) {
         return closing;
     }
@@ -101,7 +107,8 @@
         Task &task = *job.task(ref);
         // What a former coordinator saw counts until it is refuted.
         const jobs::CrashEvidence closing =
-            refuted ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+            refuted ? jobs::POSSIBLE
+                    : std::max(task.closing, evidenceOfClosing(worker, task, false));
         if (task.watched && task.closing != closing) {
             task.closing = closing;
             this->markDirty(job, ref);
@@ -230,7 +237,7 @@
         if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
+        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign, now), sign,
                                      worker.entry.id.value(), this->epoch,
                                      worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -76,7 +76,12 @@
 
 void WorkerState::noteClosed(Instant now)
 {
-    this->closedAt = this->closedAt == Instant() ? now : this->closedAt;
+    if (this->closedAt == Instant()) {
+        this->closedAt = now;
+        this->closedAgain = false;
+    }
+    const Duration since = now - this->closedAt;
+    this->closedAgain = this->closedAgain || (since >= nextCallAfter && since <= nextCallWithin);
     this->lastClosedAt = now;
 }
 
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -119,6 +119,11 @@
     /** Longest time after which an order without a reply may still be carried out; guaranteed by
      * the platform. */
     static constexpr Duration longestOrderDelay{12000};
+
+    /** Time after a closed connection from which another one is that of a later call. */
+    static constexpr Duration nextCallAfter{200};
+    /** Time after a closed connection within which the worker is called again. */
+    static constexpr Duration nextCallWithin{600};
     /** Added to computed lapse times for rounding and timer slack. */
     static constexpr Duration lapseMargin{150};
 
@@ -208,7 +213,9 @@
     Instant repliedNotBefore; ///< The same at the earliest.
     /** When it first closed or refused a connection; unset: it has replied to a later order. */
     Instant closedAt;
-    Instant lastClosedAt;          ///< When it last did so.
+    Instant lastClosedAt; ///< When it last did so.
+    /** It did so again when it was called next, as a process does that has ended. */
+    bool closedAgain = false;
     bool wasDraining = false;      ///< The entry before the newest one said so.
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
--- a/tests/jobs/lostworkerfixture.h
+++ b/tests/jobs/lostworkerfixture.h
@@ -101,6 +101,15 @@
         this->world.orders.starts.clear();
     }
 
+    /** The worker closes its connections, and refuses the next call, as a process does that has
+     * crashed. */
+    void endConnections(const WorkerId &worker, std::int64_t incarnationStartMs = 0)
+    {
+        this->world.coordinator.connectionClosed(worker, Instant(this->now), incarnationStartMs);
+        this->advance(Coordinator::unresponsiveHoldGap.count());
+        this->world.coordinator.connectionClosed(worker, Instant(this->now), incarnationStartMs);
+    }
+
     /** A worker takes the start, is seen at work, and is cut off and replaced. */
     bool loseUnseen(std::int64_t longestMs = 1000)
     {
