Review of the fixes: a start that is taken after a report that omits it

Red: marks a run as unlisted by a report that was asked for after its start was sent. Replies on different connections may overtake each other, and the mark stays when the worker takes the start afterwards, so each crash counts as possible: a task that crashes its workers 10 ms later is never given up, and its starts are bounded by the hold-back only. startAnswered() with Accepted has to clear the mark.

Green: takes a try that finds the next incarnation, and so is not sent, for one that timed out. The first two counts are possible for it, but the task is given up within five starts.

--- a/tests/jobs/test_reviewedcrashes.cpp
+++ b/tests/jobs/test_reviewedcrashes.cpp
@@ -174,6 +174,54 @@
     EXPECT_NE(this->state(), jobs::FAILED) << this->evidence();
 }
 
+// Guards against a task that crashes worker after worker and is never given up, as each process is
+// back before the tries of the start are over: a try that finds another incarnation is not sent,
+// and is taken for one that timed out, which would tell of a cut.
+TEST_F(ReviewedCrashTest, TriesThatFindTheNextIncarnationAreNoTimeouts)
+{
+    this->submit(false);
+    for (int loss = 0; loss < 8; ++loss) {
+        const WorkerId worker = this->addWorker();
+        if (!this->awaitStart(worker, 3000)) {
+            break;
+        }
+        this->advance(10);
+        this->endHold(worker, OrderOutcome::Unanswered);
+        this->answerStart(worker, OrderOutcome::Unanswered);
+        this->advance(Coordinator::orderRetry.count() + 50);
+        // A watched start is not tried again while the worker refuses connections.
+        if (!this->world.orders.starts.empty()) {
+            this->answerStart(worker, OrderOutcome::NotSent);
+        }
+        this->answerOther(worker);
+    }
+    EXPECT_EQ(this->state(), jobs::FAILED) << this->evidence();
+    EXPECT_LE(this->starts, mostStarts);
+}
+
+// Guards against a task that crashes worker after worker and is never given up, as a report that
+// was sent before the start arrived, and asked for after it was sent, does not list the run.
+TEST_F(ReviewedCrashTest, StartsThatAreTakenAfterAReportHaveBegun)
+{
+    this->submit(false);
+    for (int loss = 0; loss < 8; ++loss) {
+        const WorkerId worker = this->addWorker();
+        if (!this->awaitStart(worker, 3000)) {
+            break;
+        }
+        this->advance(10);
+        this->reply(worker);
+        this->advance(10);
+        this->answerStart(worker, OrderOutcome::Accepted);
+        this->advance(10);
+        this->endHold(worker, OrderOutcome::Unanswered);
+        this->advance(1400);
+        this->answerOther(worker);
+    }
+    EXPECT_EQ(this->state(), jobs::FAILED) << this->evidence();
+    EXPECT_LE(this->starts, mostStarts);
+}
+
 // Guards against starts without bound of a task that crashes its workers, once the clock of the
 // coordinator has been set back, or that of its predecessor was ahead.
 TEST_F(ReviewedCrashTest, AClockThatIsSetBackEndsNoHoldBack)
