--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -68,7 +68,7 @@
     // A process that crashes closes its connections; on a path that is cut they stay silent. A run
     // that had ended before would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - worker.repliedAt <= contactGap;
+                        worker.closedAt - worker.repliedNotBefore <= contactGap;
     if (closed && task.startTaken) {
         return jobs::CERTAIN;
     }
@@ -109,6 +109,16 @@
     }
 }
 
+Instant Coordinator::receivedNotBefore(Instant now) const
+{
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        return tickedLast;
+    }
+    const bool resumed = this->resumedAt != Instant() && now - this->resumedAt < backlogTime;
+    return resumed ? this->pausedAt : now;
+}
+
 void Coordinator::endWatches(WorkerState &worker)
 {
     for (const TaskRef &ref : worker.suspects) {
@@ -124,7 +134,7 @@
 
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
-    worker.noteReply(sentAt, now);
+    worker.noteReply(sentAt, this->receivedNotBefore(now), now);
     if (worker.closedAt == Instant()) {
         this->setClosing(worker, true);
     }
@@ -153,7 +163,8 @@
     return crashes.size() >= enough && (certain || likely);
 }
 
-bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
+std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref,
+                                                Instant now) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
     Duration length = longRunningHoldBack;
@@ -161,26 +172,33 @@
     if (job.stepSpec(ref.step).long_running()) {
         // It has to run again soon however its runs end, and is only held back as the cause.
         if (!isCause(crashes, crashesToGiveUpAlone)) {
-            return false;
+            return std::nullopt;
         }
     } else {
         if (crashes.size() < crashesToHoldBack) {
-            return false;
+            return std::nullopt;
         }
+        // Cuts may hit each run of an innocent task.
         const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
-        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
-        doublings = crashes.size() - crashesToHoldBack;
+        length = likely ? firstHoldBackOfLikelyCause : holdBackOfPossibleCause;
+        doublings = likely ? crashes.size() - crashesToHoldBack : 0;
     }
     for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
     }
-    std::int64_t countedMs = 0;
-    for (const CrashedRun &crash : crashes) {
-        countedMs = std::max(countedMs, crash.countedMs);
+    const auto newest = std::max_element(
+        crashes.begin(), crashes.end(),
+        [](const CrashedRun &a, const CrashedRun &b) { return a.countedAt < b.countedAt; });
+    const Duration left = newest->countedAt + length - now;
+    return left > Duration(0) ? std::optional(HoldBack{length, this->unixMs + left.count()})
+                              : std::nullopt;
+}
+
+void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref, Instant now)
+{
+    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref, now)) {
+        this->observer.taskHeldBack(ref, job.crashesUnder(ref), *hold);
     }
-    // A clock that was set back does not prolong it by more than its length.
-    const std::int64_t left = countedMs + length.count() - this->unixMs;
-    return left > 0 && left <= 2 * length.count();
 }
 
 bool Coordinator::isWatched(const WorkerState &worker, Instant now)
@@ -202,6 +220,7 @@
         return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
     };
     GivenUp toGiveUp;
+    std::map<TaskRef, Job *> goesOn;
     for (const auto &[ref, job] : causes) {
         const Task &task = *job->task(ref);
         std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
@@ -213,7 +232,7 @@
         }
         crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
                                      worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs, this->unixMs});
+                                     worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -225,8 +244,14 @@
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
             toGiveUp.emplace_back(job, countedRef(*job, ref));
+            goesOn.erase(countedRef(*job, ref));
+        } else {
+            goesOn.emplace(countedRef(*job, ref), job);
         }
     }
+    for (const auto &[ref, job] : goesOn) {
+        this->reportHoldBack(*job, ref, now);
+    }
     return toGiveUp;
 }
 
@@ -296,7 +321,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
+    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref, now);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
