Take evidence that only a later version knows for possible

Seen: in a test of the records, before any report by users. Evidence is an open enumeration on the wire; a value that this version does not know, as a later one may write it, was compared as a number. 4 counted for more than CERTAIN, so three such counts closed a job as failed, and the log had an empty name for it.

A value that is not known is read as POSSIBLE, in `crashes`, in `closing` of a placement and in the failure of a closed job: doubt holds a task back and closes nothing. The run stays counted.

--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -43,11 +43,17 @@
     message.set_counted_ms(crash.countedMs);
 }
 
+/** Returns the evidence of a record, which closes no job if only a later version knows it. */
+jobs::CrashEvidence knownEvidence(jobs::CrashEvidence evidence)
+{
+    return jobs::CrashEvidence_IsValid(evidence) ? evidence : jobs::POSSIBLE;
+}
+
 CrashedRun crashOf(const jobs::CrashedRun &message)
 {
-    return CrashedRun{message.run(),       message.evidence(), message.sign(),
-                      message.worker(),    message.epoch(),    message.worker_born_ms(),
-                      message.counted_ms()};
+    return CrashedRun{
+        message.run(),   knownEvidence(message.evidence()), message.sign(),      message.worker(),
+        message.epoch(), message.worker_born_ms(),          message.counted_ms()};
 }
 
 jobs::JobFailure failureOf(const JobEnd &end)
@@ -400,7 +406,7 @@
             task.workerIncarnationStartMs = placed.worker_born_ms();
             task.placedMs = placed.placed_ms();
             task.watched = placed.watched();
-            task.closing = placed.closing();
+            task.closing = knownEvidence(placed.closing());
             task.since = now;
             task.progressAt = now;
         }
--- a/tests/jobs/test_jobrecords.cpp
+++ b/tests/jobs/test_jobrecords.cpp
@@ -174,6 +174,12 @@
                    {"1 1 @0 0 OTHER_INCARNATION POSSIBLE 0",
                     "1 2 w2@8 3 OTHER_INCARNATION CERTAIN 9",
                     "1 6 @0 0 OTHER_INCARNATION POSSIBLE 0"}},
+        RecordCase{
+            "evidenceOfALaterVersion",
+            R"(crashed { index: 1 runs: [1, 2] }
+                      crashes { index: 1 run: 1 worker: "w1" epoch: 3 evidence: 4 counted_ms: 9 }
+                      crashes { index: 1 run: 2 worker: "w1" epoch: 3 evidence: -1 })",
+            {"1 1 w1@0 3 OTHER_INCARNATION POSSIBLE 9", "1 2 w1@0 3 OTHER_INCARNATION POSSIBLE 0"}},
         RecordCase{"detailsOfOtherRuns",
                    R"(crashed { index: 1 runs: [1] }
                       crashes { index: 1 run: 7 worker: "w2" evidence: CERTAIN }
@@ -301,6 +307,17 @@
                            {{1, jobs::LIKELY, jobs::OTHER_INCARNATION, "w1", 2, 3, 4}}}}),
     [](const auto &info) { return info.param.name; });
 
+// Guards against a job that is closed by evidence that this version does not know.
+TEST(JobRecordTest, ClosingOfALaterVersionIsPossible)
+{
+    jobs::JobProgress progress;
+    ASSERT_TRUE(google::protobuf::TextFormat::ParseFromString(
+        R"(steps { runs: 1 placed { worker: "w1" watched: true closing: 4 } })", &progress));
+    Job job = jobOf(1);
+    job.applyProgress(stored(progress), Instant(5));
+    EXPECT_EQ(job.stepRun(0, 0).tasks[0].closing, jobs::POSSIBLE);
+}
+
 // Guards against counts of a large job that are lost, or get to another task, as some of its parts
 // were written by an earlier version.
 TEST(PartRecordTest, PartsOfTwoVersionsAreReadBesideEachOther)
