A start that is taken has begun, whatever a report said before

A task that crashes its workers was started without bound where a report overtook the reply to its start: the report did not list the run, which was then never forgotten, so that each crash counted as possible only. The reply to the start now clears it.

--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -150,6 +150,7 @@
     case OrderOutcome::Accepted:
         task->phase = TaskPhase::Running;
         task->startTaken = true;
+        task->unlisted = false;
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
