Bound starts of deadly tasks in doubt by their gaps

Behind cuts and drains a crash may be merely possible to the coordinator. It then holds the task back and keeps the job open, as it has to, and a start after that is no fault; schedule 642 was counted as one (a start 12.6 s after the fifth crash).

--- a/tests/jobs/closingschedule.cpp
+++ b/tests/jobs/closingschedule.cpp
@@ -85,6 +85,8 @@
         // Without it a crash can't be told from a cut.
         this->simulation.makeCrashesReset();
         this->simulation.crashWay = this->schedule.crashWay;
+        this->simulation.crashesInDoubt =
+            this->schedule.percentCut > 0 || this->schedule.drainGap > 0;
         this->simulation.deadly = [this](const TaskRef &task) {
             const bool lasts = this->deadlyLasting.contains(task.job) && !this->calm;
             return task.index == 0 && task.step == 0 &&
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -192,6 +192,10 @@
     /** Of all deadly tasks. */
     CrashWay crashWay = CrashWay::OnceTaken;
 
+    /** Whether other faults may keep the job of a deadly task open: then it may be started once in
+     * a while beyond the bound, and else no more. */
+    bool crashesInDoubt = false;
+
 private:
     struct Instance;
     struct Event
