--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,9 +11,6 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
-constexpr std::array<const char *, 4> endReasonNames = {"all_done", "attempts_used_up",
-                                                        "workers_crashed", "cancelled"};
-
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
 /** Sorts after the id of any worker; ids are printable. */
@@ -28,11 +25,6 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
-const char *toText(JobEndReason reason)
-{
-    return endReasonNames.at(static_cast<std::size_t>(reason));
-}
-
 Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                          CoordinatorObserver &observer)
     : table(table)
@@ -95,6 +87,7 @@
     this->open.clear();
     this->unplaced.clear();
     this->tickedAt = Instant(-1000000);
+    this->resumedAt = Instant();
     this->starts.clear();
     this->stops.clear();
     this->orphans.clear();
@@ -125,6 +118,10 @@
 
 void Coordinator::adopt(Job &job, Instant now)
 {
+    const bool isPublished = job.published == job.state;
+    if (job.closed() && (job.state != Job::State::COMPLETED || !isPublished)) {
+        this->observer.closedJobAdopted(job);
+    }
     bool placed = false;
     for (auto &[key, run] : job.stepRuns()) {
         for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
@@ -138,11 +135,19 @@
                 this->unansweredOfUnlisted[start.worker].push_back(
                     UnansweredStart{ref, start.run, now, 0});
             }
-            for (const CrashedRun &crash : task.crashedRuns) {
+            for (CrashedRun &crash : task.crashedRuns) {
+                // By a clock that was ahead or set back since, it was counted just now at the
+                // latest.
+                const std::int64_t ageMs =
+                    std::max<std::int64_t>(0, this->unixMs - crash.countedMs);
+                crash.countedAt = crash.countedMs == 0 ? Instant() : now - Duration(ageMs);
                 if (crash.sign == jobs::LEASES_LAPSED) {
                     this->silentCrashes[crash.worker].push_back(ref);
                 }
             }
+            if (!task.crashedRuns.empty() && !job.closed()) {
+                this->reportHoldBack(job, ref, now);
+            }
             if (task.worker.empty()) {
                 continue;
             }
@@ -438,6 +443,7 @@
         task->progressAt = now;
     }
     task->listed = true;
+    task->unlisted = false;
     task->lastListedIn = this->reports;
     task->percent = running.percent;
     task->checkpoint = running.checkpoint;
@@ -566,6 +572,11 @@
             this->returnTask(*job, ref, task, RunOutcome::Lost, now);
             continue;
         }
+        const auto start = this->starts.find(ref);
+        if (task.phase == TaskPhase::Starting && start != this->starts.end() &&
+            task.startSentAt != Instant() && start->second.sentAt < sentAt) {
+            task.unlisted = true;
+        }
         const auto stop = this->stops.find(ref);
         if (task.phase == TaskPhase::Stopping && stop != this->stops.end() &&
             stop->second.acknowledged && stop->second.acknowledgedAt < sentAt) {
@@ -771,11 +782,9 @@
 {
     std::vector<JobRecord> records;
     for (Job *job : this->unpublished) {
-        jobs::JobStatus status;
-        status.set_state(job->state);
         JobRecord record;
         record.key = JobTable::statusKey(job->id());
-        record.value = status.SerializeAsString();
+        record.value = job->toStatus().SerializeAsString();
         records.push_back(std::move(record));
         this->publishing.emplace_back(job, job->state);
     }
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -60,15 +60,18 @@
     return begun;
 }
 
-jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
+jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task,
+                                                   bool replacedAtOnce)
 {
-    if (worker.entry.draining || worker.wasDraining) {
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
-    // A process that crashes closes its connections; on a path that is cut they stay silent. A run
-    // that had ended before would have been reported, as the worker replied until then.
+    // A process that crashes closes its connections and refuses the next one, until another
+    // incarnation replies; on a path that is cut they stay silent. A run that had ended before
+    // would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - worker.repliedAt <= contactGap;
+                        worker.closedAt - worker.repliedNotBefore <= contactGap &&
+                        (worker.closedAgain || replacedAtOnce);
     if (closed && task.startTaken) {
         return jobs::CERTAIN;
     }
@@ -78,12 +81,15 @@
 }
 
 jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
-                                            jobs::CrashSign sign)
+                                            jobs::CrashSign sign, Instant now)
 {
-    if (worker.entry.draining || worker.wasDraining) {
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
-    const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
+    const bool replacedAtOnce =
+        sign == jobs::OTHER_INCARNATION && now - worker.closedAt <= contactGap;
+    const jobs::CrashEvidence closing =
+        std::max(task.closing, evidenceOfClosing(worker, task, replacedAtOnce));
     if (closing != jobs::POSSIBLE) {
         return closing;
     }
@@ -101,7 +107,8 @@
         Task &task = *job.task(ref);
         // What a former coordinator saw counts until it is refuted.
         const jobs::CrashEvidence closing =
-            refuted ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+            refuted ? jobs::POSSIBLE
+                    : std::max(task.closing, evidenceOfClosing(worker, task, false));
         if (task.watched && task.closing != closing) {
             task.closing = closing;
             this->markDirty(job, ref);
@@ -109,6 +116,16 @@
     }
 }
 
+Instant Coordinator::receivedNotBefore(Instant now) const
+{
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        return tickedLast;
+    }
+    const bool resumed = this->resumedAt != Instant() && now - this->resumedAt < backlogTime;
+    return resumed ? this->pausedAt : now;
+}
+
 void Coordinator::endWatches(WorkerState &worker)
 {
     for (const TaskRef &ref : worker.suspects) {
@@ -124,7 +141,7 @@
 
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
-    worker.noteReply(sentAt, now);
+    worker.noteReply(sentAt, this->receivedNotBefore(now), now);
     if (worker.closedAt == Instant()) {
         this->setClosing(worker, true);
     }
@@ -153,7 +170,8 @@
     return crashes.size() >= enough && (certain || likely);
 }
 
-bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
+std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref,
+                                                Instant now) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
     Duration length = longRunningHoldBack;
@@ -161,26 +179,33 @@
     if (job.stepSpec(ref.step).long_running()) {
         // It has to run again soon however its runs end, and is only held back as the cause.
         if (!isCause(crashes, crashesToGiveUpAlone)) {
-            return false;
+            return std::nullopt;
         }
     } else {
         if (crashes.size() < crashesToHoldBack) {
-            return false;
+            return std::nullopt;
         }
+        // Cuts may hit each run of an innocent task.
         const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
-        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
-        doublings = crashes.size() - crashesToHoldBack;
+        length = likely ? firstHoldBackOfLikelyCause : holdBackOfPossibleCause;
+        doublings = likely ? crashes.size() - crashesToHoldBack : 0;
     }
     for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
     }
-    std::int64_t countedMs = 0;
-    for (const CrashedRun &crash : crashes) {
-        countedMs = std::max(countedMs, crash.countedMs);
+    const auto newest = std::max_element(
+        crashes.begin(), crashes.end(),
+        [](const CrashedRun &a, const CrashedRun &b) { return a.countedAt < b.countedAt; });
+    const Duration left = newest->countedAt + length - now;
+    return left > Duration(0) ? std::optional(HoldBack{length, this->unixMs + left.count()})
+                              : std::nullopt;
+}
+
+void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref, Instant now)
+{
+    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref, now)) {
+        this->observer.taskHeldBack(ref, job.crashesUnder(ref), *hold);
     }
-    // A clock that was set back does not prolong it by more than its length.
-    const std::int64_t left = countedMs + length.count() - this->unixMs;
-    return left > 0 && left <= 2 * length.count();
 }
 
 bool Coordinator::isWatched(const WorkerState &worker, Instant now)
@@ -202,6 +227,7 @@
         return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
     };
     GivenUp toGiveUp;
+    std::map<TaskRef, Job *> goesOn;
     for (const auto &[ref, job] : causes) {
         const Task &task = *job->task(ref);
         std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
@@ -211,9 +237,9 @@
         if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
+        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign, now), sign,
                                      worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs, this->unixMs});
+                                     worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -225,8 +251,14 @@
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
             toGiveUp.emplace_back(job, countedRef(*job, ref));
+            goesOn.erase(countedRef(*job, ref));
+        } else {
+            goesOn.emplace(countedRef(*job, ref), job);
         }
     }
+    for (const auto &[ref, job] : goesOn) {
+        this->reportHoldBack(*job, ref, now);
+    }
     return toGiveUp;
 }
 
@@ -296,7 +328,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
+    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref, now);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -84,6 +84,7 @@
     }
     worker->noteLeaseEnd(order.leaseEndMs);
     open.sentAt = now;
+    task.unlisted = false;
     task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
@@ -149,6 +150,7 @@
     case OrderOutcome::Accepted:
         task->phase = TaskPhase::Running;
         task->startTaken = true;
+        task->unlisted = false;
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
@@ -402,6 +404,11 @@
     if (now < this->tickedAt + tickGap) {
         return;
     }
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        this->pausedAt = tickedLast;
+        this->resumedAt = now;
+    }
     this->tickedAt = now;
     this->retryOrders(now, mayRenew);
     this->recordConfirmations(now);
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -216,13 +216,14 @@
         const std::size_t index = std::stoul(order.target.worker.value().substr(1));
         SimWorker &worker = *this->simulation.workers[index];
         const bool sameLife = worker.up && worker.entry().incarnationStartMs == workerStartMs;
-        if (!sameLife && this->simulation.crashesReset && this->simulation.reaches(*this, index) &&
+        const bool reached = this->simulation.reaches(*this, index);
+        if (!sameLife && this->simulation.crashesReset && reached &&
             !this->simulation.crashedSilently.contains(index)) {
             this->noteClosed(order.target);
             this->answerHold(order, sentAt, 2, OrderOutcome::Unanswered, WorkerReport());
             return;
         }
-        if (!sameLife || !this->simulation.reaches(*this, index)) {
+        if (!sameLife || !reached) {
             this->answerHold(order, sentAt, std::max<std::int64_t>(0, leftMs) + orderTimeoutMs,
                              OrderOutcome::Unanswered, WorkerReport());
             return;
@@ -664,6 +665,24 @@
     return id;
 }
 
+std::size_t JobSimulation::endsRead(const JobId &id) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+            const std::vector<JobId> &ends = instance->host.endsRead;
+            return instance->node && std::find(ends.begin(), ends.end(), id) != ends.end();
+        }));
+}
+
+std::size_t JobSimulation::adoptions(const JobId &id) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->instances.begin(), this->instances.end(), [&](const auto &instance) {
+            const std::vector<JobId> &adopted = instance->host.adopted;
+            return instance->node && std::find(adopted.begin(), adopted.end(), id) != adopted.end();
+        }));
+}
+
 void JobSimulation::cancel(const JobId &id)
 {
     for (const auto &instance : this->instances) {
@@ -764,6 +783,10 @@
     if (!state->worker.empty()) {
         text += " on " + state->worker;
     }
+    for (const CrashedRun &crash : job->crashesOf(task)) {
+        text += (&crash == &job->crashesOf(task).front() ? ", crashes " : " ") +
+                jobs::CrashEvidence_Name(crash.evidence);
+    }
     const std::vector<DelayedTask> delayed =
         instance->node->coordination().delayedTasks(Instant(this->nowMs));
     const auto found = std::find_if(delayed.begin(), delayed.end(),
@@ -921,6 +944,16 @@
            this->nowMs < found->second.untilMs && this->disturbanceRandom() % 2 == 0;
 }
 
+void JobSimulation::resetConnections(std::size_t index)
+{
+    for (const auto &instance : this->instances) {
+        if (instance->node && this->reaches(*instance, index)) {
+            instance->node->coordination().connectionClosed(WorkerId("w" + std::to_string(index)),
+                                                            Instant(this->nowMs));
+        }
+    }
+}
+
 void JobSimulation::cutWorker(std::size_t index, std::int64_t milliseconds)
 {
     this->workerCutUntil[index] = this->nowMs + milliseconds;
--- a/tests/jobs/test_crashevidence.cpp
+++ b/tests/jobs/test_crashevidence.cpp
@@ -31,8 +31,8 @@
             this->reply(worker, {this->ref()});
         }
         this->advance(10);
-        this->world.coordinator.connectionClosed(worker, Instant(this->now));
-        this->advance(3200);
+        this->endConnections(worker);
+        this->advance(2900);
         this->answerOther(worker);
     }
     EXPECT_EQ(this->state(), jobs::FAILED) << this->evidence();
@@ -139,6 +139,34 @@
     EXPECT_TRUE(this->awaitStart(worker, 5000));
 }
 
+// Guards against a task that waits without a word, and against a line for each search for a worker:
+// each coordinator tells once for how long it holds the task back.
+TEST_F(CrashEvidenceTest, AHoldBackIsReportedOnce)
+{
+    this->submit(false);
+    for (std::size_t loss = 1; loss <= Coordinator::crashesToHoldBack; ++loss) {
+        EXPECT_TRUE(this->world.host.heldBack.empty()) << loss;
+        ASSERT_TRUE(this->loseUnseen(3000)) << loss;
+    }
+    ASSERT_EQ(this->world.host.heldBack.size(), 1U);
+    const HeldBackTask reported = this->world.host.heldBack.front();
+    EXPECT_EQ(reported.task, this->ref());
+    EXPECT_EQ(reported.crashes, Coordinator::crashesToHoldBack);
+    EXPECT_EQ(reported.hold.length, Coordinator::holdBackOfPossibleCause);
+    EXPECT_EQ(reported.hold.untilMs, this->now + Coordinator::holdBackOfPossibleCause.count());
+    const WorkerId worker = this->addWorker();
+    EXPECT_FALSE(this->awaitStart(worker, 2000));
+    EXPECT_EQ(this->world.host.heldBack.size(), 1U);
+    this->takeOver(2);
+    ASSERT_EQ(this->world.host.heldBack.size(), 2U);
+    EXPECT_EQ(this->world.host.heldBack.back().hold.untilMs, reported.hold.untilMs);
+    ASSERT_TRUE(this->awaitStart(this->addWorker(), 16000));
+    EXPECT_GE(this->now, reported.hold.untilMs);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U);
+    this->takeOver(3);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U) << "its time is over";
+}
+
 // Guards against a task that lasts and is held back for a minute at once, the first time that the
 // counts are enough: starts that may never have arrived double the time.
 TEST_F(CrashEvidenceTest, PossibleCrashesDoNotProlongTheHoldBackOfTasksThatLast)
@@ -259,9 +287,8 @@
     this->advance(50);
     replyOf(2000, {this->ref()});
     this->advance(20);
-    this->world.coordinator.connectionClosed(worker, Instant(this->now),
-                                             this->GetParam().incarnationStartMs);
-    this->advance(700);
+    this->endConnections(worker, this->GetParam().incarnationStartMs);
+    this->advance(400);
     replyOf(3000, {});
     ASSERT_EQ(this->crashes().size(), 1U);
     EXPECT_EQ(this->crashes().back().evidence, this->GetParam().evidence) << this->evidence();
