Count a crash under a gang whose other members end first

A gang that crashes its workers was started again and again: the other members list their ends, "broken", before the loss of the worker shows, so that the member that crashed it was being stopped when the crash was counted, and a run that was listed and is being stopped was taken for no cause. It is one if the worker had closed its connections before the stop. Found by the schedules; red before: ACrashUnderOneMemberIsCounted.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -433,7 +433,7 @@
     /** Returns the task in which what concerns the whole gang is counted: its first member. */
     static Task &countedTask(Job &job, const TaskRef &ref);
     /** Returns whether the task's run may have begun on its worker and crashed it. */
-    bool mayBeCause(const TaskRef &ref, const Task &task) const;
+    bool mayBeCause(const WorkerState &worker, const TaskRef &ref, const Task &task) const;
     /** Returns the tasks that may be why the worker crashed: those that began last. */
     std::vector<std::pair<TaskRef, Job *>> causesOfCrash(const WorkerState &worker) const;
     /** Returns what tells that the worker crashed while the task's run was at work. */
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -16,7 +16,7 @@
     return job.stepRun(ref.occurrence, ref.step).tasks[countedRef(job, ref).index];
 }
 
-bool Coordinator::mayBeCause(const TaskRef &ref, const Task &task) const
+bool Coordinator::mayBeCause(const WorkerState &worker, const TaskRef &ref, const Task &task) const
 {
     if (task.harmless) {
         return false;
@@ -30,7 +30,8 @@
         return start != this->starts.end() && (start->second.unanswered || start->second.inFlight);
     }
     case TaskPhase::Stopping:
-        return !task.listed;
+        // It was at work when the worker closed its connections, and is stopped for that.
+        return !task.listed || (worker.closedAt != Instant() && worker.closedAt <= task.since);
     case TaskPhase::Unconfirmed:
         return this->unixMs - task.placedMs < adoptedHarmlessAge.count();
     case TaskPhase::Waiting:
@@ -47,7 +48,7 @@
     std::int64_t latestMs = 0;
     for (const auto &[ref, job] : worker.tasks) {
         const Task &task = *job->task(ref);
-        if (this->mayBeCause(ref, task)) {
+        if (this->mayBeCause(worker, ref, task)) {
             begun.emplace_back(ref, job);
             latestMs = task.startTaken ? std::max(latestMs, task.placedMs) : latestMs;
         }
