Take no start without a reply for the cause of a crash beside others

Callers saw the job of a task without fault shown as failed: while only one worker at a time could be reached, the task was started beside a deadly one on each. None of its starts had a reply, as the other one crashed the worker first, and the closed connections counted as likely for both.

Of several starts that may have crashed a worker an unanswered one is now not more than possible by its silence (SILENT), which closes nothing by itself.

--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -238,8 +238,12 @@
         if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign, now), sign,
-                                     worker.entry.id.value(), this->epoch,
+        jobs::CrashEvidence evidence = evidenceOf(worker, task, sign, now);
+        if (evidence == jobs::LIKELY && causes.size() > 1) {
+            // Its start may not have been carried out any more, as another one crashed the worker.
+            evidence = jobs::SILENT;
+        }
+        crashed.push_back(CrashedRun{task.run, evidence, sign, worker.entry.id.value(), this->epoch,
                                      worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
