Keep the minimal sequence of a task beside a deadly one as a passing test

It was red when it was written, and passes since connections that close count as crashes only where the next call is refused too. Its worker now refuses connections while it is down, as crashed ones do; it passes with that as well. Nothing of a check is left out: the test runs in the passing program now.

--- a/tests/jobs/test_closingschedules.cpp
+++ b/tests/jobs/test_closingschedules.cpp
@@ -358,11 +358,9 @@
     EXPECT_EQ(counted, 1U);
 }
 
-using KnownRedClosedBeside = SharedWorkerTest;
-
-// In KNOWN-RED.txt. Guards against a job that is closed as its task is started beside a deadly one
+// Guards against a job that is closed as its task is started beside a deadly one
 // on each worker, of which only one at a time can be reached: none of its starts has begun.
-TEST_F(KnownRedClosedBeside, TasksBesideADeadlyOneAreInnocent)
+TEST_F(SharedWorkerTest, TasksBesideADeadlyOneAreInnocent)
 {
     const JobId deadly = this->world.submit(oneTask(false), beginMs);
     const JobId beside = this->world.submit(oneTask(false), beginMs);
@@ -385,15 +383,14 @@
         for (const StartOrder &start : starts) {
             this->answer(start, OrderOutcome::Unanswered);
         }
-        this->advance(3200);
+        for (int refused = 0; refused < 32; ++refused) {
+            this->advance(100);
+            this->close(worker);
+        }
         this->answerOther(worker);
         this->world.orders.starts.clear();
     }
-    const bool isClosed = this->found(beside).state == jobs::FAILED;
-    if (isClosed) {
-        print({"a job is closed whose task has never begun"});
-    }
-    EXPECT_FALSE(isClosed);
+    EXPECT_NE(this->found(beside).state, jobs::FAILED);
 }
 
 /** Plays a random schedule; returns the violations. randomClosingSchedule(seed) returns the
