--- a/tests/jobs/test_closingschedules.cpp
+++ b/tests/jobs/test_closingschedules.cpp
@@ -256,9 +256,9 @@
 // started on the worker shortly before.
 INSTANTIATE_TEST_SUITE_P(KnownRedStarts, FoundScheduleTest, ::testing::Values(179));
 
-// In KNOWN-RED.txt: tasks without fault are started beside a deadly one four times, while few
-// workers are reachable, and one of their jobs is closed.
-INSTANTIATE_TEST_SUITE_P(KnownRedClosed, FoundScheduleTest, ::testing::Values(334, 680));
+// Guards against a job that is closed as its tasks without fault are started beside a deadly one
+// four times, while few workers are reachable.
+INSTANTIATE_TEST_SUITE_P(Found, FoundScheduleTest, ::testing::Values(334, 680));
 
 /** The coordinator alone, with workers that are lost under tasks of several jobs. */
 class SharedWorkerTest : public ::testing::Test
@@ -322,11 +322,11 @@
     std::int64_t now = beginMs;
 };
 
-using KnownRedStartsOfGangs = SharedWorkerTest;
+using CrashUnderAGang = SharedWorkerTest;
 
-// In KNOWN-RED.txt. Guards against crashes under a gang that are not counted, as the ends of its
+// Guards against crashes under a gang that are not counted, as the ends of its
 // other members are listed before the loss of the worker shows.
-TEST_F(KnownRedStartsOfGangs, ACrashUnderOneMemberIsCounted)
+TEST_F(CrashUnderAGang, ACrashUnderOneMemberIsCounted)
 {
     jobs::JobSpec spec = oneTask(false);
     spec.mutable_steps(0)->set_count(2);
