--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -16,7 +16,7 @@
     return job.stepRun(ref.occurrence, ref.step).tasks[countedRef(job, ref).index];
 }
 
-bool Coordinator::mayBeCause(const TaskRef &ref, const Task &task) const
+bool Coordinator::mayBeCause(const WorkerState &worker, const TaskRef &ref, const Task &task) const
 {
     if (task.harmless) {
         return false;
@@ -30,7 +30,8 @@
         return start != this->starts.end() && (start->second.unanswered || start->second.inFlight);
     }
     case TaskPhase::Stopping:
-        return !task.listed;
+        // It was at work when the worker closed its connections, and is stopped for that.
+        return !task.listed || (worker.closedAt != Instant() && worker.closedAt <= task.since);
     case TaskPhase::Unconfirmed:
         return this->unixMs - task.placedMs < adoptedHarmlessAge.count();
     case TaskPhase::Waiting:
@@ -47,7 +48,7 @@
     std::int64_t latestMs = 0;
     for (const auto &[ref, job] : worker.tasks) {
         const Task &task = *job->task(ref);
-        if (this->mayBeCause(ref, task)) {
+        if (this->mayBeCause(worker, ref, task)) {
             begun.emplace_back(ref, job);
             latestMs = task.startTaken ? std::max(latestMs, task.placedMs) : latestMs;
         }
@@ -60,12 +61,18 @@
     return begun;
 }
 
-jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task)
+jobs::CrashEvidence Coordinator::evidenceOfClosing(const WorkerState &worker, const Task &task,
+                                                   bool replacedAtOnce)
 {
-    // A process that crashes closes its connections; on a path that is cut they stay silent. A run
-    // that had ended before would have been reported, as the worker replied until then.
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
+        return jobs::POSSIBLE;
+    }
+    // A process that crashes closes its connections and refuses the next one, until another
+    // incarnation replies; on a path that is cut they stay silent. A run that had ended before
+    // would have been reported, as the worker replied until then.
     const bool closed = worker.closedAt != Instant() && worker.closedAt >= task.startSentAt &&
-                        worker.closedAt - worker.repliedAt <= contactGap;
+                        worker.closedAt - worker.repliedNotBefore <= contactGap &&
+                        (worker.closedAgain || replacedAtOnce);
     if (closed && task.startTaken) {
         return jobs::CERTAIN;
     }
@@ -75,12 +82,15 @@
 }
 
 jobs::CrashEvidence Coordinator::evidenceOf(const WorkerState &worker, const Task &task,
-                                            jobs::CrashSign sign)
+                                            jobs::CrashSign sign, Instant now)
 {
-    if (worker.entry.draining || worker.wasDraining) {
+    if (worker.entry.draining || worker.wasDraining || task.unlisted) {
         return jobs::POSSIBLE;
     }
-    const jobs::CrashEvidence closing = std::max(task.closing, evidenceOfClosing(worker, task));
+    const bool replacedAtOnce =
+        sign == jobs::OTHER_INCARNATION && now - worker.closedAt <= contactGap;
+    const jobs::CrashEvidence closing =
+        std::max(task.closing, evidenceOfClosing(worker, task, replacedAtOnce));
     if (closing != jobs::POSSIBLE) {
         return closing;
     }
@@ -91,14 +101,15 @@
                                                                      : jobs::POSSIBLE;
 }
 
-void Coordinator::setClosing(WorkerState &worker, bool replies)
+void Coordinator::setClosing(WorkerState &worker, bool refuted)
 {
     for (const TaskRef &ref : worker.suspects) {
         Job &job = *worker.tasks.at(ref);
         Task &task = *job.task(ref);
-        // What a former coordinator saw counts until a reply.
+        // What a former coordinator saw counts until it is refuted.
         const jobs::CrashEvidence closing =
-            replies ? jobs::POSSIBLE : std::max(task.closing, evidenceOfClosing(worker, task));
+            refuted ? jobs::POSSIBLE
+                    : std::max(task.closing, evidenceOfClosing(worker, task, false));
         if (task.watched && task.closing != closing) {
             task.closing = closing;
             this->markDirty(job, ref);
@@ -106,14 +117,44 @@
     }
 }
 
+Instant Coordinator::receivedNotBefore(Instant now) const
+{
+    const Instant tickedLast = std::max(this->tickedAt, this->begunAt);
+    if (now - tickedLast > longestProcessingGap) {
+        return tickedLast;
+    }
+    const bool resumed = this->resumedAt != Instant() && now - this->resumedAt < backlogTime;
+    return resumed ? this->pausedAt : now;
+}
+
+void Coordinator::endWatches(WorkerState &worker)
+{
+    for (const TaskRef &ref : worker.suspects) {
+        Job &job = *worker.tasks.at(ref);
+        Task &task = *job.task(ref);
+        if (task.watched) {
+            task.watched = false;
+            task.closing = jobs::POSSIBLE;
+            this->markDirty(job, ref);
+        }
+    }
+}
+
 void Coordinator::noteReply(WorkerState &worker, Instant sentAt, Instant now)
 {
-    worker.noteReply(sentAt, now);
+    worker.noteReply(sentAt, this->receivedNotBefore(now), now);
     if (worker.closedAt == Instant()) {
         this->setClosing(worker, true);
     }
 }
 
+void Coordinator::noteNoReply(WorkerState &worker, Instant sentAt)
+{
+    if (worker.noteNoReply(sentAt)) {
+        this->setClosing(worker, true);
+    }
+}
+
 std::size_t Coordinator::countOf(const std::vector<CrashedRun> &crashes, jobs::CrashEvidence least)
 {
     return static_cast<std::size_t>(
@@ -130,7 +171,8 @@
     return crashes.size() >= enough && (certain || likely);
 }
 
-bool Coordinator::isHeldBack(const Job &job, const TaskRef &ref) const
+std::optional<HoldBack> Coordinator::holdBackOf(const Job &job, const TaskRef &ref,
+                                                Instant now) const
 {
     const std::vector<CrashedRun> &crashes = job.crashesOf(ref);
     Duration length = longRunningHoldBack;
@@ -138,26 +180,33 @@
     if (job.stepSpec(ref.step).long_running()) {
         // It has to run again soon however its runs end, and is only held back as the cause.
         if (!isCause(crashes, crashesToGiveUpAlone)) {
-            return false;
+            return std::nullopt;
         }
     } else {
         if (crashes.size() < crashesToHoldBack) {
-            return false;
+            return std::nullopt;
         }
+        // Cuts may hit each run of an innocent task.
         const bool likely = countOf(crashes, jobs::SILENT) >= silentCrashesToGiveUp;
-        length = likely ? firstHoldBackOfLikelyCause : firstHoldBack;
-        doublings = crashes.size() - crashesToHoldBack;
+        length = likely ? firstHoldBackOfLikelyCause : holdBackOfPossibleCause;
+        doublings = likely ? crashes.size() - crashesToHoldBack : 0;
     }
     for (; doublings > 0 && length < longestHoldBack; --doublings) {
         length = std::min(length * 2, longestHoldBack);
     }
-    std::int64_t countedMs = 0;
-    for (const CrashedRun &crash : crashes) {
-        countedMs = std::max(countedMs, crash.countedMs);
+    const auto newest = std::max_element(
+        crashes.begin(), crashes.end(),
+        [](const CrashedRun &a, const CrashedRun &b) { return a.countedAt < b.countedAt; });
+    const Duration left = newest->countedAt + length - now;
+    return left > Duration(0) ? std::optional(HoldBack{length, this->unixMs + left.count()})
+                              : std::nullopt;
+}
+
+void Coordinator::reportHoldBack(const Job &job, const TaskRef &ref, Instant now)
+{
+    if (const std::optional<HoldBack> hold = this->holdBackOf(job, ref, now)) {
+        this->observer.taskHeldBack(ref, job.crashesUnder(ref), *hold);
     }
-    // A clock that was set back does not prolong it by more than its length.
-    const std::int64_t left = countedMs + length.count() - this->unixMs;
-    return left > 0 && left <= 2 * length.count();
 }
 
 bool Coordinator::isWatched(const WorkerState &worker, Instant now)
@@ -179,6 +228,7 @@
         return at == Instant() ? std::nullopt : std::optional<Duration>(now - at);
     };
     GivenUp toGiveUp;
+    std::map<TaskRef, Job *> goesOn;
     for (const auto &[ref, job] : causes) {
         const Task &task = *job->task(ref);
         std::vector<CrashedRun> &crashed = countedTask(*job, ref).crashedRuns;
@@ -188,9 +238,13 @@
         if (job->closed() || isCounted) {
             continue;
         }
-        crashed.push_back(CrashedRun{task.run, evidenceOf(worker, task, sign), sign,
-                                     worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs, this->unixMs});
+        jobs::CrashEvidence evidence = evidenceOf(worker, task, sign, now);
+        if (evidence == jobs::LIKELY && causes.size() > 1) {
+            // Its start may not have been carried out any more, as another one crashed the worker.
+            evidence = jobs::SILENT;
+        }
+        crashed.push_back(CrashedRun{task.run, evidence, sign, worker.entry.id.value(), this->epoch,
+                                     worker.entry.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -202,8 +256,14 @@
             since(task.startSentAt), since(worker.repliedAt), since(worker.closedAt), givenUp});
         if (givenUp) {
             toGiveUp.emplace_back(job, countedRef(*job, ref));
+            goesOn.erase(countedRef(*job, ref));
+        } else {
+            goesOn.emplace(countedRef(*job, ref), job);
         }
     }
+    for (const auto &[ref, job] : goesOn) {
+        this->reportHoldBack(*job, ref, now);
+    }
     return toGiveUp;
 }
 
@@ -233,12 +293,16 @@
     }
 }
 
-void Coordinator::connectionClosed(const WorkerId &id, Instant now)
+void Coordinator::connectionClosed(const WorkerId &id, Instant now, std::int64_t incarnationStartMs)
 {
-    if (WorkerState *worker = this->findWorker(id)) {
-        worker->noteClosed(now);
-        this->setClosing(*worker, false);
+    WorkerState *worker = this->findWorker(id);
+    // The end of a call to a former incarnation may be processed after a reply of the next one.
+    if (!worker ||
+        (incarnationStartMs != 0 && incarnationStartMs != worker->entry.incarnationStartMs)) {
+        return;
     }
+    worker->noteClosed(now);
+    this->setClosing(*worker, false);
 }
 
 void Coordinator::giveUp(const GivenUp &tasks, Instant now)
@@ -269,7 +333,7 @@
                            Instant now) const
 {
     const TaskRef ref{job.id(), run.occurrence, run.step, index};
-    return !this->hasOrphanRun(ref, now) && !this->isHeldBack(job, ref);
+    return !this->hasOrphanRun(ref, now) && !this->holdBackOf(job, ref, now);
 }
 
 void Coordinator::placeSuspects(Job &job, StepRun &run,
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -119,6 +119,11 @@
     /** Longest time after which an order without a reply may still be carried out; guaranteed by
      * the platform. */
     static constexpr Duration longestOrderDelay{12000};
+
+    /** Time after a closed connection from which another one is that of a later call. */
+    static constexpr Duration nextCallAfter{200};
+    /** Time after a closed connection within which the worker is called again. */
+    static constexpr Duration nextCallWithin{600};
     /** Added to computed lapse times for rounding and timer slack. */
     static constexpr Duration lapseMargin{150};
 
@@ -135,12 +140,17 @@
      * incarnation may still carry it out. */
     void noteUnanswered(Instant sentAt, Instant now);
 
-    /** Records that its incarnation replied to an order that was sent at the time. */
-    void noteReply(Instant sentAt, Instant now);
+    /** Records that its incarnation replied to an order that was sent at the time; the reply came
+     * notBefore at the earliest. */
+    void noteReply(Instant sentAt, Instant notBefore, Instant now);
 
     /** Records that it closed, reset or refused a connection. */
     void noteClosed(Instant now);
 
+    /** Records that an order that was sent at the time ended without a reply. Returns whether this
+     * shows that closed connections are no sign of a crash: a later order ended by a timeout. */
+    bool noteNoReply(Instant sentAt);
+
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
@@ -198,9 +208,14 @@
     bool listed = true;     ///< The registry lists it.
     bool responded = false; ///< Its incarnation has replied under the current epoch.
     Instant lastSeenAt;
-    Instant repliedAt; ///< When its incarnation last replied to an order of any kind.
+    Instant
+        repliedAt; ///< When its incarnation last replied to an order of any kind, at the latest.
+    Instant repliedNotBefore; ///< The same at the earliest.
     /** When it first closed or refused a connection; unset: it has replied to a later order. */
     Instant closedAt;
+    Instant lastClosedAt; ///< When it last did so.
+    /** It did so again when it was called next, as a process does that has ended. */
+    bool closedAgain = false;
     bool wasDraining = false;      ///< The entry before the newest one said so.
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -17,14 +17,34 @@
 
 namespace godwitfall::jobtests {
 
-/** Records only what a node requests. */
+/** A task that was held back. */
+struct HeldBackTask
+{
+    TaskRef task;
+    std::size_t crashes = 0;
+    HoldBack hold;
+};
+
+/** Records only what a node requests, and what it tells of jobs that others closed and of tasks
+ * that are held back. */
 class RecordingHost : public JobNodeHost
 {
 public:
-    void crashCounted(const CountedCrash &) override {}
+    void crashCounted(const CountedCrash &crash) override
+    {
+        if (this->countedCrash) {
+            this->countedCrash(crash);
+        }
+    }
     void crashWithdrawn(const TaskRef &, std::uint32_t, const WorkerId &) override {}
     void taskReturned(const TaskRef &, std::uint32_t, const WorkerId &, RunOutcome) override {}
     void jobFinished(const Job &, const JobEnd &) override {}
+    void closedJobAdopted(const Job &job) override { this->adopted.push_back(job.id()); }
+    void taskHeldBack(const TaskRef &task, std::size_t crashes, const HoldBack &hold) override
+    {
+        this->heldBack.push_back(HeldBackTask{task, crashes, hold});
+    }
+    void jobEndRead(const Job &job) override { this->endsRead.push_back(job.id()); }
     void workerEjected(const WorkerId &, Duration) override {}
     void workerRestarted(const WorkerState &, std::int64_t) override {}
     void orderFenced(const WorkerId &) override {}
@@ -41,6 +61,11 @@
     bool needsWorkers = false;
     bool needsReload = true;
     bool needsConfig = false;
+    std::vector<JobId> adopted;  ///< Jobs that a former coordinator had closed.
+    std::vector<JobId> endsRead; ///< Jobs of which the log says that they have ended.
+    std::vector<HeldBackTask> heldBack;
+
+    std::function<void(const CountedCrash &)> countedCrash; ///< Unset: counts are not recorded.
 };
 
 /** Probabilities of faults, each in parts of a thousand. */
@@ -60,6 +85,14 @@
     Delayed, ///< The order gets no reply and is carried out 2 to 12 s later.
 };
 
+/** How a deadly task crashes the workers that start it. */
+enum class CrashWay {
+    OnceTaken,   ///< 10 ms after the start, whose reply is sent before.
+    BeforeReply, ///< Before it replies to the start.
+    AtWork,      ///< 1.5 s after the start, if the run is still at work.
+    Silent,      ///< Before it replies, and without a sign: calls to it end by timeouts.
+};
+
 /** A mechanism that a simulation disables to show that the checks detect its absence. */
 enum class DisabledMechanism {
     None,
@@ -67,13 +100,14 @@
     WorkerLease,
     StoreFence,
     ViewBound,
+    WorkerAccount,
 };
 
 /**
  * Simulates instances, workers and the store with one clock and one seed.
  *
  * Guarantees are checked at the workers: no two runs of a task at once, no start after an
- * acknowledged end.
+ * acknowledged end. No job is shown as failed but for what has happened to its tasks there.
  */
 class JobSimulation
 {
@@ -98,6 +132,12 @@
     /** Returns the state of the job that most instances show. */
     jobs::JobState shown(const JobId &id);
 
+    /** Returns how many instances that run now have read from the log that the job has ended. */
+    std::size_t endsRead(const JobId &id) const;
+
+    /** Returns how many of them have taken over the job after another had closed it. */
+    std::size_t adoptions(const JobId &id) const;
+
     /** Kills the coordinating instance, if any; it starts again after the time. */
     void killOwner(std::int64_t downMs = 1000);
 
@@ -119,6 +159,13 @@
      * down; before, nobody notices but by a timeout. */
     void makeCrashesReset() { this->crashesReset = true; }
 
+    /** For the time the store rejects all calls of all instances. */
+    void rejectStoreCalls(std::int64_t milliseconds);
+
+    /** Announces that a worker leaves, and ends it after the time; its next incarnation starts
+     * downMs later. */
+    void drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs);
+
     /** Adds a worker that the registry lists at once. */
     void addWorker();
 
@@ -141,6 +188,9 @@
     /** From now on no worker refuses what exceeds its capacity. */
     void trustCoordinator();
 
+    /** Resets a connection of each instance to the worker, which stays up. */
+    void resetConnections(std::size_t index);
+
     /** Disconnects a worker from all instances. */
     void cutWorker(std::size_t index, std::int64_t milliseconds);
 
@@ -153,8 +203,8 @@
     /** Returns when the job was accepted, in ms; nothing if it was not. */
     std::optional<std::int64_t> acceptedAt(const JobId &id) const;
 
-    /** Describes how the coordinating instance sees a long-running task: phase, worker and reason
-     * of its delay; for traces. */
+    /** Describes how the coordinating instance sees a long-running task: phase, worker, counted
+     * crashes, and reason of its delay; for traces. */
     std::string ownerView(const TaskRef &task);
 
     const FleetLedger &ledger() const { return this->fleet; }
@@ -167,6 +217,13 @@
     /** Returns whether the task crashes each worker that starts it; unset: none does. */
     std::function<bool(const TaskRef &)> deadly;
 
+    /** Of all deadly tasks. */
+    CrashWay crashWay = CrashWay::OnceTaken;
+
+    /** Whether other faults may keep the job of a deadly task open: then it may be started once in
+     * a while beyond the bound, and else no more. */
+    bool crashesInDoubt = false;
+
 private:
     struct Instance;
     struct Event
@@ -183,7 +240,18 @@
     void after(std::int64_t milliseconds, std::function<void()> action);
     /** Crashes the worker that has started the deadly task; checks the bound on its starts. */
     void crashUnder(const WorkerId &worker, const TaskRef &task);
+    void checkStartAfterCrashes(const TaskRef &task);
+    void note(const TaskRef &task, const std::string &text);
+    std::string notesOf(const JobId &job) const;
+    /** Returns whether calls to the worker, which is down, end by its closing the connection. */
+    bool resets(std::size_t worker) const;
     bool chance(int perThousand);
+    /** Checks that each job that is shown as failed has a reason at the workers. */
+    void checkFailedJobs();
+    /** Returns whether any instance shows the job as failed. */
+    bool isShownAsFailed(const JobId &id) const;
+    /** Returns why the job may not be shown as failed; nothing if it may. */
+    std::string missingCause(const JobId &id) const;
     void cancelAt(Instance &instance, const JobId &id);
     void bringUp(Instance &instance);
     void step();
@@ -222,11 +290,19 @@
     std::int64_t nowMs = 1000000;
     std::uint64_t eventOrder = 0;
     bool crashesReset = false;
+    std::set<std::size_t> crashedSilently; ///< Workers that are down and reset no connections.
+    std::int64_t storeRejectsUntil = 0;
     bool holdsWait = false; ///< Off: existing schedules have holds that are answered at once.
     std::uint64_t incarnations = 0;
     std::uint64_t submitted = 0;
     std::vector<JobId> acceptedJobs;
     std::map<JobId, std::int64_t> acceptedAtMs;
+    std::map<JobId, jobs::JobSpec> specs; ///< Of all jobs that were submitted.
+    std::set<JobId> cancelRequests;       ///< Also those that were not acknowledged.
+    std::set<JobId> failedJobs;           ///< Jobs that were shown as failed.
+    /** Starts and crashes of deadly tasks, and what coordinators counted, by job; explains
+     * violations and is not checked. */
+    std::map<JobId, std::string> notes;
     JobConfig config;
 };
 
--- a/tests/jobs/test_crashevidence.cpp
+++ b/tests/jobs/test_crashevidence.cpp
@@ -31,8 +31,8 @@
             this->reply(worker, {this->ref()});
         }
         this->advance(10);
-        this->world.coordinator.connectionClosed(worker, Instant(this->now));
-        this->advance(3200);
+        this->endConnections(worker);
+        this->advance(2900);
         this->answerOther(worker);
     }
     EXPECT_EQ(this->state(), jobs::FAILED) << this->evidence();
@@ -139,6 +139,34 @@
     EXPECT_TRUE(this->awaitStart(worker, 5000));
 }
 
+// Guards against a task that waits without a word, and against a line for each search for a worker:
+// each coordinator tells once for how long it holds the task back.
+TEST_F(CrashEvidenceTest, AHoldBackIsReportedOnce)
+{
+    this->submit(false);
+    for (std::size_t loss = 1; loss <= Coordinator::crashesToHoldBack; ++loss) {
+        EXPECT_TRUE(this->world.host.heldBack.empty()) << loss;
+        ASSERT_TRUE(this->loseUnseen(3000)) << loss;
+    }
+    ASSERT_EQ(this->world.host.heldBack.size(), 1U);
+    const HeldBackTask reported = this->world.host.heldBack.front();
+    EXPECT_EQ(reported.task, this->ref());
+    EXPECT_EQ(reported.crashes, Coordinator::crashesToHoldBack);
+    EXPECT_EQ(reported.hold.length, Coordinator::holdBackOfPossibleCause);
+    EXPECT_EQ(reported.hold.untilMs, this->now + Coordinator::holdBackOfPossibleCause.count());
+    const WorkerId worker = this->addWorker();
+    EXPECT_FALSE(this->awaitStart(worker, 2000));
+    EXPECT_EQ(this->world.host.heldBack.size(), 1U);
+    this->takeOver(2);
+    ASSERT_EQ(this->world.host.heldBack.size(), 2U);
+    EXPECT_EQ(this->world.host.heldBack.back().hold.untilMs, reported.hold.untilMs);
+    ASSERT_TRUE(this->awaitStart(this->addWorker(), 16000));
+    EXPECT_GE(this->now, reported.hold.untilMs);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U);
+    this->takeOver(3);
+    EXPECT_EQ(this->world.host.heldBack.size(), 2U) << "its time is over";
+}
+
 // Guards against a task that lasts and is held back for a minute at once, the first time that the
 // counts are enough: starts that may never have arrived double the time.
 TEST_F(CrashEvidenceTest, PossibleCrashesDoNotProlongTheHoldBackOfTasksThatLast)
@@ -226,6 +254,52 @@
     EXPECT_NE(this->crashes().back().evidence, jobs::POSSIBLE);
 }
 
+/** A closing of a connection whose order was for the incarnation, and what it tells of a run that
+ * the worker's incarnation of 2000 has taken. */
+struct ClosingCase
+{
+    const char *name;
+    std::int64_t incarnationStartMs;
+    jobs::CrashEvidence evidence;
+};
+
+class ClosingTest : public CrashEvidenceTest, public testing::WithParamInterface<ClosingCase>
+{};
+
+// Guards against a job that is closed as failed as the calls to a former incarnation end late: the
+// next one has replied and taken a start meanwhile, and is only cut off.
+TEST_P(ClosingTest, CountsForItsIncarnationOnly)
+{
+    this->submit(false);
+    const WorkerId worker("w1");
+    const auto replyOf = [&](std::int64_t startMs, const std::vector<TaskRef> &running) {
+        this->world.reply(worker, this->now, this->now - beginMs + 500, running, startMs);
+    };
+    WorkerEntry entry = entryOf(worker.value());
+    entry.incarnationStartMs = 1000;
+    this->world.coordinator.setWorker(entry, Instant(this->now));
+    replyOf(1000, {});
+    replyOf(2000, {});
+    this->advance(50);
+    ASSERT_EQ(this->world.orders.starts.size(), 1U);
+    EXPECT_EQ(this->world.orders.starts.front().target.incarnationStartMs, 2000);
+    this->answerStart(worker, OrderOutcome::Accepted);
+    this->advance(50);
+    replyOf(2000, {this->ref()});
+    this->advance(20);
+    this->endConnections(worker, this->GetParam().incarnationStartMs);
+    this->advance(400);
+    replyOf(3000, {});
+    ASSERT_EQ(this->crashes().size(), 1U);
+    EXPECT_EQ(this->crashes().back().evidence, this->GetParam().evidence) << this->evidence();
+}
+
+INSTANTIATE_TEST_SUITE_P(Incarnations, ClosingTest,
+                         testing::Values(ClosingCase{"former", 1000, jobs::POSSIBLE},
+                                         ClosingCase{"present", 2000, jobs::CERTAIN},
+                                         ClosingCase{"any", 0, jobs::CERTAIN}),
+                         [](const auto &info) { return info.param.name; });
+
 /** Jobs that were closed as failed though fewer than two workers crashed under a run of any task of
  * theirs that had begun. Some workers are cut off in turns, and restarted behind the cut. */
 struct Storm
