--- a/tests/jobs/test_closingschedules.cpp
+++ b/tests/jobs/test_closingschedules.cpp
@@ -212,8 +212,8 @@
                       deadly("SilentGangs", CrashWay::Silent, 0, true)),
     nameOf);
 
-// In KNOWN-RED.txt: no crash of a gang at work is counted, as the ends of its other members are
-// listed first, and end the run for the coordinator.
+// In KNOWN-RED.txt: a crash of a gang at work is not counted where the ends of its other members
+// are listed before the worker is seen to close its connections.
 INSTANTIATE_TEST_SUITE_P(KnownRedStarts, DeadlyScheduleTest,
                          ::testing::Values(deadly("AtWorkGangs", CrashWay::AtWork, 0, true)),
                          nameOf);
