Log starts without a reply and what a takeover finds unconfirmed

The logs could not tell where a wait for a delayed start begins: no line said that a start had no reply, how many placements a takeover found unconfirmed, or how old the one was that task_delayed names. Adds start_unanswered (and its metric), placed_tasks and unconfirmed_tasks to ownership_gained, placed_ago_ms to task_delayed. No logic is changed.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -913,7 +913,9 @@
                  {"reason", toText(delayed.reason)},
                  {"worker", delayed.worker.empty() ? "none" : delayed.worker},
                  {"waited_ms", std::to_string(delayed.waited.count())},
-                 {"left_ms", std::to_string(delayed.left.count())}});
+                 {"left_ms", std::to_string(delayed.left.count())},
+                 {"placed_ago_ms",
+                  delayed.placedAgo ? std::to_string(delayed.placedAgo->count()) : "none"}});
     }
 }
 
@@ -948,7 +950,11 @@
 void EntryInstance::ownershipGained(std::uint64_t epoch)
 {
     this->metrics.count("godwitfall_ownership_changes_total", "change=\"gained\"");
-    logLine(LogLevel::Info, "ownership_gained", {{"epoch", std::to_string(epoch)}});
+    const AdoptedTasks &adopted = this->node.coordination().adoptedTasks();
+    logLine(LogLevel::Info, "ownership_gained",
+            {{"epoch", std::to_string(epoch)},
+             {"placed_tasks", std::to_string(adopted.placed)},
+             {"unconfirmed_tasks", std::to_string(adopted.unconfirmed)}});
     this->reload(this->workerFollower);
     this->jobFollower.dueAt = this->now();
 }
@@ -984,6 +990,17 @@
          {"read_ms", std::to_string((this->now() - this->configFollower.requestedAt).count())}});
 }
 
+void EntryInstance::startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                                    unsigned tries)
+{
+    this->metrics.count("godwitfall_starts_unanswered_total");
+    logLine(LogLevel::Info, "start_unanswered",
+            {{"task", platform::taskName(task)},
+             {"run", std::to_string(run)},
+             {"worker", worker.value()},
+             {"tries", std::to_string(tries)}});
+}
+
 void EntryInstance::startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker)
 {
     this->metrics.count("godwitfall_starts_dropped_total", "reason=\"zone_evacuated\"");
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -42,6 +42,7 @@
     this->end();
     this->unixMs = newUnixMs;
     this->begunAt = now;
+    this->adopted = AdoptedTasks();
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
     this->interference.restore(this->table.pressures());
@@ -162,6 +163,8 @@
                 continue;
             }
             placed = true;
+            ++this->adopted.placed;
+            this->adopted.unconfirmed += task.startMayArriveLate ? 1 : 0;
             auto &worker = this->workers[task.worker];
             if (!worker) {
                 WorkerEntry unknown;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -91,6 +91,11 @@
     virtual void capacityShort(const std::string &service, bool isShort) = 0;
     /** The worker refused an order because it has seen a higher fencing token. */
     virtual void orderFenced(const WorkerId &worker) = 0;
+    /** A try to start the run got no reply, so it may still be carried out later; tries: all so
+     * far.
+     */
+    virtual void startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
+                                 unsigned tries) = 0;
     /** The start of the run is not sent, or revoked, as the zone of its worker is evacuated. */
     virtual void startDropped(const TaskRef &task, std::uint32_t run,
                               const WorkerState &worker) = 0;
@@ -235,6 +240,9 @@
     /** Discards all state; sends no more orders. */
     void end();
 
+    /** Returns what this coordinator found placed when it took over. */
+    const AdoptedTasks &adoptedTasks() const { return this->adopted; }
+
     bool active() const { return this->epoch != 0; }
     std::uint64_t currentEpoch() const { return this->epoch; }
 
@@ -660,6 +668,7 @@
     Instant pausedAt;  ///< When it last ticked before a pause.
     Instant resumedAt; ///< When it first ticked after that; unset: there was none.
     Instant formerLeasesLapse;
+    AdoptedTasks adopted;
     Instant renewalEnd{INT64_MAX}; ///< Until when leases may be renewed.
     std::int64_t unixMs = 0;
     Workers workers;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -189,6 +189,7 @@
         this->noteFenced(id);
         return;
     case OrderOutcome::Unanswered:
+        this->observer.startUnanswered(ref, run, id, open.tries);
         open.unanswered = true;
         task->startMayArriveLate = true;
         task->startMayArriveUntil = now + WorkerState::longestOrderDelay;
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -172,6 +172,7 @@
                 task.phase == TaskPhase::Stopping ? DelayReason::Stop : DelayReason::Start;
         }
         delayed.left = std::max(Duration(0), this->runLapsesAt(*worker->second, task) - now);
+        delayed.placedAgo = Duration(this->unixMs - task.placedMs);
     }
     delayed.waited = since == Instant() ? Duration(0) : now - since;
     return delayed;
@@ -221,7 +222,8 @@
                                               {},
                                               DelayReason::ZoneEvacuated,
                                               now - wait->readySince,
-                                              Duration(0)});
+                                              Duration(0),
+                                              std::nullopt});
             }
         }
     }
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "job.h"
@@ -57,6 +58,15 @@
     DelayReason reason = DelayReason::NoWorker;
     Duration waited{0};
     Duration left{0}; ///< Until its last run has ended for certain; 0 when not placed.
+    /** Since it was placed, by the time of day of the coordinators; unset when not placed. */
+    std::optional<Duration> placedAgo;
+};
+
+/** Tasks that a coordinator found placed when it took over. */
+struct AdoptedTasks
+{
+    std::uint32_t placed = 0;
+    std::uint32_t unconfirmed = 0; ///< Of these: their start may still be carried out.
 };
 
 /** State of a coordinator at one moment; for logs and metrics. */
