--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -156,6 +156,27 @@
                              39}),
                          nameOf);
 
+class RepeatedTakeoversTest : public testing::TestWithParam<std::uint64_t>
+{};
+
+// Guards against: each takeover began the wait for a delayed start anew, so that a task whose start
+// had no reply at first stood still for as long as coordinators replaced each other.
+TEST_P(RepeatedTakeoversTest, DoNotRestartTheWaitForADelayedStart)
+{
+    FaultSchedule schedule;
+    schedule.seed = GetParam();
+    schedule.faults = {
+        Fault{FaultKind::OrdersLost, 0, 3000, 0}, Fault{FaultKind::OwnerKilled, 4400, 500, 0},
+        Fault{FaultKind::WorkerLost, 12200, 0, 0}, Fault{FaultKind::OwnerKilled, 13950, 500, 0},
+        Fault{FaultKind::OwnerKilled, 22350, 500, 0}};
+    const std::vector<std::string> violations = play(schedule);
+    print(violations);
+    EXPECT_TRUE(violations.empty());
+}
+
+// With these seeds the start that has no reply is one on the worker that is lost later.
+INSTANTIATE_TEST_SUITE_P(KnownRed, RepeatedTakeoversTest, testing::Values(9, 11, 20, 27, 30, 37));
+
 /** Returns whether the task was late as its last run, or one that a delayed start may begin, had
  * not ended for certain: the known red schedules. */
 bool waitedForAnEarlierRun(const std::string &violation)
