Pass on how long ago former coordinators sent their last orders

Cause: a start without a reply may be carried out for 12 s more, by an incarnation of the worker that nobody reaches. A successor did not know how old the order was and waited 18.7 s from its own claim, and so did each further one, as no record tells a time. Takeovers at most 18 s apart made the wait last for as long as they went on. The same held for a run on a former incarnation of a restarted worker (18 s).

Owners now pass on, as ages in their records, how long ago the coordinators of former epochs sent their last orders, and placements name their epoch. A successor waits only for what is left of the 12 s. Ages are lower bounds on clocks that are never compared with each other; the time of day, which may jump, plays no part. A record of an earlier version names no epoch, and its task waits in full.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -37,7 +37,8 @@
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse,
-                        const std::map<std::string, Instant> &silentUntil)
+                        const std::map<std::string, Instant> &silentUntil,
+                        const FormerEpochs &formerEpochs)
 {
     this->end();
     this->unixMs = newUnixMs;
@@ -45,6 +46,8 @@
     this->adopted = AdoptedTasks();
     this->epoch = newEpoch;
     this->formerLeasesLapse = lapse;
+    this->former = formerEpochs;
+    this->former.add(newEpoch - 1, lapse - this->longestLeasedRun());
     this->interference.restore(this->table.pressures());
     for (const auto &[id, job] : this->table.all()) {
         this->adopt(*job, now);
@@ -82,6 +85,7 @@
 void Coordinator::end()
 {
     this->epoch = 0;
+    this->former = FormerEpochs();
     this->workers.clear();
     this->poolsStale = true;
     this->zones.clear();
@@ -177,10 +181,10 @@
             if (task.startMayArriveLate) {
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
-                task.delayedRunLapses = this->formerLeasesLapse + WorkerState::longestOrderDelay +
+                task.startMayArriveUntil =
+                    this->lastStartAt(task, now) + WorkerState::longestOrderDelay;
+                task.delayedRunLapses = task.startMayArriveUntil + this->longestLeasedRun() +
                                         this->bounds.longestLease - this->leaseLength();
-                task.startMayArriveUntil = this->formerLeasesLapse - this->longestLeasedRun() +
-                                           WorkerState::longestOrderDelay;
             }
             worker->entry.incarnationStartMs =
                 std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
@@ -736,10 +740,16 @@
 
 void Coordinator::stopDelayedRun(const TaskRef &ref, Task &task, Instant now)
 {
-    task.delayedRunLapses = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
+    task.delayedRunLapses =
+        this->lastStartAt(task, now) + WorkerState::longestOrderDelay + this->bounds.longestLease;
     this->stopTask(ref, task, now);
 }
 
+Instant Coordinator::lastStartAt(const Task &task, Instant now) const
+{
+    return task.placedEpoch == this->epoch ? now : this->former.lastOrderAt(task.placedEpoch);
+}
+
 void Coordinator::recordFailure(WorkerState &worker, const JobId &job, Instant now)
 {
     worker.failedJobs.insert(job.value());
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -12,6 +12,7 @@
 #include "advicecache.h"
 #include "coordinatorstatistics.h"
 #include "delaycost.h"
+#include "formerepochs.h"
 #include "jobtable.h"
 #include "orders.h"
 #include "pacepolicy.h"
@@ -229,9 +230,14 @@
     Duration longestLeasedRun() const;
 
     /** Takes over under the epoch; leases that a former coordinator granted lapse at the given
-     * time, on the workers in silentUntil at the earlier time there. */
+     * time, on the workers in silentUntil at the earlier time there. The former coordinators are
+     * those before the one that granted these leases last. */
     void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse,
-               const std::map<std::string, Instant> &silentUntil = {});
+               const std::map<std::string, Instant> &silentUntil = {},
+               const FormerEpochs &former = {});
+
+    /** Returns until when former coordinators may have sent orders; for the next one. */
+    const FormerEpochs &formerEpochs() const { return this->former; }
 
     /** Returns the workers with tasks that do not reply, and how long their leases may last if
      * nothing prolongs them; for the next coordinator. */
@@ -461,6 +467,8 @@
     void applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now);
     /** Stops a run that a delayed order may start on a later incarnation of its worker. */
     void stopDelayedRun(const TaskRef &ref, Task &task, Instant now);
+    /** Returns the latest time at which an order to start the task's newest run was sent. */
+    Instant lastStartAt(const Task &task, Instant now) const;
     /** Stops tasks that were placed on an earlier incarnation than the newest one in records. */
     void stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now);
     /** Counts a job's failure on the worker; ejects the worker after failuresToEject jobs. */
@@ -668,6 +676,7 @@
     Instant pausedAt;  ///< When it last ticked before a pause.
     Instant resumedAt; ///< When it first ticked after that; unset: there was none.
     Instant formerLeasesLapse;
+    FormerEpochs former;
     AdoptedTasks adopted;
     Instant renewalEnd{INT64_MAX}; ///< Until when leases may be renewed.
     std::int64_t unixMs = 0;
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -665,6 +665,7 @@
     task.worker = worker.entry.id.value();
     task.workerIncarnationStartMs = worker.entry.incarnationStartMs;
     task.placedMs = this->unixMs;
+    task.placedEpoch = this->epoch;
     task.since = now;
     task.percent = 0;
     worker.assign(ref, job);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -102,6 +102,7 @@
             placed.set_worker(task.worker);
             placed.set_worker_born_ms(task.workerIncarnationStartMs);
             placed.set_placed_ms(task.placedMs);
+            placed.set_epoch(task.placedEpoch);
             placed.set_confirmed(task.startTaken && !task.startMayArriveLate);
             placed.set_watched(task.watched);
             placed.set_closing(task.closing);
@@ -476,6 +477,7 @@
             task.worker = placed.worker();
             task.workerIncarnationStartMs = placed.worker_born_ms();
             task.placedMs = placed.placed_ms();
+            task.placedEpoch = placed.epoch();
             task.watched = placed.watched();
             task.closing = knownEvidence(placed.closing());
             task.since = now;
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -101,7 +101,8 @@
     std::string worker; ///< Where it is placed; empty when not placed.
     /** When the incarnation of that worker began, in ms since 1970; 0: unknown. */
     std::int64_t workerIncarnationStartMs = 0;
-    std::int64_t placedMs = 0; ///< When it was placed there, in ms since 1970.
+    std::int64_t placedMs = 0;     ///< When it was placed there, in ms since 1970.
+    std::uint64_t placedEpoch = 0; ///< Of the coordinator that placed it; 0: not known.
     std::string checkpoint;
     std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it as running.
     bool listed = false;            ///< A report of the incarnation it was placed on has listed it.
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -251,6 +251,7 @@
     this->claimSentAt = now;
     this->formerOwnerSeenAt = owner.lastSeenAt;
     this->formerSilentUntil = owner.silentUntil;
+    this->formerEpochs = owner.former;
     this->claimSequence = 1 + this->random.below(sequenceRange);
     this->formerOwnerGone =
         owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
@@ -303,7 +304,8 @@
     if (const JobConfig *config = this->configuration.current()) {
         this->coordinator.setConfig(*config);
     }
-    this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilentUntil);
+    this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilentUntil,
+                            this->formerEpochs);
     this->host.ownershipGained(epoch);
 }
 
@@ -348,6 +350,15 @@
     message.set_address(this->settings.address);
     message.set_processors(static_cast<float>(this->settings.processors));
     message.set_config_version(this->configuration.version());
+    const FormerEpochs &formerEpochs =
+        this->coordinator.active() ? this->coordinator.formerEpochs() : this->formerEpochs;
+    for (const auto &[former, lastOrderAt] : formerEpochs.all()) {
+        if (lastOrderAt <= now) {
+            jobs::FormerEpoch &entry = *message.add_former();
+            entry.set_epoch(former);
+            entry.set_last_order_ms_ago(static_cast<std::uint32_t>((now - lastOrderAt).count()));
+        }
+    }
     if (released) {
         for (const auto &[worker, left] : this->coordinator.silentWorkers(now)) {
             jobs::SilentWorker &silent = *message.add_silent();
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -238,6 +238,7 @@
     bool formerOwnerGone = false; ///< No former owner could renew leases at the last claim.
     Instant formerOwnerSeenAt;    ///< When its last record before the claim was read.
     std::map<std::string, Instant> formerSilentUntil; ///< See OwnerView::silentUntil.
+    FormerEpochs formerEpochs; ///< Before the former owner's, as of the claim.
     Instant ownershipWrittenAt;
     Instant committedAt;
     bool commitInFlight = false;
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -235,6 +235,10 @@
     for (const jobs::SilentWorker &silent : message.silent()) {
         this->ownership.silentUntil[silent.worker()] = now + Duration(silent.lapses_in_ms());
     }
+    for (const jobs::FormerEpoch &former : message.former()) {
+        this->ownership.former.add(former.epoch(), now - Duration(former.last_order_ms_ago()));
+    }
+    this->ownership.former.removeCovered(now);
     return Change::Owner;
 }
 
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "formerepochs.h"
 #include "job.h"
 
 namespace godwitfall {
@@ -33,6 +34,7 @@
     std::uint64_t configVersion = 0; ///< Of the configuration that it goes by.
     /** Of a released owner: when the leases of workers that did not reply to it have lapsed. */
     std::map<std::string, Instant> silentUntil;
+    FormerEpochs former; ///< As the owners report.
 };
 
 /**
--- a/tests/jobs/coordinatorworld.h
+++ b/tests/jobs/coordinatorworld.h
@@ -52,7 +52,7 @@
 
     /** Adds the record of a former coordinator that has placed the job's task on the worker. */
     void placedBefore(const JobId &id, const WorkerId &worker, bool confirmed, std::int64_t at,
-                      std::int64_t placedMs = 0)
+                      std::int64_t placedMs = 0, std::uint64_t epoch = 0)
     {
         jobs::JobProgress progress;
         progress.set_state(jobs::RUNNING);
@@ -61,6 +61,7 @@
         step.add_placed()->set_worker(worker.value());
         step.mutable_placed(0)->set_confirmed(confirmed);
         step.mutable_placed(0)->set_placed_ms(placedMs);
+        step.mutable_placed(0)->set_epoch(epoch);
         Job *job = nullptr;
         this->table.apply(
             record(JobTable::progressKey(id), progress.SerializeAsString(), ++this->offset),
--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -1,6 +1,9 @@
 // Long-running tasks run again within the platform's bound once a random schedule of faults is over
 // and there is free capacity.
 #include <iostream>
+#include <set>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -175,7 +178,56 @@
 }
 
 // With these seeds the start that has no reply is one on the worker that is lost later.
-INSTANTIATE_TEST_SUITE_P(KnownRed, RepeatedTakeoversTest, testing::Values(9, 11, 20, 27, 30, 37));
+INSTANTIATE_TEST_SUITE_P(Seeds, RepeatedTakeoversTest, testing::Values(9, 11, 20, 27, 30, 37));
+
+// Guards against: a successor takes an order of a former owner for older than it is, so that a task
+// is started again while a later incarnation of its worker, which nobody reaches, may still carry
+// out the order.
+TEST(RepeatedTakeoversTest, StartNothingThatADelayedStartMayBegin)
+{
+    constexpr std::uint64_t schedules = 60;
+    constexpr int mostFurtherTakeovers = 3;
+    constexpr std::size_t addedWorkers = 4;
+    constexpr std::size_t unreachedWorkers = 4;
+    constexpr std::int64_t unreachedMs = 60000;
+    for (std::uint64_t seed = 0; seed < schedules; ++seed) {
+        JobSimulation simulation(seed, FaultRates());
+        simulation.makeHoldsWait();
+        for (std::size_t count = 0; count < addedWorkers; ++count) {
+            simulation.addWorker();
+        }
+        simulation.run(3000);
+        for (std::size_t worker = 0; worker < simulation.workersEver(); ++worker) {
+            simulation.disturbOrders(worker, OrderDisturbance::Delayed, 2000);
+        }
+        jobs::StepSpec step = stepOf(8, 600000);
+        step.set_long_running(true);
+        step.set_max_per_worker(2);
+        simulation.submit({step});
+        simulation.run(1600);
+        simulation.killOwner(200);
+        std::set<std::size_t> workers;
+        for (const auto &[task, runs] : simulation.ledger().running) {
+            for (const auto &[worker, run] : runs) {
+                workers.insert(std::stoul(worker.substr(1)));
+            }
+        }
+        while (workers.size() > unreachedWorkers) {
+            workers.erase(workers.begin());
+        }
+        for (const std::size_t worker : workers) {
+            simulation.cutWorker(worker, unreachedMs);
+            simulation.crashWorker(worker, 300, unreachedMs);
+        }
+        const int takeovers = static_cast<int>(seed % (mostFurtherTakeovers + 1));
+        for (int count = 0; count < takeovers; ++count) {
+            simulation.run(1500 + static_cast<std::int64_t>(seed * 977) % 2000);
+            simulation.killOwner(200);
+        }
+        simulation.run(40000);
+        EXPECT_EQ(simulation.ledger().broken, std::vector<std::string>()) << seed;
+    }
+}
 
 /** Returns whether the task was late as its last run, or one that a delayed start may begin, had
  * not ended for certain: the known red schedules. */
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -1,4 +1,5 @@
 // Long-running tasks run again within bounded time after their worker or their coordinator is lost.
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -195,6 +196,45 @@
     EXPECT_EQ(world.task(id).worker, "");
 }
 
+/** When the order to start a run that no record confirms was last sent. */
+struct UnconfirmedCase
+{
+    const char *name;
+    std::uint64_t epoch; ///< In the record; 0: of a version that does not tell it.
+    std::int64_t lastOrderAt;
+};
+
+class UnconfirmedStartTest : public testing::TestWithParam<UnconfirmedCase>
+{};
+
+// Guards against: each takeover began the wait for a delayed start anew, whoever had sent the
+// order.
+TEST_P(UnconfirmedStartTest, IsWaitedForFromItsLastOrder)
+{
+    constexpr std::int64_t begunAt = 20000;
+    CoordinatorWorld world;
+    const Duration leases = world.coordinator.longestLeasedRun();
+    FormerEpochs former;
+    former.add(1, Instant(9000));
+    const JobId id = world.submit(oneTask(true), 1000);
+    world.placedBefore(id, lostWorker, false, 1000, 0, GetParam().epoch);
+    world.coordinator.begin(3, Instant(begunAt), begunAt, Instant(begunAt) + leases, {}, former);
+    const std::int64_t delayedRunLapses =
+        GetParam().lastOrderAt + WorkerState::longestOrderDelay.count() + leases.count() +
+        WorkerBounds().longestLease.count() - world.coordinator.leaseLength().count();
+    const std::int64_t lapse = std::max(begunAt + leases.count(), delayedRunLapses);
+    world.runWithoutReplies(begunAt, lapse);
+    EXPECT_EQ(world.task(id).worker, lostWorker.value());
+    world.runWithoutReplies(lapse + 10, lapse + 100);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Epochs, UnconfirmedStartTest,
+                         testing::Values(UnconfirmedCase{"OfTheFormerOwner", 2, 20000},
+                                         UnconfirmedCase{"OfTheOwnerBefore", 1, 9000},
+                                         UnconfirmedCase{"OfAnEarlierVersion", 0, 20000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 /** What the coordinator records of a start's replies, and when. */
 struct ConfirmationCase
 {
