Wait in full for runs on an incarnation that is known to be new

Holds of later epochs may be carried out late as well, and prolong the lease of a run that the delayed start began there, so the task could be started elsewhere while that run was alive.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -182,7 +182,7 @@
                 // An incarnation that nobody reaches may still start the run and keep it for the
                 // length of a lease.
                 task.startMayArriveUntil =
-                    this->lastStartAt(task, now) + WorkerState::longestOrderDelay;
+                    this->former.lastOrderAt(task.placedEpoch) + WorkerState::longestOrderDelay;
                 task.delayedRunLapses = task.startMayArriveUntil + this->longestLeasedRun() +
                                         this->bounds.longestLease - this->leaseLength();
             }
@@ -740,16 +740,11 @@
 
 void Coordinator::stopDelayedRun(const TaskRef &ref, Task &task, Instant now)
 {
-    task.delayedRunLapses =
-        this->lastStartAt(task, now) + WorkerState::longestOrderDelay + this->bounds.longestLease;
+    // Holds of any former epoch may be carried out late as well, and prolong the run's lease.
+    task.delayedRunLapses = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
     this->stopTask(ref, task, now);
 }
 
-Instant Coordinator::lastStartAt(const Task &task, Instant now) const
-{
-    return task.placedEpoch == this->epoch ? now : this->former.lastOrderAt(task.placedEpoch);
-}
-
 void Coordinator::recordFailure(WorkerState &worker, const JobId &job, Instant now)
 {
     worker.failedJobs.insert(job.value());
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -467,8 +467,6 @@
     void applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now);
     /** Stops a run that a delayed order may start on a later incarnation of its worker. */
     void stopDelayedRun(const TaskRef &ref, Task &task, Instant now);
-    /** Returns the latest time at which an order to start the task's newest run was sent. */
-    Instant lastStartAt(const Task &task, Instant now) const;
     /** Stops tasks that were placed on an earlier incarnation than the newest one in records. */
     void stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now);
     /** Counts a job's failure on the worker; ejects the worker after failuresToEject jobs. */
--- a/tests/jobs/coordinatorworld.h
+++ b/tests/jobs/coordinatorworld.h
@@ -52,7 +52,8 @@
 
     /** Adds the record of a former coordinator that has placed the job's task on the worker. */
     void placedBefore(const JobId &id, const WorkerId &worker, bool confirmed, std::int64_t at,
-                      std::int64_t placedMs = 0, std::uint64_t epoch = 0)
+                      std::int64_t placedMs = 0, std::uint64_t epoch = 0,
+                      std::int64_t startedMs = 0)
     {
         jobs::JobProgress progress;
         progress.set_state(jobs::RUNNING);
@@ -62,6 +63,7 @@
         step.mutable_placed(0)->set_confirmed(confirmed);
         step.mutable_placed(0)->set_placed_ms(placedMs);
         step.mutable_placed(0)->set_epoch(epoch);
+        step.mutable_placed(0)->set_worker_born_ms(startedMs);
         Job *job = nullptr;
         this->table.apply(
             record(JobTable::progressKey(id), progress.SerializeAsString(), ++this->offset),
--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -183,13 +183,14 @@
 // Guards against: a successor takes an order of a former owner for older than it is, so that a task
 // is started again while a later incarnation of its worker, which nobody reaches, may still carry
 // out the order.
-TEST(RepeatedTakeoversTest, StartNothingThatADelayedStartMayBegin)
+TEST(DelayedStartTest, IsWaitedForAcrossTakeovers)
 {
     constexpr std::uint64_t schedules = 60;
     constexpr int mostFurtherTakeovers = 3;
     constexpr std::size_t addedWorkers = 4;
     constexpr std::size_t unreachedWorkers = 4;
     constexpr std::int64_t unreachedMs = 60000;
+    constexpr std::int64_t unlistedMs = 6000; ///< Down for so long, the registry removes a worker.
     for (std::uint64_t seed = 0; seed < schedules; ++seed) {
         JobSimulation simulation(seed, FaultRates());
         simulation.makeHoldsWait();
@@ -217,7 +218,7 @@
         }
         for (const std::size_t worker : workers) {
             simulation.cutWorker(worker, unreachedMs);
-            simulation.crashWorker(worker, 300, unreachedMs);
+            simulation.crashWorker(worker, unlistedMs, unreachedMs);
         }
         const int takeovers = static_cast<int>(seed % (mostFurtherTakeovers + 1));
         for (int count = 0; count < takeovers; ++count) {
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -235,6 +235,29 @@
                                          UnconfirmedCase{"OfAnEarlierVersion", 0, 20000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against: a hold of a later epoch than the start's, carried out late as well, prolongs the
+// lease of a run that the delayed start began on the worker's next incarnation, and the task is
+// started again meanwhile.
+TEST(RestartedWorkerTest, UnconfirmedStartIsWaitedForFromTheTakeover)
+{
+    constexpr std::int64_t begunAt = 20000;
+    CoordinatorWorld world;
+    FormerEpochs former;
+    former.add(1, Instant(2000));
+    const JobId id = world.submit(oneTask(true), 1000);
+    world.placedBefore(id, lostWorker, false, 1000, 0, 1, 900);
+    world.coordinator.begin(3, Instant(begunAt), begunAt, Instant(begunAt), {}, former);
+    WorkerEntry restarted = entryOf(lostWorker.value());
+    restarted.incarnationStartMs = begunAt - 1000;
+    world.coordinator.setWorker(restarted, Instant(begunAt));
+    const std::int64_t lapse =
+        begunAt + WorkerState::longestOrderDelay.count() + WorkerBounds().longestLease.count();
+    world.runWithoutReplies(begunAt, lapse);
+    EXPECT_EQ(world.task(id).worker, lostWorker.value());
+    world.runWithoutReplies(lapse + 10, lapse + 100);
+    EXPECT_EQ(world.task(id).worker, "");
+}
+
 /** What the coordinator records of a start's replies, and when. */
 struct ConfirmationCase
 {
