--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -180,15 +180,20 @@
 // With these seeds the start that has no reply is one on the worker that is lost later.
 INSTANTIATE_TEST_SUITE_P(Seeds, RepeatedTakeoversTest, testing::Values(9, 11, 20, 27, 30, 37));
 
-/** Delays starts, then crashes workers that run the tasks. Their next incarnations reach nobody,
- * and no registry lists them. From the crash on so many owners are lost. Returns the violations. */
-std::vector<std::string> crashBehindDelayedOrders(std::uint64_t seed, int ownersLost)
+/** Down for less than the registry's time of silence: the next incarnation is listed. */
+constexpr std::int64_t listedAfterMs = 300;
+/** Down for longer: the registry removes the worker, and lists no later incarnation. */
+constexpr std::int64_t unlistedAfterMs = 6000;
+
+/** Delays starts, then crashes workers that run the tasks. Their next incarnations, after the time,
+ * reach nobody. From the crash on so many owners are lost. Returns the violations. */
+std::vector<std::string> crashBehindDelayedOrders(std::uint64_t seed, std::int64_t downMs,
+                                                  int ownersLost)
 {
     constexpr std::int64_t delayedMs = 2000;
     constexpr std::size_t addedWorkers = 4;
     constexpr std::size_t unreachedWorkers = 4;
     constexpr std::int64_t unreachedMs = 60000;
-    constexpr std::int64_t unlistedMs = 6000; ///< Down for so long, the registry removes a worker.
     JobSimulation simulation(seed, FaultRates());
     simulation.makeHoldsWait();
     for (std::size_t count = 0; count < addedWorkers; ++count) {
@@ -214,7 +219,7 @@
     }
     for (const std::size_t worker : workers) {
         simulation.cutWorker(worker, unreachedMs);
-        simulation.crashWorker(worker, unlistedMs, unreachedMs);
+        simulation.crashWorker(worker, downMs, unreachedMs);
     }
     for (int count = 0; count < ownersLost; ++count) {
         simulation.killOwner(200);
@@ -231,7 +236,11 @@
     constexpr std::uint64_t schedules = 60;
     for (std::uint64_t seed = 0; seed < schedules; ++seed) {
         const int ownersLost = 1 + static_cast<int>(seed % 4);
-        EXPECT_EQ(crashBehindDelayedOrders(seed, ownersLost), std::vector<std::string>()) << seed;
+        for (const std::int64_t downMs : {listedAfterMs, unlistedAfterMs}) {
+            EXPECT_EQ(crashBehindDelayedOrders(seed, downMs, ownersLost),
+                      std::vector<std::string>())
+                << seed << ", down for " << downMs;
+        }
     }
 }
 
@@ -240,7 +249,8 @@
 {
     constexpr std::uint64_t schedules = 60;
     for (std::uint64_t seed = 0; seed < schedules; ++seed) {
-        const std::vector<std::string> violations = crashBehindDelayedOrders(seed, 0);
+        const std::vector<std::string> violations =
+            crashBehindDelayedOrders(seed, unlistedAfterMs, 0);
         print(violations);
         EXPECT_TRUE(violations.empty()) << seed;
     }
