Report open jobs of which nothing is at work

On-call could not tell why: task_delayed and its metric name long-running tasks only, a task at pace 0 counts as running, and no_worker does not say what keeps a task from free workers.

job_idle names each open job of which nothing has been at work for 3 s though a task's turn has come, what its first such task waits for, and what keeps a task that is not placed from the workers that come nearest to taking it. godwitfall_idle_jobs counts them by reason. No decision changes.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -49,6 +49,8 @@
 /** Interval of the log lines on delayed tasks; below the time that the platform lets a long-running
  * task wait for free capacity. */
 constexpr Duration delayReportGap{2000};
+/** Idle jobs that one report names; the search for what keeps one idle walks all workers. */
+constexpr std::size_t idleJobsReported = 20;
 
 Instant boottime()
 {
@@ -917,6 +919,31 @@
                  {"placed_ago_ms",
                   delayed.placedAgo ? std::to_string(delayed.placedAgo->count()) : "none"}});
     }
+    this->reportIdleJobs(at);
+}
+
+void EntryInstance::reportIdleJobs(Instant at)
+{
+    Coordinator &coordination = this->node.coordination();
+    std::size_t reported = 0;
+    for (const IdleJob &idle : coordination.idleJobs(at)) {
+        if (++reported > idleJobsReported) {
+            break;
+        }
+        const DelayedTask &first = idle.first;
+        const bool placed = !first.worker.empty();
+        logLine(LogLevel::Info, "job_idle",
+                {{"job", idle.job.value()},
+                 {"idle_ms", std::to_string(idle.idle.count())},
+                 {"task", platform::taskName(first.task)},
+                 {"reason", toText(first.reason)},
+                 {"worker", placed ? first.worker : "none"},
+                 {"left_ms", std::to_string(first.left.count())},
+                 {"obstacle", placed ? "placed" : toText(coordination.obstacleFor(first.task, at))},
+                 {"waiting", std::to_string(idle.waiting)},
+                 {"placed", std::to_string(idle.placed)},
+                 {"halted", std::to_string(idle.halted)}});
+    }
 }
 
 void EntryInstance::serveMetrics(const Respond &respond) const
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -89,6 +89,7 @@
     void reportLoad(Instant at);
     /** Logs the long-running tasks that do not run, and why. */
     void reportDelays(Instant at);
+    void reportIdleJobs(Instant at);
     void serveMetrics(const Respond &respond) const;
 
     void follow(Follower &follower, Instant at);
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -59,6 +59,9 @@
     MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator only."},
     MetricHelp{"godwitfall_delayed_tasks",
                "Long-running tasks that do not run for 3 s, by reason; coordinator only."},
+    MetricHelp{"godwitfall_idle_jobs",
+               "Open jobs of which nothing has been at work for 3 s though a task's turn has come, "
+               "by what their first task waits for; coordinator only."},
     MetricHelp{"godwitfall_request_bytes_held",
                "Memory charged for requests until they are answered, by listener, bytes."},
     MetricHelp{"godwitfall_connections", "Open connections to this instance, by listener."},
@@ -112,6 +115,8 @@
     for (std::size_t reason = 0; reason < delayReasonCount; ++reason) {
         gauge("godwitfall_delayed_tasks", "reason", toText(static_cast<DelayReason>(reason)),
               statistics.delayed.at(reason));
+        gauge("godwitfall_idle_jobs", "reason", toText(static_cast<DelayReason>(reason)),
+              statistics.idleJobs.at(reason));
     }
     return page;
 }
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -492,6 +492,7 @@
     task->checkpointAt = running.checkpoint != task->checkpoint ? now : task->checkpointAt;
     task->checkpoint = running.checkpoint;
     task->metric = running.metric;
+    job->workedAt = task->pace > 0 ? now : job->workedAt;
     this->noteAtWork(worker, *job, running.task, *task, now);
     if (task->phase == TaskPhase::Unconfirmed && job->stepSpec(running.task.step).fills()) {
         // A former coordinator may have lowered its pace.
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -314,6 +314,13 @@
      * open jobs. */
     std::vector<DelayedTask> delayedTasks(Instant now) const;
 
+    /** Returns the open jobs of which nothing has been at work for delayToReport or longer though
+     * the turn of a task has come, by occurrence, without the obstacle; walks all open jobs. */
+    std::vector<IdleJob> idleJobs(Instant now) const;
+
+    /** Returns what keeps a waiting task from the workers; walks all workers of its service. */
+    PlacementObstacle obstacleFor(const TaskRef &ref, Instant now);
+
     bool wantsCommit() const
     {
         return !this->dirty.empty() || this->acknowledgeDirty || !this->removals.empty();
@@ -420,6 +427,12 @@
     OrderTarget targetOfIncarnation(const WorkerState &worker) const;
 
     /** Returns why the waiting task is not placed. */
+    bool isAtWork(const Task &task, Instant now) const;
+    /** Returns what the task of an idle job waits for. */
+    DelayedTask idleTask(const Job &job, const TaskRef &ref, Instant now) const;
+    /** Returns the occurrence if a turn has come in it and nothing is at work. */
+    std::optional<IdleJob> idleOccurrence(const Job &job, std::uint32_t occurrence,
+                                          Instant now) const;
     DelayReason waitingReason(const TaskRef &ref, const Task &task, const StepWait *wait,
                               Instant now) const;
     /** Returns why the long-running task does not run; nothing if it does. */
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -23,6 +23,7 @@
         this->returnTask(job, ref, task, RunOutcome::Done, now);
         return;
     }
+    job.workedAt = now;
     StepRun &run = job.stepRun(ref.occurrence, ref.step);
     // Members of a gang end together, so one end counts for all.
     const std::uint32_t first = step.gang() ? 0 : ref.index;
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -11,8 +11,10 @@
 
 constexpr std::array<const char *, workKinds> kindNames = {"plain", "serving", "filling"};
 constexpr std::array<const char *, delayReasonCount> reasonNames = {
-    "former_lease", "delayed_start", "lease",     "start",     "stop",
-    "orphan_run",   "short_lived",   "held_back", "no_worker", "zone_evacuated"};
+    "former_lease", "delayed_start", "lease",     "start",          "stop",   "orphan_run",
+    "short_lived",  "held_back",     "no_worker", "zone_evacuated", "halted", "not_reported"};
+constexpr std::array<const char *, 6> obstacleNames = {
+    "none", "interference", "best_effort_limit", "ejected", "takes_no_tasks", "capacity"};
 
 WorkKind kindOf(const jobs::StepSpec &step)
 {
@@ -55,6 +57,11 @@
     return reasonNames.at(static_cast<std::size_t>(reason));
 }
 
+const char *toText(PlacementObstacle obstacle)
+{
+    return obstacleNames.at(static_cast<std::size_t>(obstacle));
+}
+
 CoordinatorStatistics Coordinator::statistics(Instant now) const
 {
     constexpr double fullPace = 100.0;
@@ -105,6 +112,9 @@
     for (const DelayedTask &task : this->delayedTasks(now)) {
         ++statistics.delayed.at(static_cast<std::size_t>(task.reason));
     }
+    for (const IdleJob &job : this->idleJobs(now)) {
+        ++statistics.idleJobs.at(static_cast<std::size_t>(job.first.reason));
+    }
     return statistics;
 }
 
@@ -229,4 +239,124 @@
     }
 }
 
+bool Coordinator::isAtWork(const Task &task, Instant now) const
+{
+    const auto worker = this->workers.find(task.worker);
+    return task.phase == TaskPhase::Running && task.pace > 0 && worker != this->workers.end() &&
+           now - worker->second->lastSeenAt <= PlacementPolicy::responseTimeout;
+}
+
+DelayedTask Coordinator::idleTask(const Job &job, const TaskRef &ref, Instant now) const
+{
+    const StepRun *run = job.findStepRun(ref.occurrence, ref.step);
+    if (!run) {
+        const StepWait *wait = job.findWait(ref.occurrence, ref.step);
+        DelayedTask unplaced;
+        unplaced.task = ref;
+        unplaced.reason = this->waitingReason(ref, Task(), wait, now);
+        return unplaced;
+    }
+    if (auto delayed = this->delayOf(job, *run, ref.index, now)) {
+        return *delayed;
+    }
+    const Task &task = run->tasks[ref.index];
+    DelayedTask running;
+    running.task = ref;
+    running.worker = task.worker;
+    running.reason = task.pace == 0 ? DelayReason::Halted : DelayReason::NotReported;
+    return running;
+}
+
+std::optional<IdleJob> Coordinator::idleOccurrence(const Job &job, std::uint32_t occurrence,
+                                                   Instant now) const
+{
+    IdleJob idle;
+    idle.job = job.id();
+    std::optional<TaskRef> first;
+    for (int index = 0; index < job.spec().steps_size(); ++index) {
+        const auto step = static_cast<std::uint32_t>(index);
+        if (!job.dependenciesDone(occurrence, step)) {
+            continue;
+        }
+        const StepRun *run = job.findStepRun(occurrence, step);
+        if (!run) {
+            idle.waiting += job.stepSpec(step).count();
+            first = first.value_or(TaskRef{job.id(), occurrence, step, 0});
+            continue;
+        }
+        for (std::uint32_t task = 0; task < run->tasks.size(); ++task) {
+            const Task &known = run->tasks[task];
+            if (known.phase == TaskPhase::Done) {
+                continue;
+            }
+            if (this->isAtWork(known, now)) {
+                return std::nullopt;
+            }
+            idle.waiting += known.phase == TaskPhase::Waiting ? 1 : 0;
+            idle.placed += known.worker.empty() ? 0 : 1;
+            idle.halted += known.phase == TaskPhase::Running && known.pace == 0 ? 1 : 0;
+            first = first.value_or(TaskRef{job.id(), occurrence, step, task});
+        }
+    }
+    if (!first) {
+        return std::nullopt;
+    }
+    idle.first = this->idleTask(job, *first, now);
+    return idle;
+}
+
+std::vector<IdleJob> Coordinator::idleJobs(Instant now) const
+{
+    std::vector<IdleJob> result;
+    for (const Job *job : this->open) {
+        const Instant since = std::max({job->workedAt, job->knownSince, this->begunAt});
+        if (job->closed() || now - since < delayToReport) {
+            continue;
+        }
+        for (std::uint32_t occurrence = 0; occurrence < job->occurrences(); ++occurrence) {
+            const std::int64_t dueMs = job->dueMs(occurrence);
+            const Duration sinceDue = dueMs == 0 ? now - since : Duration(this->unixMs - dueMs);
+            if (sinceDue < delayToReport) {
+                break;
+            }
+            if (auto idle = this->idleOccurrence(*job, occurrence, now)) {
+                idle->idle = std::min(now - since, sinceDue);
+                result.push_back(*idle);
+            }
+        }
+    }
+    return result;
+}
+
+PlacementObstacle Coordinator::obstacleFor(const TaskRef &ref, Instant now)
+{
+    const Job *job = this->table.find(ref.job);
+    if (!job) {
+        return PlacementObstacle::None;
+    }
+    const jobs::StepSpec &step = job->stepSpec(ref.step);
+    const PlacementRequest request{*job, ref.occurrence, ref.step, {}, false};
+    PlacementObstacle nearest = PlacementObstacle::Capacity;
+    for (WorkerState *worker : this->candidates(*job)) {
+        const bool hasLabel =
+            step.required_label().empty() || worker->entry.hasLabel(step.required_label());
+        if (!worker->fits(step) || !hasLabel) {
+            continue;
+        }
+        PlacementObstacle obstacle = PlacementObstacle::None;
+        if (now < worker->ejectedUntil) {
+            obstacle = PlacementObstacle::Ejected;
+        } else if (!PlacementPolicy::takesTasks(*worker, now)) {
+            obstacle = PlacementObstacle::TakesNoTasks;
+        } else if (!this->policy.admits(*worker, request, now)) {
+            obstacle =
+                step.fills() ? PlacementObstacle::BestEffortLimit : PlacementObstacle::Capacity;
+        } else if (!this->policy.tolerates(*worker, request, now)) {
+            obstacle = PlacementObstacle::Interference;
+        }
+        nearest = std::min(nearest, obstacle);
+    }
+    return nearest;
+}
+
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -31,7 +31,7 @@
     std::uint32_t stopping = 0;
 };
 
-/** What keeps a long-running task from running; a closed list in logs and metrics. */
+/** What keeps a task from running; a closed list in logs and metrics. */
 enum class DelayReason : std::uint8_t {
     FormerLease,     ///< Its worker has not replied since a takeover; a former lease may last.
     DelayedStart,    ///< The same, and its start may still be carried out.
@@ -43,13 +43,29 @@
     HeldBack,        ///< Workers have crashed under it.
     NoWorker,        ///< No worker can take it.
     ZoneEvacuated,   ///< The same; some could, if operators did not evacuate their zone.
+    Halted,          ///< It runs at pace 0, in favour of serving tasks next to it.
+    NotReported,     ///< It is to run on a worker that replies, which does not list it.
 };
 
-constexpr std::size_t delayReasonCount = 10;
+constexpr std::size_t delayReasonCount = 12;
 
 /** Returns the reason's name in logs and metrics. */
 const char *toText(DelayReason reason);
 
+/** What keeps a waiting task from the workers; of those that come nearest to taking it. A closed
+ * list in logs. */
+enum class PlacementObstacle : std::uint8_t {
+    None,            ///< Some worker could take it now.
+    Interference,    ///< It would slow serving tasks too much.
+    BestEffortLimit, ///< Best-effort tasks use what the others leave.
+    Ejected,         ///< Workers with the capacity rest after failures.
+    TakesNoTasks,    ///< Workers with the capacity leave, do not reply or are in evacuated zones.
+    Capacity,        ///< No worker has the capacity.
+};
+
+/** Returns the obstacle's name in logs. */
+const char *toText(PlacementObstacle obstacle);
+
 /** A long-running task that does not run, or whose worker does not reply. */
 struct DelayedTask
 {
@@ -62,6 +78,18 @@
     std::optional<Duration> placedAgo;
 };
 
+/** An open job of which nothing is at work though the turn of one of its tasks has come. */
+struct IdleJob
+{
+    JobId job;
+    Duration idle{0};  ///< Since a task of it was last seen at work, or the first one was due.
+    DelayedTask first; ///< The first task whose turn has come, and what it waits for.
+    PlacementObstacle obstacle = PlacementObstacle::None; ///< If that task waits for a worker.
+    std::uint32_t waiting = 0; ///< Tasks whose turn has come, by what they do.
+    std::uint32_t placed = 0;
+    std::uint32_t halted = 0;
+};
+
 /** Tasks that a coordinator found placed when it took over. */
 struct AdoptedTasks
 {
@@ -86,7 +114,8 @@
     std::uint64_t workerSearches = 0; ///< Since this coordinator became active.
     std::uint32_t missedTargets = 0;  ///< Serving tasks over their latency target.
     std::array<TaskCounts, workKinds> tasks;
-    std::array<std::uint32_t, delayReasonCount> delayed{}; ///< Long-running tasks, by DelayReason.
+    std::array<std::uint32_t, delayReasonCount> delayed{};  ///< Long-running tasks, by DelayReason.
+    std::array<std::uint32_t, delayReasonCount> idleJobs{}; ///< By DelayReason of their first task.
 };
 
 } // namespace godwitfall
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -314,6 +314,7 @@
     std::set<std::uint32_t> storedParts;  ///< Parts of which the store has a record.
     Instant knownSince;
     Instant firstPlacedAt; ///< When this coordinator first placed a task of it; unset: not yet.
+    Instant workedAt;      ///< When a task of it was last seen at work, or ended done.
     Instant closedAt;      ///< When this coordinator closed it; unset: it has not.
     std::size_t countedBytes = 0;   ///< Part of JobTable::estimatedBytes().
     std::uint32_t returnedRuns = 0; ///< Runs that ended without success under this coordinator.
