Tell successors which workers were silent, and since when

The task's start had had no reply, its worker was lost, and 17 s after the end of the traffic the last coordinator still waited for a delayed start: job_idle says delayed_start for 13 s and longer.

A successor knew since when a worker was silent only from a released owner; after the loss of one it counted the worker's leases and delayed starts from its own claim.

Now each record of the owner, twice a second, lists the workers with tasks that do not reply, when their leases lapse, and how long ago they got the last order with a lease end. A listed worker gets no such order, also if it replies, before a record without it is stored, so what the record says stays true; a worker that replies again has one written at once. Successors count from there. Waits for restarted workers (stopDelayedRun) count from the last order too.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -37,8 +37,7 @@
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse,
-                        const std::map<std::string, Instant> &silentUntil,
-                        const FormerEpochs &formerEpochs)
+                        const SilentWorkers &silent, const FormerEpochs &formerEpochs)
 {
     this->end();
     this->unixMs = newUnixMs;
@@ -53,8 +52,8 @@
         this->adopt(*job, now);
     }
     for (const auto &[id, worker] : this->workers) {
-        if (const auto silent = silentUntil.find(id); silent != silentUntil.end()) {
-            worker->earlierLeasesLapse = std::min(worker->earlierLeasesLapse, silent->second);
+        if (const auto known = silent.find(id); known != silent.end()) {
+            this->adoptSilence(*worker, known->second);
         }
         this->stopRunsOfEarlierIncarnations(*worker, now);
     }
@@ -66,22 +65,87 @@
     this->planNeeded = true;
 }
 
-std::map<std::string, Duration> Coordinator::silentWorkers(Instant now) const
+void Coordinator::adoptSilence(WorkerState &worker, const SilentWorker &silence)
 {
-    std::map<std::string, Duration> silent;
+    worker.earlierLeasesLapse = std::min(worker.earlierLeasesLapse, silence.leasesLapse);
+    worker.formerOrdersUntil = std::min(worker.formerOrdersUntil, silence.lastOrderAt);
+    for (const auto &[ref, job] : worker.tasks) {
+        Task &task = *job->task(ref);
+        if (task.startMayArriveLate) {
+            task.delayedRunLapses =
+                std::min(task.delayedRunLapses, this->delayedRunLapsesAt(worker.formerOrdersUntil));
+        }
+    }
+}
+
+SilentWorker Coordinator::silenceOf(const WorkerState &worker, Instant now) const
+{
+    const bool startInFlight =
+        std::any_of(this->starts.begin(), this->starts.end(), [&](const auto &entry) {
+            return entry.second.inFlight && entry.second.worker == worker.entry.id;
+        });
+    const bool inFlight = startInFlight || (worker.holdInFlight && worker.holdRenews);
+    Instant leasesLapse = worker.lapsesAt(this->bounds);
+    if (!worker.responded && worker.incarnation > 1) {
+        // It may have taken starts for the incarnation before, if that was not known.
+        leasesLapse = leasesLapse + this->longestLeasedRun() + this->bounds.longestLease -
+                      this->leaseLength();
+    }
+    return SilentWorker{leasesLapse, worker.lastOrderAt(inFlight, now)};
+}
+
+SilentWorkers Coordinator::silentWorkers(Instant now) const
+{
+    SilentWorkers silent;
     for (const std::string &id : this->lapsedWorkers) {
-        silent[id] = Duration(0);
+        silent[id] = SilentWorker{now, now};
     }
     for (const auto &[id, worker] : this->workers) {
         if (worker->responded && now - worker->lastSeenAt <= PlacementPolicy::responseTimeout) {
             silent.erase(id);
         } else if (!worker->tasks.empty()) {
-            silent[id] = std::max(Duration(0), worker->lapsesAt(this->bounds) - now);
+            silent[id] = this->silenceOf(*worker, now);
         }
     }
     return silent;
 }
 
+SilentWorkers Coordinator::announceSilent(Instant now)
+{
+    SilentWorkers silent;
+    for (const auto &[id, worker] : this->workers) {
+        const bool replies = worker->responded && now - worker->lastSeenAt < renewalTimeout;
+        if (!replies && !worker->tasks.empty()) {
+            silent[id] = this->silenceOf(*worker, now);
+            worker->announcedSilent = true;
+            worker->announcedAgain = false;
+        } else {
+            worker->announcedAgain = worker->announcedSilent;
+        }
+    }
+    return silent;
+}
+
+void Coordinator::silentAnnounced()
+{
+    for (const auto &[id, worker] : this->workers) {
+        if (std::exchange(worker->announcedAgain, false)) {
+            worker->announcedSilent = false;
+            worker->holdDue = std::min(worker->holdDue, worker->lastSeenAt);
+            this->planNeeded = true;
+        }
+    }
+}
+
+bool Coordinator::announcementOutdated(Instant now) const
+{
+    return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto &entry) {
+        const WorkerState &worker = *entry.second;
+        return worker.announcedSilent && !worker.announcedAgain && worker.responded &&
+               now - worker.lastSeenAt < renewalTimeout;
+    });
+}
+
 void Coordinator::end()
 {
     this->epoch = 0;
@@ -176,6 +240,7 @@
                 worker = std::make_unique<WorkerState>(std::move(unknown));
                 worker->listed = false;
                 worker->earlierLeasesLapse = this->formerLeasesLapse;
+                worker->formerOrdersUntil = now;
                 this->poolsStale = true;
             }
             if (task.startMayArriveLate) {
@@ -254,6 +319,8 @@
     if (!worker) {
         worker = std::make_unique<WorkerState>(entry);
         worker->earlierLeasesLapse = this->formerLeasesLapse;
+        // What was sent to it before is not known.
+        worker->formerOrdersUntil = now;
         worker->holdDue = now;
     }
     const std::int64_t previousStartMs = worker->entry.incarnationStartMs;
@@ -449,9 +516,9 @@
         this->acknowledgeDirty = true;
     }
     // Until the record is durable, a hold would return at once with the same ends.
-    worker->holdDue = now + (owesAcknowledgement ? this->longestHold(now)
-                             : first             ? Duration(0)
-                                                 : holdGap);
+    // The same while the record that it replies is not stored, as no hold may renew leases yet.
+    const bool waits = owesAcknowledgement || worker->announcedSilent;
+    worker->holdDue = now + (waits ? this->longestHold(now) : first ? Duration(0) : holdGap);
 }
 
 void Coordinator::stopUnanswered(WorkerState &worker, Instant now)
@@ -728,7 +795,8 @@
             if (task.startMayArriveLate) {
                 // Its lease end, on the former clock, prolongs all that runs on the newest
                 // incarnation, and so do those of later epochs' holds.
-                const Instant lastHoldAt = this->formerLeasesLapse - this->longestLeasedRun();
+                const Instant lastHoldAt = std::min(
+                    this->formerLeasesLapse - this->longestLeasedRun(), worker.formerOrdersUntil);
                 worker.earlierLeasesLapse =
                     std::max(worker.earlierLeasesLapse, this->delayedRunLapsesAt(lastHoldAt));
             }
@@ -747,6 +815,11 @@
 {
     // Holds of any former epoch may be carried out late as well, and prolong the run's lease.
     task.delayedRunLapses = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
+    if (const WorkerState *worker = this->findWorker(WorkerId(task.worker))) {
+        const Instant lastOrderAt = this->silenceOf(*worker, now).lastOrderAt;
+        task.delayedRunLapses =
+            std::min(task.delayedRunLapses, this->delayedRunLapsesAt(lastOrderAt));
+    }
     this->stopTask(ref, task, now);
 }
 
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -229,18 +229,28 @@
     Duration longestLeasedRun() const;
 
     /** Takes over under the epoch; leases that a former coordinator granted lapse at the given
-     * time, on the workers in silentUntil at the earlier time there. former: the epochs before the
+     * time, on the workers in silent at the earlier time there. former: the epochs before the
      * last one, as its coordinator reported them. */
     void begin(std::uint64_t epoch, Instant now, std::int64_t unixMs, Instant formerLeasesLapse,
-               const std::map<std::string, Instant> &silentUntil = {},
-               const FormerEpochs &former = {});
+               const SilentWorkers &silent = {}, const FormerEpochs &former = {});
 
     /** Returns until when former coordinators may have sent orders; for the next one. */
     const FormerEpochs &formerEpochs() const { return this->former; }
 
-    /** Returns the workers with tasks that do not reply, and how long their leases may last if
-     * nothing prolongs them; for the next coordinator. */
-    std::map<std::string, Duration> silentWorkers(Instant now) const;
+    /** Returns the workers with tasks that do not reply, for the next coordinator; valid if this
+     * one prolongs no leases any more. */
+    SilentWorkers silentWorkers(Instant now) const;
+
+    /** Returns the workers with tasks that get no orders with a lease end, for a record that a
+     * successor reads. From now on they get none, also if they reply, until a later such record
+     * without them is stored. */
+    SilentWorkers announceSilent(Instant now);
+
+    /** Called when the record of the last announceSilent() is stored. */
+    void silentAnnounced();
+
+    /** Returns whether a worker replies that the newest record calls silent. */
+    bool announcementOutdated(Instant now) const;
 
     /** Discards all state; sends no more orders. */
     void end();
@@ -634,6 +644,11 @@
 
     /** Sends the start, or abandons it if the worker no longer replies. */
     void sendStart(Job &job, const TaskRef &ref, Task &task, Instant now);
+    /** Takes over what the record of a former coordinator says of the worker. */
+    void adoptSilence(WorkerState &worker, const SilentWorker &silence);
+    /** Returns when the leases on the worker lapse, and its last order with a lease end, if it gets
+     * no more of them. */
+    SilentWorker silenceOf(const WorkerState &worker, Instant now) const;
     /** Returns whether the worker may get orders with a lease end. An order without a reply may
      * have been applied, so an unresponsive worker gets none and its leases certainly lapse. */
     static bool mayProlongLeases(const WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -68,7 +68,7 @@
     }
     const bool waitsForReply = task.watched && (worker->closedAt != Instant() ||
                                                 now - worker->repliedAt > watchedReplyAge);
-    if (worker->ordersInFlight >= ordersPerWorker || waitsForReply) {
+    if (worker->ordersInFlight >= ordersPerWorker || waitsForReply || worker->announcedSilent) {
         open.retryAt = now;
         return;
     }
@@ -390,7 +390,7 @@
     EndNumbers &ends = worker.ends;
     ends.discarding = ends.acknowledged > ends.discarded ? ends.acknowledged : 0;
     order.acknowledged = ends.discarding;
-    if (mayRenew && mayProlongLeases(worker, now)) {
+    if (mayRenew && mayProlongLeases(worker, now) && !worker.announcedSilent) {
         const Duration length = this->leaseLength();
         order.leaseEndMs =
             worker.leaseEnd(worker.entry.draining ? std::min(length, drainingLease) : length);
@@ -463,7 +463,9 @@
     std::vector<std::string> idle;
     for (const auto &[id, worker] : this->workers) {
         this->returnLapsedTasks(*worker, now);
-        if (!worker->listed && worker->tasks.empty() && !worker->holdInFlight) {
+        // What the newest record says of a worker binds this coordinator.
+        if (!worker->listed && worker->tasks.empty() && !worker->holdInFlight &&
+            !worker->announcedSilent) {
             idle.push_back(id);
             continue;
         }
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -17,6 +17,8 @@
 /** Time in which workers reply to a successor's first holds; before, it takes no run for ended. */
 constexpr Duration firstReplies{1000};
 constexpr Instant longAgo(-1000000);
+/** Age of an order from which no wait depends on how old it is exactly. */
+constexpr Duration longestReportedAge{60000};
 /** Fraction (1/n) of the time limit for a cancel that the age of the view may use up; the rest is
  * for an order in transit. */
 constexpr std::int64_t viewAgeDivisor = 2;
@@ -250,12 +252,13 @@
     this->claimInFlight = true;
     this->claimSentAt = now;
     this->formerOwnerSeenAt = owner.lastSeenAt;
-    this->formerSilentUntil = owner.silentUntil;
+    this->formerSilent = owner.silent;
+    this->formerReleased = owner.released;
     this->formerEpochs = owner.former;
     this->claimSequence = 1 + this->random.below(sequenceRange);
     this->formerOwnerGone =
         owner.epoch == 0 || owner.released || owner.instance == this->settings.instance;
-    const JobRecord record = this->ownershipRecord(owner.epoch + 1, false, now);
+    const JobRecord record = this->ownershipRecord(owner.epoch + 1, false, {}, now);
     const AppendIdentity identity{coordinatorProducer, owner.epoch + 1, this->claimSequence};
     // Reading the log shows whether the claim won, so a lost reply does not matter.
     this->log.append(LogStream::Jobs, {record}, identity, this->logEnd,
@@ -277,8 +280,8 @@
     this->announcementInFlight = false;
     this->announcements.open(coordinatorProducer, epoch, this->claimSequence + 1);
     this->progressUpdates.open(coordinatorProducer, epoch, this->claimSequence);
-    this->progressUpdates.add({this->ownershipRecord(epoch, false, now)}, GroupCommit::noDeadline,
-                              [this, epoch](CommitResult result, Instant) {
+    this->progressUpdates.add({this->ownershipRecord(epoch, false, {}, now)},
+                              GroupCommit::noDeadline, [this, epoch](CommitResult result, Instant) {
                                   if (result != CommitResult::Durable) {
                                       this->stepDownReason = reasonOf(result);
                                       return;
@@ -304,8 +307,17 @@
     if (const JobConfig *config = this->configuration.current()) {
         this->coordinator.setConfig(*config);
     }
-    this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilentUntil,
+    if (!this->formerReleased) {
+        // Time to reply again, or to be taken for crashed.
+        const Instant earliest = now + Coordinator::renewalTimeout + Coordinator::tickGap;
+        for (auto &[id, worker] : this->formerSilent) {
+            worker.leasesLapse = std::max(worker.leasesLapse, earliest);
+        }
+    }
+    this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilent,
                             this->formerEpochs);
+    // The records so far do not list the workers that were silent before.
+    this->ownershipWrittenAt = longAgo;
     this->host.ownershipGained(epoch);
 }
 
@@ -340,7 +352,8 @@
     this->host.ownershipLost(epoch, reason);
 }
 
-JobRecord JobNode::ownershipRecord(std::uint64_t epoch, bool released, Instant now) const
+JobRecord JobNode::ownershipRecord(std::uint64_t epoch, bool released, const SilentWorkers &silent,
+                                   Instant now) const
 {
     jobs::Ownership message;
     message.set_epoch(epoch);
@@ -359,12 +372,15 @@
             entry.set_last_order_ms_ago(static_cast<std::uint32_t>((now - lastOrderAt).count()));
         }
     }
-    if (released) {
-        for (const auto &[worker, left] : this->coordinator.silentWorkers(now)) {
-            jobs::SilentWorker &silent = *message.add_silent();
-            silent.set_worker(worker);
-            silent.set_lapses_in_ms(static_cast<std::uint32_t>(left.count()));
-        }
+    const auto milliseconds = [](Duration duration) {
+        return static_cast<std::uint32_t>(std::max(Duration(0), duration).count());
+    };
+    for (const auto &[worker, silence] : silent) {
+        jobs::SilentWorker &entry = *message.add_silent();
+        entry.set_worker(worker);
+        entry.set_lapses_in_ms(milliseconds(silence.leasesLapse - now));
+        entry.set_last_order_ms_ago(
+            milliseconds(std::min(longestReportedAge, now - silence.lastOrderAt)));
     }
     JobRecord record;
     record.key = JobTable::ownerKey;
@@ -403,13 +419,17 @@
 
 void JobNode::announce(Instant now)
 {
-    const bool due = now >= this->ownershipWrittenAt + ownershipInterval;
+    const bool due = now >= this->ownershipWrittenAt + ownershipInterval ||
+                     this->coordinator.announcementOutdated(now);
     if (this->announcementInFlight || (!due && now < this->announcedAt + statusInterval)) {
         return;
     }
     std::vector<JobRecord> batch = this->coordinator.takeStatuses();
     if (due) {
-        batch.push_back(this->ownershipRecord(this->announcements.epoch(), false, now));
+        // A coordinator that has not begun would have to keep what it lists from leases later.
+        const SilentWorkers silent =
+            this->coordinator.active() ? this->coordinator.announceSilent(now) : SilentWorkers();
+        batch.push_back(this->ownershipRecord(this->announcements.epoch(), false, silent, now));
         this->ownershipWrittenAt = now;
     }
     if (batch.empty()) {
@@ -418,12 +438,15 @@
     this->announcedAt = now;
     this->announcementInFlight = true;
     this->announcements.add(std::move(batch), GroupCommit::noDeadline,
-                            [this](CommitResult result, Instant) {
+                            [this, due](CommitResult result, Instant) {
                                 this->announcementInFlight = false;
                                 if (result != CommitResult::Durable) {
                                     this->stepDownReason = reasonOf(result);
                                     return;
                                 }
+                                if (due) {
+                                    this->coordinator.silentAnnounced();
+                                }
                                 this->coordinator.statusesStored();
                             });
 }
@@ -458,7 +481,8 @@
     // What the record says of silent workers holds only if their leases are not prolonged any more.
     this->releasing = true;
     std::vector<JobRecord> batch = this->coordinator.takeStatuses();
-    batch.push_back(this->ownershipRecord(this->announcements.epoch(), true, now));
+    batch.push_back(this->ownershipRecord(this->announcements.epoch(), true,
+                                          this->coordinator.silentWorkers(now), now));
     this->announcements.add(std::move(batch), now + claimTimeout, [this](CommitResult, Instant) {
         this->coordinator.end();
         this->takeover = Takeover::None;
--- a/src/libgodwitfall/jobs/jobnode.h
+++ b/src/libgodwitfall/jobs/jobnode.h
@@ -213,7 +213,8 @@
     /** Pauses starts while a view is too old to include every cancel or request to evacuate a zone
      * that must stop them. */
     void pauseStartsOnStaleView(Instant now);
-    JobRecord ownershipRecord(std::uint64_t epoch, bool released, Instant now) const;
+    JobRecord ownershipRecord(std::uint64_t epoch, bool released, const SilentWorkers &silent,
+                              Instant now) const;
 
     const JobNodeSettings settings;
     JobLog &log;
@@ -237,8 +238,9 @@
     Instant claimSentAt;
     bool formerOwnerGone = false; ///< No former owner could renew leases at the last claim.
     Instant formerOwnerSeenAt;    ///< When its last record before the claim was read.
-    std::map<std::string, Instant> formerSilentUntil; ///< See OwnerView::silentUntil.
-    FormerEpochs formerEpochs; ///< Before the former owner's, as of the claim.
+    SilentWorkers formerSilent;   ///< As of its newest record before the claim.
+    bool formerReleased = false;  ///< It was released.
+    FormerEpochs formerEpochs;    ///< Before the former owner's, as of the claim.
     Instant ownershipWrittenAt;
     Instant committedAt;
     bool commitInFlight = false;
--- a/src/libgodwitfall/jobs/jobtable.cpp
+++ b/src/libgodwitfall/jobs/jobtable.cpp
@@ -231,9 +231,10 @@
     this->ownership.lastSeenAt = now;
     this->ownership.address = message.address();
     this->ownership.configVersion = message.config_version();
-    this->ownership.silentUntil.clear();
+    this->ownership.silent.clear();
     for (const jobs::SilentWorker &silent : message.silent()) {
-        this->ownership.silentUntil[silent.worker()] = now + Duration(silent.lapses_in_ms());
+        this->ownership.silent[silent.worker()] = SilentWorker{
+            now + Duration(silent.lapses_in_ms()), now - Duration(silent.last_order_ms_ago())};
     }
     for (const jobs::FormerEpoch &former : message.former()) {
         this->ownership.former.add(former.epoch(), now - Duration(former.last_order_ms_ago()));
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -20,6 +20,15 @@
     std::uint64_t offset = 0;
 };
 
+/** A worker that does not reply to the coordinator, which sends it no orders with a lease end. */
+struct SilentWorker
+{
+    Instant leasesLapse; ///< When all leases on it have lapsed.
+    Instant lastOrderAt; ///< Until when such orders may have been sent.
+};
+
+using SilentWorkers = std::map<std::string, SilentWorker>;
+
 /** The coordinator according to the job log. */
 struct OwnerView
 {
@@ -32,9 +41,8 @@
     double processors = 0.0;         ///< That it may use, in cores; 0: not reported.
     Instant since;                   ///< When its epoch was first read.
     std::uint64_t configVersion = 0; ///< Of the configuration that it goes by.
-    /** Of a released owner: when the leases of workers that did not reply to it have lapsed. */
-    std::map<std::string, Instant> silentUntil;
-    FormerEpochs former; ///< As the owners report.
+    SilentWorkers silent;            ///< As of its newest record.
+    FormerEpochs former;             ///< As the owners report.
 };
 
 /**
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -64,6 +64,12 @@
     }
 }
 
+Instant WorkerState::lastOrderAt(bool inFlight, Instant now) const
+{
+    const Instant own = inFlight ? now : this->unansweredUntil - longestOrderDelay;
+    return std::min(now, std::max(own, this->formerOrdersUntil));
+}
+
 void WorkerState::noteReply(Instant sentAt, Instant notBefore, Instant now)
 {
     this->repliedAt = now;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -155,6 +155,10 @@
      * shows that closed connections are no sign of a crash: a later order ended by a timeout. */
     bool noteNoReply(Instant sentAt);
 
+    /** Returns the latest time at which an order with a lease end may have been sent that got no
+     * reply; inFlight: some await one. */
+    Instant lastOrderAt(bool inFlight, Instant now) const;
+
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
 
@@ -228,6 +232,10 @@
     bool zoneUnresponsive = false; ///< See ZoneFailureDetector.
     bool zoneEvacuated = false;    ///< An operator requests that nothing starts in its zone.
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
+    /** Until when former coordinators may have sent it orders with a lease end. */
+    Instant formerOrdersUntil;
+    bool announcedSilent = false; ///< A record that may be stored says so; it gets no leases.
+    bool announcedAgain = false;  ///< A later record, which is in flight, does not say so.
 
     unsigned ordersInFlight = 0; ///< Starts and stops that await a reply.
     bool holdInFlight = false;
--- a/tests/jobs/test_faultschedule.cpp
+++ b/tests/jobs/test_faultschedule.cpp
@@ -184,11 +184,14 @@
 constexpr std::int64_t listedAfterMs = 300;
 /** Down for longer: the registry removes the worker, and lists no later incarnation. */
 constexpr std::int64_t unlistedAfterMs = 6000;
+/** By then the owner has announced that the worker is silent. */
+constexpr std::int64_t announcedAfterMs = 3000;
 
 /** Delays starts, then crashes workers that run the tasks. Their next incarnations, after the time,
- * reach nobody. From the crash on so many owners are lost. Returns the violations. */
+ * reach nobody. From a time after the crash on so many owners are lost. Returns the violations. */
 std::vector<std::string> crashBehindDelayedOrders(std::uint64_t seed, std::int64_t downMs,
-                                                  int ownersLost)
+                                                  int ownersLost,
+                                                  std::int64_t ownersLostAfterMs = 0)
 {
     constexpr std::int64_t delayedMs = 2000;
     constexpr std::size_t addedWorkers = 4;
@@ -201,7 +204,7 @@
     }
     simulation.run(3000);
     for (std::size_t worker = 0; worker < simulation.workersEver(); ++worker) {
-        simulation.disturbOrders(worker, OrderDisturbance::Delayed, delayedMs);
+        simulation.disturbOrders(worker, OrderDisturbance::Delayed, delayedMs + ownersLostAfterMs);
     }
     jobs::StepSpec step = stepOf(8, 600000);
     step.set_long_running(true);
@@ -221,6 +224,7 @@
         simulation.cutWorker(worker, unreachedMs);
         simulation.crashWorker(worker, downMs, unreachedMs);
     }
+    simulation.run(ownersLostAfterMs);
     for (int count = 0; count < ownersLost; ++count) {
         simulation.killOwner(200);
         simulation.run(1500 + static_cast<std::int64_t>(seed * 977) % 2000);
@@ -237,9 +241,11 @@
     for (std::uint64_t seed = 0; seed < schedules; ++seed) {
         const int ownersLost = 1 + static_cast<int>(seed % 4);
         for (const std::int64_t downMs : {listedAfterMs, unlistedAfterMs}) {
-            EXPECT_EQ(crashBehindDelayedOrders(seed, downMs, ownersLost),
-                      std::vector<std::string>())
-                << seed << ", down for " << downMs;
+            for (const std::int64_t lostAfterMs : {std::int64_t(0), announcedAfterMs}) {
+                EXPECT_EQ(crashBehindDelayedOrders(seed, downMs, ownersLost, lostAfterMs),
+                          std::vector<std::string>())
+                    << seed << ", down for " << downMs << ", owners lost after " << lostAfterMs;
+            }
         }
     }
 }
