Report bytes, time-outs and delays of calls by kind

CallTraffic counts the HTTP bytes of each kind of call of an instance. The coordinator logs them every 5 s as call_traffic, one line whatever the load; the metrics page has the totals, by the ten or so kinds of call. Bytes of clients' requests and of forwarded ones are not counted at the server's side.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -901,6 +901,30 @@
              {"plain_tasks", tasks(WorkKind::Plain)},
              {"serving_tasks", tasks(WorkKind::Serving)},
              {"filling_tasks", tasks(WorkKind::BestEffort)}});
+    this->reportCalls();
+}
+
+void EntryInstance::reportCalls()
+{
+    std::string kinds;
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t timedOut = 0;
+    for (const auto &[kind, figures] : this->http.traffic().takeRecent()) {
+        sent += figures.sentBytes;
+        received += figures.receivedBytes;
+        timedOut += figures.timedOut;
+        kinds += (kinds.empty() ? "" : ", ") + kind + " " + std::to_string(figures.calls) + "/" +
+                 std::to_string(figures.sentBytes) + "/" + std::to_string(figures.receivedBytes) +
+                 "/" + std::to_string(figures.timedOut) + "/" +
+                 std::to_string(figures.longestDelay.count());
+    }
+    logLine(LogLevel::Info, "call_traffic",
+            {{"sent_bytes", std::to_string(sent)},
+             {"received_bytes", std::to_string(received)},
+             {"timed_out", std::to_string(timedOut)},
+             // Calls, bytes sent and received, calls timed out and longest delay in ms, by kind.
+             {"kinds", kinds}});
 }
 
 void EntryInstance::reportDelays(Instant at)
@@ -964,6 +988,7 @@
                                            droppedLogLines());
     }
     response.body += this->connections->metricLines();
+    response.body += this->http.traffic().metricLines();
     respond(std::move(response));
 }
 
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -87,6 +87,8 @@
     void process();
     void wake();
     void reportLoad(Instant at);
+    /** Logs what the calls since the last report have put on the link. */
+    void reportCalls();
     /** Logs the long-running tasks that do not run, and why. */
     void reportDelays(Instant at);
     void reportIdleJobs(Instant at);
--- a/src/godwitfall/httpclient.cpp
+++ b/src/godwitfall/httpclient.cpp
@@ -73,6 +73,7 @@
 
     asio::io_context &context;
     ConnectionPool idle;
+    CallTraffic traffic;
 };
 
 asio::awaitable<Result<Connection>> HttpClient::Shared::connect(const HttpCall &call)
@@ -126,23 +127,35 @@
     request.prepare_payload();
     boost::system::error_code failure;
     stream.expires_after(std::chrono::milliseconds(message.timeout.count()));
-    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    const auto sentAt = SteadyClock::now();
+    this->traffic.countCall(
+        call.step, co_await http::async_write(stream, request,
+                                              asio::redirect_error(asio::use_awaitable, failure)));
     // A request larger than what the system buffers shows a silent connection here.
     this->dropSilentAfter(failure, connection, call, message);
+    if (failure == beast::error::timeout) {
+        this->traffic.countTimeout(call.step, 0);
+    }
     if (failure) {
         co_return tl::unexpected(callError(Fate::Unknown, call, "send", failure));
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
-    co_await readMessage(stream, buffer, parser, failure);
+    const std::size_t read = co_await readMessage(stream, buffer, parser, failure);
     this->dropSilentAfter(failure, connection, call, message);
+    if (failure == beast::error::timeout) {
+        this->traffic.countTimeout(call.step, read);
+    }
     if (failure) {
         const std::string received = std::to_string(parser.get().body().size());
         co_return tl::unexpected(callError(Fate::Unknown, call, "receive", failure,
                                            " after " + received + " bytes of the body"));
     }
     connection.repliedAt = SteadyClock::now();
+    const auto took =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*connection.repliedAt - sentAt);
+    this->traffic.countResponse(call.step, read, Duration(took.count()) - message.serverWait);
     HttpResponse response;
     response.status = parser.get().result_int();
     response.body = std::move(parser.get().body());
@@ -216,6 +229,11 @@
 
 HttpClient::~HttpClient() = default;
 
+CallTraffic &HttpClient::traffic() const
+{
+    return this->shared->traffic;
+}
+
 void HttpClient::call(HttpCall call, Handler handler)
 {
     asio::co_spawn(
--- a/src/godwitfall/httpclient.h
+++ b/src/godwitfall/httpclient.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "calltraffic.h"
 #include "clock.h"
 #include "error.h"
 #include "httpmessage.h"
@@ -74,6 +75,9 @@
     /** Starts the call; may be called from any thread. */
     void call(HttpCall call, Handler handler);
 
+    /** Returns the bytes and delays of all calls; for the context's thread. */
+    CallTraffic &traffic() const;
+
 private:
     struct Shared;
     std::shared_ptr<Shared> shared;
--- a/tests/net/test_observability.cpp
+++ b/tests/net/test_observability.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/log/core.hpp>
 
+#include "calltraffic.h"
 #include "instancemetrics.h"
 #include "logging.h"
 #include "logratelimiter.h"
@@ -66,6 +67,16 @@
     boost::log::core::get()->set_logging_enabled(true);
 }
 
+TEST(CallTrafficTest, RecentFiguresBeginAnewAtEachReport)
+{
+    CallTraffic traffic;
+    traffic.countCall("hold worker", 300);
+    traffic.countResponse("hold worker", 700, Duration(20));
+    traffic.countResponse("hold worker", 700, Duration(-400));
+    EXPECT_EQ(traffic.takeRecent()["hold worker"].longestDelay, Duration(20));
+    EXPECT_TRUE(traffic.takeRecent().empty());
+}
+
 TEST(InstanceMetricsTest, EveryMetricIsDocumented)
 {
     const std::string page = readPage("docs/OPERATIONS.md");
@@ -85,7 +96,21 @@
     statistics.workers = 48;
     statistics.shortServices = 2;
     statistics.tasks.at(static_cast<std::size_t>(WorkKind::BestEffort)).waiting = 3;
-    const std::string page = metrics.page({24, Duration(300)}, {3000, 4000}, &statistics, 7, 5);
+    CallTraffic traffic;
+    traffic.countCall("hold worker", 300);
+    traffic.countResponse("hold worker", 700, Duration(20));
+    traffic.countCall("hold worker", 300);
+    traffic.countTimeout("hold worker", 0);
+    const std::string page =
+        metrics.page({24, Duration(300)}, {3000, 4000}, &statistics, 7, 5) + traffic.metricLines();
+    EXPECT_NE(page.find("godwitfall_calls_total{call=\"hold worker\"} 2\n"), std::string::npos);
+    EXPECT_NE(page.find("godwitfall_calls_timed_out_total{call=\"hold worker\"} 1\n"),
+              std::string::npos);
+    EXPECT_NE(page.find("godwitfall_call_bytes_total{call=\"hold worker\",direction=\"sent\"} 600"),
+              std::string::npos);
+    EXPECT_NE(
+        page.find("godwitfall_call_bytes_total{call=\"hold worker\",direction=\"received\"} 700"),
+        std::string::npos);
     EXPECT_NE(page.find("godwitfall_answers_total{status=\"200\"} 2\n"), std::string::npos);
     EXPECT_NE(page.find("godwitfall_answer_ms_count 1\n"), std::string::npos);
     EXPECT_NE(page.find("godwitfall_log_lines_held_back_total 7\n"), std::string::npos);
