Bound open starts by the delays of their replies

Cause: the coordinator sends a start for all that fits, up to 1,024 at once. Its link of 2 Mbit/s is full from about 260 starts per second on. Then replies come after the time-outs, connections are closed, starts are sent up to four times, each after a call that identifies the worker anew, and holds wait behind them.

StartLimit follows the delays of replies to starts: while even the fastest is late the limit halves, prompt ones raise it. Tasks beyond it wait unplaced; renewals are never bounded. It begins at the former bound, which stays the highest. A gang is no longer planned while the limit is reached. coordinator_load and the metrics have open starts and limit.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -897,6 +897,8 @@
              {"open_jobs", std::to_string(statistics.openJobs)},
              {"short_services", std::to_string(statistics.shortServices)},
              {"missed_targets", std::to_string(statistics.missedTargets)},
+             {"open_starts", std::to_string(statistics.openStarts)},
+             {"start_limit", std::to_string(statistics.startLimit)},
              // Numbers of waiting, starting, running and stopping tasks of each kind of work.
              {"plain_tasks", tasks(WorkKind::Plain)},
              {"serving_tasks", tasks(WorkKind::Serving)},
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -54,6 +54,9 @@
     MetricHelp{
         "godwitfall_capacity_short_total",
         "Times that a service became short of capacity, so that delay cost orders its jobs."},
+    MetricHelp{"godwitfall_starts",
+               "Starts being recorded or awaiting a reply (open), and how many may be (limit); "
+               "coordinator only."},
     MetricHelp{"godwitfall_worker_searches", "Worker searches since it began to coordinate."},
     MetricHelp{"godwitfall_missed_targets", "Serving tasks above their target; coordinator only."},
     MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator only."},
@@ -102,6 +105,8 @@
           static_cast<double>(statistics.reservedMemoryMb));
     page += sampleLine("godwitfall_open_jobs", statistics.openJobs);
     page += sampleLine("godwitfall_short_services", statistics.shortServices);
+    gauge("godwitfall_starts", "use", "open", static_cast<double>(statistics.openStarts));
+    gauge("godwitfall_starts", "use", "limit", static_cast<double>(statistics.startLimit));
     page +=
         sampleLine("godwitfall_worker_searches", static_cast<double>(statistics.workerSearches));
     page += sampleLine("godwitfall_missed_targets", statistics.missedTargets);
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -34,6 +34,7 @@
     , policy(this->interference)
     , pacePolicy(this->interference)
     , advice(orders)
+    , startLimit(bounds.openStarts)
 {}
 
 void Coordinator::begin(std::uint64_t newEpoch, Instant now, std::int64_t newUnixMs, Instant lapse,
@@ -94,6 +95,7 @@
     this->tickedAt = Instant(-1000000);
     this->resumedAt = Instant();
     this->starts.clear();
+    this->startLimit.reset();
     this->stops.clear();
     this->orphans.clear();
     this->silentCrashes.clear();
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -18,6 +18,7 @@
 #include "pacepolicy.h"
 #include "placementpolicy.h"
 #include "queueconfig.h"
+#include "startlimit.h"
 #include "unplaceabledemands.h"
 #include "waitingdemand.h"
 #include "workersearch.h"
@@ -570,8 +571,10 @@
     void addRecords(Job &job, std::vector<JobRecord> &records);
     /** Has the next batch remove the records of the parts of a job that is over. */
     void removeParts(Job &job);
-    /** Returns whether as many starts are open as one coordinator may have connections for. */
+    /** Returns whether as many starts are open as the coordinator's connections and link bear. */
     bool startsAreLimited() const;
+    /** Returns the number of starts that are being recorded or await a reply. */
+    std::size_t countOpenStarts() const;
     /** Has a record say that the task's worker took its start: for a long-running step with the
      * next batch, once none of its starts is open, otherwise after confirmationDelay. */
     void confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now);
@@ -703,6 +706,7 @@
     JobSet open;     ///< Jobs that are not closed or still have placed tasks.
     JobSet unplaced; ///< Open jobs with tasks that may have to be placed, now or later.
     std::map<TaskRef, OpenOrder> starts;
+    StartLimit startLimit;
     std::uint64_t openedStarts = 0; ///< Number of the start that was opened last.
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -408,6 +408,9 @@
 {
     const Instant now = round.now;
     const jobs::StepSpec &step = job.stepSpec(run.step);
+    if (step.gang() && this->startsAreLimited()) {
+        return;
+    }
     if (step.gang() || (step.tightly_coupled() && allWaiting(run))) {
         this->planTogether(job, run, now);
         if (step.gang()) {
@@ -461,8 +464,12 @@
 
 bool Coordinator::startsAreLimited() const
 {
-    return this->starts.size() + this->recording.size() + this->inBatch.size() >=
-           this->bounds.openStarts;
+    return this->countOpenStarts() >= this->startLimit.current();
+}
+
+std::size_t Coordinator::countOpenStarts() const
+{
+    return this->starts.size() + this->recording.size() + this->inBatch.size();
 }
 
 std::int64_t Coordinator::countFreeSlots(Job &job, const StepRun &run)
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -80,6 +80,8 @@
         statistics.memoryMb += worker->entry.capacity.memoryMb;
         statistics.reservedMemoryMb += worker->reserved.memoryMb;
     }
+    statistics.openStarts = this->countOpenStarts();
+    statistics.startLimit = this->startLimit.current();
     statistics.workerSearches = this->searches;
     statistics.shortServices = static_cast<std::uint32_t>(this->shortServices.size());
     statistics.openJobs = static_cast<std::uint32_t>(this->open.size());
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -110,7 +110,9 @@
     std::int64_t memoryMb = 0;
     std::int64_t reservedMemoryMb = 0;
     std::uint32_t openJobs = 0;
-    std::uint32_t shortServices = 0;  ///< Whose waiting tasks exceed their free capacity.
+    std::uint32_t shortServices = 0; ///< Whose waiting tasks exceed their free capacity.
+    std::size_t openStarts = 0;      ///< Starts that are being recorded or await a reply.
+    std::size_t startLimit = 0; ///< Most starts that may be open; falls while replies are late.
     std::uint64_t workerSearches = 0; ///< Since this coordinator became active.
     std::uint32_t missedTargets = 0;  ///< Serving tasks over their latency target.
     std::array<TaskCounts, workKinds> tasks;
