Lower the limit on starts once for starts sent under it

Cause: the starts of a burst reply one after the other, late for several intervals, each of which halved the limit; and the last of them came when hardly any start was open, of which it took half. Replies to starts that were sent before the limit fell no longer count, and the most that was open while the compared replies came is halved.

--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -170,7 +170,7 @@
         return;
     }
     open.inFlight = false;
-    this->startLimit.noteReply(now - open.sentAt, this->countOpenStarts(), now);
+    this->startLimit.noteReply(open.sentAt, this->countOpenStarts(), now);
     if (outcome == OrderOutcome::Unanswered || outcome == OrderOutcome::NotSent) {
         this->noteNoReply(*worker, open.sentAt);
     } else if (outcome != OrderOutcome::OtherIncarnation) {
--- a/src/libgodwitfall/jobs/startlimit.h
+++ b/src/libgodwitfall/jobs/startlimit.h
@@ -33,7 +33,7 @@
     std::size_t current() const { return this->limit; }
 
     /** Takes a reply to a start, or its timeout, with the number of starts that are open. */
-    void noteReply(Duration delay, std::size_t open, Instant now);
+    void noteReply(Instant sentAt, std::size_t open, Instant now);
 
     /** Forgets all replies. */
     void reset();
@@ -41,9 +41,11 @@
 private:
     const std::size_t highest;
     std::size_t limit;
+    Instant loweredAt{-1000000};
     Instant begunAt; ///< When the first of the compared replies came.
     std::size_t replies = 0;
     Duration fastest{0};
+    std::size_t mostOpen = 0; ///< While these replies came.
 };
 
 } // namespace godwitfall
--- a/tests/jobs/test_startlimit.cpp
+++ b/tests/jobs/test_startlimit.cpp
@@ -15,7 +15,7 @@
 {
     for (std::size_t reply = 0; reply < replies; ++reply) {
         now = now + Duration(1);
-        limit.noteReply(delay, open, now);
+        limit.noteReply(now - delay, open, now);
     }
 }
 
@@ -25,6 +25,8 @@
     Instant now(1000);
     feed(limit, 250, StartLimit::lateReply + Duration(50), 400, now);
     EXPECT_EQ(limit.current(), 200U);
+    feed(limit, 250, StartLimit::lateReply + Duration(50), 400, now);
+    EXPECT_EQ(limit.current(), 200U) << "these starts were sent before it fell";
     feed(limit, 5000, StartLimit::lateReply + Duration(50), 200, now);
     EXPECT_EQ(limit.current(), StartLimit::lowest);
 }
@@ -240,31 +242,39 @@
     std::map<std::string, Worker> workers;
 };
 
-// Guards against a collapse: starts fill the coordinator's link, so that replies come after the
-// timeouts, orders are sent again, and leases lapse as no hold arrives in time.
-TEST(NarrowLinkTest, KeepsLeasesAndStartsWhatTheLinkCarries)
+constexpr std::int64_t beginMs = 3000;
+constexpr std::int64_t narrowBytesPerMs = 120;
+
+/** Submits jobs with more tasks than the link can start, until the time. */
+void overload(NarrowLink &link, std::int64_t until)
 {
-    constexpr std::int64_t bytesPerMs = 120;
-    constexpr std::int64_t endMs = 27000;
-    constexpr std::int64_t settledMs = 8000;
-    NarrowLink link(bytesPerMs);
-    link.runUntil(3000);
     jobs::JobSpec spec;
     spec.set_queue("plan");
     spec.set_service("orchard");
     *spec.add_steps() = stepOf(60, NarrowLink::runMs);
-    std::size_t unansweredAtFirst = 0;
-    while (link.now < endMs) {
-        unansweredAtFirst = link.now <= settledMs ? link.unanswered : unansweredAtFirst;
+    while (link.now < until) {
         for (int job = 0; job < 4; ++job) {
             link.world.submit(spec, link.now);
         }
         link.runUntil(link.now + 500);
     }
+}
+
+// Guards against a collapse: starts fill the coordinator's link, so that replies come after the
+// timeouts, orders are sent again, and leases lapse as no hold arrives in time.
+TEST(NarrowLinkTest, KeepsLeasesAndStartsWhatTheLinkCarries)
+{
+    constexpr std::int64_t settledMs = 8000;
+    constexpr std::int64_t endMs = 27000;
+    NarrowLink link(narrowBytesPerMs);
+    link.runUntil(beginMs);
+    overload(link, settledMs);
+    const std::size_t unansweredAtFirst = link.unanswered;
+    overload(link, endMs);
     EXPECT_EQ(link.lapsed, 0U);
     EXPECT_LE(link.unanswered - unansweredAtFirst, link.sent / 100);
     // Half of what starts alone would fill the link with.
-    constexpr std::size_t carried = (endMs - 3000) * bytesPerMs / NarrowLink::startBytes;
+    constexpr std::size_t carried = (endMs - beginMs) * narrowBytesPerMs / NarrowLink::startBytes;
     EXPECT_GE(link.completed, carried / 2);
 }
 
