Let no job stand still while late replies limit starts

Cause: the link carries fewer starts than jobs bring, and all go to the jobs that come first. While the limit on starts is lowered, each job of which nothing is placed, nor was at work for 0.8 s, now has one task placed first.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -403,6 +403,8 @@
         std::map<unsigned, UnplaceableDemands> unplaceableByPreemption;
         std::map<std::string, bool> mostlyFree; ///< By service.
         bool mayPreempt = false;
+        /** Tasks of the job that may still be placed; unset: all. */
+        std::optional<std::size_t> left;
     };
 
     WorkerState *findWorker(const WorkerId &id);
@@ -604,6 +606,10 @@
     /** Places what fits of the job; returns whether some of it is still to be placed. */
     bool planJob(Job &job, PlanRound &round);
     void planStep(Job &job, StepRun &run, PlanRound &round);
+    /** Places one task of each job that stands still. */
+    void planIdleJobs(const std::vector<Job *> &order, PlanRound &round);
+    /** Returns whether no task of the job is placed, nor was at work for idleTurnAfter. */
+    bool standsStill(const Job &job, Instant now) const;
     /** Returns whether a search for a worker would be unsuccessful, or comes too soon after the
      * last one. */
     bool isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -38,6 +38,10 @@
 /** Longest time that a long-running task waits in favour of short-lived ones. */
 constexpr Duration longRunningWaitLimit{15000};
 
+/** Time without a task at work after which a job goes before others while late replies limit the
+ * starts; leaves most of the time that the platform lets a job stand still for its record and its
+ * start, which are delayed too. */
+constexpr Duration idleTurnAfter{800};
 /** Pause between searches of a best-effort step for a worker; metrics arrive as often. */
 constexpr Duration bestEffortSearchGap{100};
 
@@ -185,6 +189,9 @@
     round.now = now;
     round.unixMs = newUnixMs;
     round.mayPreempt = now - this->preemptedAt >= preemptGap;
+    if (this->startLimit.lowered()) {
+        this->planIdleJobs(order, round);
+    }
     for (Job *job : order) {
         if (!this->planJob(*job, round)) {
             this->unplaced.erase(job);
@@ -192,6 +199,28 @@
     }
 }
 
+void Coordinator::planIdleJobs(const std::vector<Job *> &order, PlanRound &round)
+{
+    for (Job *job : order) {
+        if (this->standsStill(*job, round.now)) {
+            round.left = 1;
+            this->planJob(*job, round);
+        }
+    }
+    round.left.reset();
+}
+
+bool Coordinator::standsStill(const Job &job, Instant now) const
+{
+    if (now - std::max({job.workedAt, job.knownSince, this->begunAt}) < idleTurnAfter) {
+        return false;
+    }
+    return std::all_of(job.stepRuns().begin(), job.stepRuns().end(), [](const auto &entry) {
+        return std::all_of(entry.second.tasks.begin(), entry.second.tasks.end(),
+                           [](const Task &task) { return task.worker.empty(); });
+    });
+}
+
 std::vector<Job *> Coordinator::orderOfService(Instant now)
 {
     this->updateShortServices(now);
@@ -442,7 +471,7 @@
             }
             --freeSlots;
         }
-        if (this->startsAreLimited()) {
+        if (this->startsAreLimited() || round.left == 0U) {
             return;
         }
         WorkerState *worker = search.next();
@@ -459,6 +488,9 @@
         }
         run.tasks[index].run += 1;
         this->place(job, run, index, *worker, now);
+        if (round.left) {
+            --*round.left;
+        }
     }
 }
 
--- a/src/libgodwitfall/jobs/startlimit.h
+++ b/src/libgodwitfall/jobs/startlimit.h
@@ -32,6 +32,9 @@
 
     std::size_t current() const { return this->limit; }
 
+    /** Returns whether late replies have lowered the limit. */
+    bool lowered() const { return this->limit < this->highest; }
+
     /** Takes a reply to a start, or its timeout, with the number of starts that are open. */
     void noteReply(Instant sentAt, std::size_t open, Instant now);
 
--- a/tests/jobs/test_startlimit.cpp
+++ b/tests/jobs/test_startlimit.cpp
@@ -278,5 +278,16 @@
     EXPECT_GE(link.completed, carried / 2);
 }
 
+// Guards against jobs that stand still, with workers free, as the starts of others fill the link.
+TEST(NarrowLinkTest, NoJobStandsStillBehindStartsOfOthers)
+{
+    NarrowLink link(narrowBytesPerMs);
+    link.runUntil(beginMs);
+    for (std::int64_t until = beginMs + 8000; until <= beginMs + 20000; until += 2000) {
+        overload(link, until);
+        EXPECT_EQ(link.world.coordinator.idleJobs(Instant(link.now)).size(), 0U) << until;
+    }
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
