Count waiting long-running tasks once where idle jobs go first

Tasks on draining workers could stay there while late replies limited the starts: the plan counted waiting long-running tasks of idle jobs twice, once in their turn and once with all jobs, and moveFromDraining() leaves as many slots free for them. Found by reading; no test drives it (the count is private, and its effect needs a draining worker under a lowered limit). The 24 suites of tests/jobs, httpserver, relay and observability pass.

--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -208,6 +208,8 @@
         }
     }
     round.left.reset();
+    // Counted again with all jobs.
+    this->waitingLongRunning = 0;
 }
 
 bool Coordinator::standsStill(const Job &job, Instant now) const
