--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -54,6 +54,9 @@
     MetricHelp{
         "godwitfall_capacity_short_total",
         "Times that a service became short of capacity, so that delay cost orders its jobs."},
+    MetricHelp{"godwitfall_starts",
+               "Starts being recorded or awaiting a reply (open), and how many may be (limit); "
+               "coordinator only."},
     MetricHelp{"godwitfall_worker_searches", "Worker searches since it began to coordinate."},
     MetricHelp{"godwitfall_missed_targets", "Serving tasks above their target; coordinator only."},
     MetricHelp{"godwitfall_tasks", "Tasks, by kind of work and phase; coordinator only."},
@@ -64,6 +67,10 @@
                "by what their first task waits for; coordinator only."},
     MetricHelp{"godwitfall_request_bytes_held",
                "Memory charged for requests until they are answered, by listener, bytes."},
+    MetricHelp{"godwitfall_calls_total", "Calls to workers, the store and instances, by kind."},
+    MetricHelp{"godwitfall_calls_timed_out_total", "Calls without a response in time, by kind."},
+    MetricHelp{"godwitfall_call_bytes_total",
+               "Bytes of these calls and their responses, by kind and direction."},
     MetricHelp{"godwitfall_connections", "Open connections to this instance, by listener."},
     MetricHelp{"godwitfall_connections_closed_total",
                "Connections that this instance closed, by listener and reason."},
@@ -98,6 +105,8 @@
           static_cast<double>(statistics.reservedMemoryMb));
     page += sampleLine("godwitfall_open_jobs", statistics.openJobs);
     page += sampleLine("godwitfall_short_services", statistics.shortServices);
+    gauge("godwitfall_starts", "use", "open", static_cast<double>(statistics.openStarts));
+    gauge("godwitfall_starts", "use", "limit", static_cast<double>(statistics.startLimit));
     page +=
         sampleLine("godwitfall_worker_searches", static_cast<double>(statistics.workerSearches));
     page += sampleLine("godwitfall_missed_targets", statistics.missedTargets);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -18,6 +18,7 @@
 #include "pacepolicy.h"
 #include "placementpolicy.h"
 #include "queueconfig.h"
+#include "startlimit.h"
 #include "unplaceabledemands.h"
 #include "waitingdemand.h"
 #include "workersearch.h"
@@ -412,6 +413,8 @@
         std::map<unsigned, UnplaceableDemands> unplaceableByPreemption;
         std::map<std::string, bool> mostlyFree; ///< By service.
         bool mayPreempt = false;
+        /** Tasks of the job that may still be placed; unset: all. */
+        std::optional<std::size_t> left;
     };
 
     WorkerState *findWorker(const WorkerId &id);
@@ -580,8 +583,10 @@
     void addRecords(Job &job, std::vector<JobRecord> &records);
     /** Has the next batch remove the records of the parts of a job that is over. */
     void removeParts(Job &job);
-    /** Returns whether as many starts are open as one coordinator may have connections for. */
+    /** Returns whether as many starts are open as the coordinator's connections and link bear. */
     bool startsAreLimited() const;
+    /** Returns the number of starts that are being recorded or await a reply. */
+    std::size_t countOpenStarts() const;
     /** Has a record say that the task's worker took its start: for a long-running step with the
      * next batch, once none of its starts is open, otherwise after confirmationDelay. */
     void confirmStart(Job &job, const TaskRef &ref, const Task &task, Instant now);
@@ -611,6 +616,10 @@
     /** Places what fits of the job; returns whether some of it is still to be placed. */
     bool planJob(Job &job, PlanRound &round);
     void planStep(Job &job, StepRun &run, PlanRound &round);
+    /** Places one task of each job that stands still. */
+    void planIdleJobs(const std::vector<Job *> &order, PlanRound &round);
+    /** Returns whether no task of the job is placed, nor was at work for idleTurnAfter. */
+    bool standsStill(const Job &job, Instant now) const;
     /** Returns whether a search for a worker would be unsuccessful, or comes too soon after the
      * last one. */
     bool isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
@@ -718,6 +727,7 @@
     JobSet open;     ///< Jobs that are not closed or still have placed tasks.
     JobSet unplaced; ///< Open jobs with tasks that may have to be placed, now or later.
     std::map<TaskRef, OpenOrder> starts;
+    StartLimit startLimit;
     std::uint64_t openedStarts = 0; ///< Number of the start that was opened last.
     std::map<TaskRef, OpenOrder> stops;
     /** By task and worker. */
