Move a slowed best-effort task once it has lost as much time as the move costs

Cause: without checkpoints a task moved only if it had been halted for 5 s on end, and never if it was slowed to 1 to 39%, even with an idle worker at hand. 5 s are three times the usual work of a task there, and each short resumption began them anew.

Change: the coordinator adds up the time that a run loses by its pace (Task::lostTime), also over several slowdowns. Below 40% and after 1.5 s the task is moved to a worker on which it slows nothing, once it has lost what the move costs: the work that it has to do again, nothing with checkpoints. So it loses at most twice of what the better choice would have lost. Moves to workers on which it may be slowed again keep their 5 s.

Evidence: SlowedTaskTest fails before (5.8 s at pace 0; never at 20%) and passes after (3 s); HaltedTaskTest passes as it was.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -459,9 +459,9 @@
     void sampleBestEffort(WorkerState &worker, Instant now);
     /** Returns the worker's best-effort tasks with the paces that its serving tasks tolerate. */
     std::vector<PacedTask> tolerablePaces(const WorkerState &worker, Instant now) const;
-    /** Returns whether the slowed task is better off on another worker: at full pace from a
-     * checkpoint, or, once it has been halted for long, at the cost of work or of another slowdown.
-     */
+    /** Returns whether the slowed task is better off on another worker: once it has lost as much
+     * time as the move costs, or, once it has been halted for long, at the cost of another
+     * slowdown. */
     bool canResumeElsewhere(const WorkerState &worker, const PacedTask &paced, Instant now);
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
                  Instant now);
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -85,6 +85,7 @@
     task.percent = 0;
     task.pace = 100;
     task.paceConfirmed = true;
+    task.lostTime = Duration(0);
     task.activity = Activity::Unknown;
     task.targetMissedSince = Instant();
     this->markDirty(job, ref);
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace godwitfall {
 
@@ -10,12 +11,12 @@
 
 /** Time between two samples of a worker's metrics, which cover the last half second. */
 constexpr Duration metricSampleGap{450};
-/** Pace in percent below which a task with checkpoints is moved to another worker after a while. */
+/** Pace in percent below which a task is moved to another worker after a while. */
 constexpr std::uint32_t slowPace = 40;
 /** Time that a slowed task stays before it is moved; above its restore time. */
 constexpr Duration slowedStayTime{1500};
-/** Time that a halted task stays before it is moved at the cost of work, or to a worker on which it
- * may be slowed again; above the busy phases of tasks, after which it may continue in place. */
+/** Time that a halted task stays before it is moved to a worker on which it may be slowed again;
+ * above the busy phases of tasks, after which it may continue in place. */
 constexpr Duration haltedStayTime{5000};
 /** Time for which the peak of a load is kept; about one period of the users' load. */
 constexpr Duration peakMemory{20000};
@@ -106,7 +107,7 @@
     if (now - worker.metricsSampledAt < metricSampleGap) {
         return;
     }
-    worker.metricsSampledAt = now;
+    const Instant sampledLast = std::exchange(worker.metricsSampledAt, now);
     this->sampleBestEffort(worker, now);
     this->sampleServing(worker, now);
     worker.invalidatePlacementCosts();
@@ -117,6 +118,8 @@
     });
     for (const PacedTask &paced : this->tolerablePaces(worker, now)) {
         Task &task = *paced.job->task(paced.ref);
+        const Duration sinceSample = now - std::max(sampledLast, task.since);
+        task.lostTime = task.lostTime + sinceSample * (fullPace - task.pace) / fullPace;
         const double share = halt ? 0.0 : paced.pace;
         const std::uint32_t pace = static_cast<std::uint32_t>(std::lround(share * fullPace));
         if (pace != task.pace) {
@@ -137,14 +140,14 @@
 {
     const jobs::StepSpec &step = paced.job->stepSpec(paced.ref.step);
     const Task &task = *paced.job->task(paced.ref);
-    const Duration slowed = now - task.slowedAt;
-    // Once it has waited for as long as it would take to do the work again.
+    // Once it has lost as much time as it would take to do the work again; how long it will be
+    // slowed is not known.
     const Duration repeated(
         step.checkpointing() ? 0 : std::int64_t(step.estimated_ms()) * task.percent / fullPace);
-    const bool halted = task.pace == 0 && slowed > haltedStayTime;
-    if (!step.checkpointing() && (!halted || slowed <= repeated)) {
+    if (task.lostTime <= repeated) {
         return false;
     }
+    const bool halted = task.pace == 0 && now - task.slowedAt > haltedStayTime;
     // A worker without other serving tasks may not exist; elsewhere it may be halted again.
     const bool allowInterference = halted && this->isMostlyFree(*paced.job);
     const PlacementRequest request{
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -129,6 +129,7 @@
     Instant paceSentAt;        ///< When the pace was last sent.
     Instant targetMissedSince; ///< Since when a serving task misses its target; unset: it meets it.
     Instant slowedAt;          ///< When pace last went below 100.
+    Duration lostTime{0};      ///< Time that its run has lost by its pace.
     Activity activity = Activity::Unknown; ///< Of a best-effort task.
     /** Of a serving task: the load derived from its tail latency, see InterferenceModel. */
     double load = 0.0;
--- a/tests/jobs/test_pace.cpp
+++ b/tests/jobs/test_pace.cpp
@@ -345,5 +345,39 @@
     EXPECT_GT(sim.advance(longestIdleMs, [&] { return sim.runsNow(grind); }), 0);
 }
 
+struct SlowedTask
+{
+    const char *name;
+    double headroom; ///< Of the serving task beside it.
+    std::uint32_t milliCores;
+    std::uint32_t slowedTo; ///< Its pace in percent.
+};
+
+class SlowedTaskTest : public testing::TestWithParam<SlowedTask>
+{};
+
+// Guards against: a best-effort task without checkpoints stood still for 5 s, or for good at a
+// fifth of its pace, beside a serving task while another worker was idle.
+TEST_P(SlowedTaskTest, MovesToAWorkerWhereItSlowsNothing)
+{
+    SharedWorkers sim;
+    sim.addWorker("w0");
+    const JobId shop = sim.serve(GetParam().headroom, 20000);
+    ASSERT_GT(sim.advance(2000, [&] { return sim.runsNow(shop); }), 0);
+    const JobId grind = sim.bestEffort("grind", GetParam().milliCores, 5000);
+    const std::int64_t slowed = sim.advance(4000, [&] { return sim.task(grind).pace < 100; });
+    ASSERT_GT(slowed, 0);
+    EXPECT_EQ(sim.task(grind).pace, GetParam().slowedTo);
+    sim.addWorker("w1");
+    const std::int64_t moved = sim.advance(10000, [&] { return sim.task(grind).worker == "w1"; });
+    ASSERT_GT(moved, 0);
+    EXPECT_LE(moved - slowed, longestIdleMs);
+}
+
+INSTANTIATE_TEST_SUITE_P(Tasks, SlowedTaskTest,
+                         testing::Values(SlowedTask{"Halted", 0.02, 8000, 0},
+                                         SlowedTask{"ToAFifth", 0.21, 16000, 20}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace godwitfall::jobtests
