Bound the time that a best-effort task loses by its pace

Cause: the expected cost of missed targets alone sets the pace. Beside serving tasks with little headroom, and with no worker that tolerates the task, that is 0 for as long as the load lasts; moves each 5 s to workers where it was halted again changed nothing.

Change: while most of the processors are not reserved, a run that has lost 3 s by its pace, and each run after the first of a task, isn't slowed below 60% by the expected cost (PacedTask::least).

Evidence: CrowdedTaskTest (little or no headroom, first run or second) fails before (not done after 40 s) and passes after, with serving tasks over their target beside a working task for 3 s on end at most.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -458,7 +458,10 @@
     void sampleServing(WorkerState &worker, Instant now);
     void sampleBestEffort(WorkerState &worker, Instant now);
     /** Returns the worker's best-effort tasks with the paces that its serving tasks tolerate. */
-    std::vector<PacedTask> tolerablePaces(const WorkerState &worker, Instant now) const;
+    std::vector<PacedTask> tolerablePaces(const WorkerState &worker, Instant now);
+    /** Returns the pace, 0 to 1, below which the task is only slowed while a serving task beside it
+     * misses its target. */
+    double leastPaceOf(const Job &job, const Task &task);
     /** Returns whether the slowed task is better off on another worker: once it has lost as much
      * time as the move costs, or, once it has been halted for long, at the cost of another
      * slowdown. */
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -18,6 +18,10 @@
 /** Time that a halted task stays before it is moved to a worker on which it may be slowed again;
  * above the busy phases of tasks, after which it may continue in place. */
 constexpr Duration haltedStayTime{5000};
+/** Time that a run may lose by its pace before it has a least pace. */
+constexpr Duration lostTimeLimit{3000};
+/** Least pace in percent of a run that has lost that time or that is not its task's first. */
+constexpr std::uint32_t leastPace = 60;
 /** Time for which the peak of a load is kept; about one period of the users' load. */
 constexpr Duration peakMemory{20000};
 /** Share of the time that the platform allows a target to be missed, in percent, after which all
@@ -85,7 +89,15 @@
     }
 }
 
-std::vector<PacedTask> Coordinator::tolerablePaces(const WorkerState &worker, Instant now) const
+double Coordinator::leastPaceOf(const Job &job, const Task &task)
+{
+    // A run may be lost with its end: for the users nothing of the job works until it has ended
+    // again.
+    const bool isOverdue = task.run > 1 || task.lostTime >= lostTimeLimit;
+    return isOverdue && this->isMostlyFree(job) ? leastPace / static_cast<double>(fullPace) : 0.0;
+}
+
+std::vector<PacedTask> Coordinator::tolerablePaces(const WorkerState &worker, Instant now)
 {
     std::vector<PacedTask> bestEffort;
     for (const auto &[ref, job] : worker.tasks) {
@@ -93,7 +105,8 @@
         const Task &task = *job->task(ref);
         if (step.fills() && task.phase == TaskPhase::Running) {
             bestEffort.push_back(PacedTask{ref, job, step.image(), task.activity,
-                                           worker.shareOf(step.milli_cores())});
+                                           worker.shareOf(step.milli_cores()), 1.0,
+                                           this->leastPaceOf(*job, task)});
         }
     }
     if (!bestEffort.empty()) {
--- a/src/libgodwitfall/jobs/pacepolicy.cpp
+++ b/src/libgodwitfall/jobs/pacepolicy.cpp
@@ -42,7 +42,7 @@
 void PacePolicy::lowerPaces(const std::vector<ServingTask> &serving,
                             std::vector<PacedTask> &bestEffort) const
 {
-    constexpr double halted = 0.01;
+    constexpr double rounding = 0.01;
     std::vector<BestEffortShare> shares;
     shares.reserve(bestEffort.size());
     for (const PacedTask &task : bestEffort) {
@@ -52,8 +52,9 @@
         PacedTask *costliest = nullptr;
         double highest = 1.0;
         for (PacedTask &task : bestEffort) {
-            const double cost =
-                task.pace < halted ? 0.0 : this->cost(task.image, task.activity, serving, shares);
+            const double cost = task.pace < task.least + rounding
+                                    ? 0.0
+                                    : this->cost(task.image, task.activity, serving, shares);
             if (cost > highest) {
                 highest = cost;
                 costliest = &task;
@@ -62,7 +63,7 @@
         if (!costliest) {
             return;
         }
-        costliest->pace = std::max(0.0, costliest->pace - paceStep);
+        costliest->pace = std::max(costliest->least, costliest->pace - paceStep);
         const auto index = static_cast<std::size_t>(costliest - bestEffort.data());
         shares[index].share = costliest->share * costliest->pace;
     }
--- a/src/libgodwitfall/jobs/pacepolicy.h
+++ b/src/libgodwitfall/jobs/pacepolicy.h
@@ -18,6 +18,7 @@
     Activity activity = Activity::Unknown;
     double share = 0.0; ///< Of the worker's processors, at full pace.
     double pace = 1.0;  ///< Share of its full speed, 0 to 1.
+    double least = 0.0; ///< Pace below which it is not slowed.
 };
 
 /**
@@ -37,7 +38,8 @@
 
     explicit PacePolicy(const InterferenceModel &interference);
 
-    /** Lowers the paces of best-effort tasks whose cost is above 1, the costliest first. */
+    /** Lowers the paces of best-effort tasks whose cost is above 1, the costliest first, down to
+     * the least of each. */
     void lowerPaces(const std::vector<ServingTask> &serving,
                     std::vector<PacedTask> &bestEffort) const;
 
--- a/tests/jobs/test_pace.cpp
+++ b/tests/jobs/test_pace.cpp
@@ -379,5 +379,47 @@
                                          SlowedTask{"ToAFifth", 0.21, 16000, 20}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct CrowdedTask
+{
+    const char *name;
+    double headroom;         ///< Of the serving task beside it.
+    bool runsAgain;          ///< Its first run is lost.
+    std::int64_t endsWithin; ///< After it began to run, in ms.
+};
+
+class CrowdedTaskTest : public testing::TestWithParam<CrowdedTask>
+{};
+
+// Guards against: a best-effort task of 2 s was halted to the end of the day beside serving tasks
+// that met their targets, so that the next steps of its job, or the task that had ended with a lost
+// worker, waited with most of the processors free.
+TEST_P(CrowdedTaskTest, EndsInABoundedTime)
+{
+    SharedWorkers sim;
+    sim.addWorker("w0");
+    const JobId shop = sim.serve(GetParam().headroom, 20000);
+    ASSERT_GT(sim.advance(2000, [&] { return sim.runsNow(shop); }), 0);
+    const JobId grind = sim.bestEffort("grind", 4000, 2000);
+    ASSERT_GT(sim.advance(4000, [&] { return sim.runsNow(grind); }), 0);
+    std::int64_t began = sim.now;
+    if (GetParam().runsAgain) {
+        ASSERT_GT(sim.advance(4000, [&] { return sim.task(grind).pace == 0; }), 0);
+        sim.loseRun(grind);
+        ASSERT_GT(sim.advance(8000, [&] { return sim.task(grind).run == 2; }), 0);
+        began = sim.now;
+    }
+    const std::int64_t done = sim.advance(40000, [&] { return sim.isDone(grind); });
+    ASSERT_GT(done, 0);
+    EXPECT_LE(done - began, GetParam().endsWithin);
+    EXPECT_LE(sim.longestHarmMs, WorkerBounds().targetMissLimit.count() * 3 / 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(Tasks, CrowdedTaskTest,
+                         testing::Values(CrowdedTask{"LittleHeadroom", 0.06, false, 10000},
+                                         CrowdedTask{"LittleHeadroomAgain", 0.06, true, 6500},
+                                         CrowdedTask{"NoHeadroom", 0.02, false, 20000},
+                                         CrowdedTask{"NoHeadroomAgain", 0.02, true, 17000}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace godwitfall::jobtests
