Let a job of which nothing is at work share processors of best-effort tasks

Cause: best-effort tasks are placed only while all of them, halted ones in full, fit in the processors that are left (bestEffortCeiling).

Evidence: BestEffortWaitTest.IsShortForAJobOfWhichNothingIsAtWork fails before (waits for 60 s) and passes after.

--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -609,9 +609,14 @@
     bool isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
     /** Returns whether most capacity of the job's service is free. */
     bool isMostlyFree(const Job &job);
-    ResourceDemand demandOf(const Job &job, std::uint32_t step, bool allowInterference) const;
+    ResourceDemand demandOf(const Job &job, std::uint32_t step, bool allowInterference,
+                            bool mayCrowd) const;
     /** Returns whether tasks of a best-effort step may be placed where they slow serving tasks. */
     bool mayInterfere(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
+    bool isMostlyFree(const Job &job, PlanRound &round);
+    /** Returns whether a best-effort task of the step may be placed where other best-effort tasks
+     * use the processors that are left; it shares them. */
+    bool mayCrowd(const Job &job, std::uint32_t step, bool allowInterference, PlanRound &round);
     /** Stops tasks of lower priority for a task of the step that found no worker. */
     void preempt(const Job &job, const StepRun &run, PlanRound &round);
     /** Stops the tasks that free capacity for a task of the step at the least cost to callers;
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -87,6 +87,15 @@
     });
 }
 
+/** Returns whether a task of the job is placed on a worker. */
+bool hasPlacedTask(const Job &job)
+{
+    return std::any_of(job.stepRuns().begin(), job.stepRuns().end(), [](const auto &entry) {
+        return std::any_of(entry.second.tasks.begin(), entry.second.tasks.end(),
+                           [](const Task &task) { return !task.worker.empty(); });
+    });
+}
+
 /** Returns whether no task of the step was ever placed. */
 bool untouched(const StepRun &run)
 {
@@ -264,7 +273,7 @@
             const StepRun *run = job.findStepRun(occurrence, step);
             const std::int64_t waiting = run ? countWaiting(*run) : job.stepSpec(step).count();
             if (waiting > 0 && job.dependenciesDone(occurrence, step)) {
-                const ResourceDemand demand = this->demandOf(job, step, false);
+                const ResourceDemand demand = this->demandOf(job, step, false, false);
                 demands[{demand.service, demand.fills}].add(waiting, demand.amount);
             }
         }
@@ -361,14 +370,15 @@
     return mostlyFree(this->candidates(job));
 }
 
-ResourceDemand Coordinator::demandOf(const Job &job, std::uint32_t step,
-                                     bool allowInterference) const
+ResourceDemand Coordinator::demandOf(const Job &job, std::uint32_t step, bool allowInterference,
+                                     bool mayCrowd) const
 {
     const jobs::StepSpec &spec = job.stepSpec(step);
     ResourceDemand demand;
     demand.service = this->rulesOf(job).service;
     demand.label = spec.required_label();
     demand.fills = spec.fills();
+    demand.mayCrowd = mayCrowd;
     demand.bestEffortImage = spec.fills() && !allowInterference ? spec.image() : std::string();
     demand.amount.milliCores = spec.milli_cores();
     demand.amount.memoryMb = spec.memory_mb();
@@ -382,13 +392,25 @@
     if (!job.stepSpec(step).fills()) {
         return false;
     }
+    const Duration waited = round.now - job.waitOf(occurrence, step).readySince;
+    return waited > (this->isMostlyFree(job, round) ? idleCapacityWait : noInterferenceWait);
+}
+
+bool Coordinator::isMostlyFree(const Job &job, PlanRound &round)
+{
     const std::string &service = this->rulesOf(job).service;
     auto free = round.mostlyFree.find(service);
     if (free == round.mostlyFree.end()) {
         free = round.mostlyFree.emplace(service, mostlyFree(this->candidates(job))).first;
     }
-    const Duration waited = round.now - job.waitOf(occurrence, step).readySince;
-    return waited > (free->second ? idleCapacityWait : noInterferenceWait);
+    return free->second;
+}
+
+bool Coordinator::mayCrowd(const Job &job, std::uint32_t step, bool allowInterference,
+                           PlanRound &round)
+{
+    return job.stepSpec(step).fills() && allowInterference && !hasPlacedTask(job) &&
+           this->isMostlyFree(job, round);
 }
 
 bool Coordinator::isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step,
@@ -399,7 +421,8 @@
         return true;
     }
     const bool allowInterference = this->mayInterfere(job, occurrence, step, round);
-    if (!round.unplaceable.covers(this->demandOf(job, step, allowInterference))) {
+    const bool mayCrowd = this->mayCrowd(job, step, allowInterference, round);
+    if (!round.unplaceable.covers(this->demandOf(job, step, allowInterference, mayCrowd))) {
         return false;
     }
     wait.spareCapacitySince = Instant();
@@ -417,7 +440,9 @@
         }
     }
     const bool allowInterference = this->mayInterfere(job, run.occurrence, run.step, round);
-    const PlacementRequest request{job, run.occurrence, run.step, {}, allowInterference};
+    const bool mayCrowd = this->mayCrowd(job, run.step, allowInterference, round);
+    const PlacementRequest request{job, run.occurrence, run.step, {}, allowInterference,
+                                   0,   mayCrowd};
     const std::vector<WorkerState *> workersOfJob =
         this->allowed(job, run.occurrence, run.step, now);
     this->placeSuspects(job, run, workersOfJob, request, now);
@@ -450,7 +475,7 @@
             const QueueConfig *queue = this->queueOf(job);
             const bool shared = step.max_per_worker() == 0 && !(queue && queue->advice);
             if (shared) {
-                round.unplaceable.add(this->demandOf(job, run.step, allowInterference));
+                round.unplaceable.add(this->demandOf(job, run.step, allowInterference, mayCrowd));
             }
             this->askAdvice(job, run, now);
             this->preempt(job, run, round);
@@ -458,6 +483,10 @@
         }
         run.tasks[index].run += 1;
         this->place(job, run, index, *worker, now);
+        if (mayCrowd) {
+            // One task at work is enough; the others wait for processors that are left.
+            return;
+        }
     }
 }
 
@@ -506,7 +535,7 @@
         return;
     }
     const unsigned priority = this->rulesOf(job).priority;
-    const ResourceDemand demand = this->demandOf(job, run.step, false);
+    const ResourceDemand demand = this->demandOf(job, run.step, false, false);
     const bool isKnownUnplaceable = std::any_of(
         round.unplaceableByPreemption.begin(), round.unplaceableByPreemption.end(),
         [&](const auto &tried) { return tried.first <= priority && tried.second.covers(demand); });
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -168,9 +168,9 @@
                              Instant now) const
 {
     const jobs::StepSpec &step = request.job.stepSpec(request.step);
-    return worker.fits(step) &&
-           (!step.fills() || utilizationWith(worker, step.milli_cores()) <= bestEffortCeiling) &&
-           suits(worker, request, now);
+    const bool leavesCapacity = !step.fills() || request.mayCrowd ||
+                                utilizationWith(worker, step.milli_cores()) <= bestEffortCeiling;
+    return worker.fits(step) && leavesCapacity && suits(worker, request, now);
 }
 
 bool PlacementPolicy::tolerates(WorkerState &worker, const PlacementRequest &request,
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -18,6 +18,8 @@
     std::string onlyRack;           ///< Only workers of this rack; empty: any.
     bool allowInterference = false; ///< Also where it slows serving tasks; else the task waits.
     std::size_t crashes = 0;        ///< Workers that have crashed under the task.
+    /** Best-effort: also where other best-effort tasks use the processors that are left. */
+    bool mayCrowd = false;
 };
 
 /**
--- a/src/libgodwitfall/jobs/unplaceabledemands.cpp
+++ b/src/libgodwitfall/jobs/unplaceabledemands.cpp
@@ -6,7 +6,7 @@
 
 UnplaceableDemands::Kind UnplaceableDemands::kindOf(const ResourceDemand &demand)
 {
-    return {demand.service, demand.label, demand.bestEffortImage, demand.fills};
+    return {demand.service, demand.label, demand.bestEffortImage, demand.fills, demand.mayCrowd};
 }
 
 void UnplaceableDemands::add(const ResourceDemand &demand)
--- a/src/libgodwitfall/jobs/unplaceabledemands.h
+++ b/src/libgodwitfall/jobs/unplaceabledemands.h
@@ -16,6 +16,7 @@
     std::string label;           ///< Required of the worker; empty: none.
     std::string bestEffortImage; ///< Of a best-effort task that may not interfere; else empty.
     bool fills = false;          ///< Best-effort: reserves no processors.
+    bool mayCrowd = false; ///< Not bound by the processors that are left for best-effort tasks.
     Resources amount;
 };
 
@@ -35,7 +36,7 @@
     bool covers(const ResourceDemand &demand) const;
 
 private:
-    using Kind = std::tuple<std::string, std::string, std::string, bool>;
+    using Kind = std::tuple<std::string, std::string, std::string, bool, bool>;
 
     static Kind kindOf(const ResourceDemand &demand);
 
--- a/tests/jobs/test_pace.cpp
+++ b/tests/jobs/test_pace.cpp
@@ -421,5 +421,19 @@
                                          CrowdedTask{"NoHeadroomAgain", 0.02, true, 17000}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against: a job whose tasks are best-effort waited for as long as those of other jobs used
+// the processors, with most of them not reserved.
+TEST(BestEffortWaitTest, IsShortForAJobOfWhichNothingIsAtWork)
+{
+    SharedWorkers sim;
+    sim.addWorker("w0");
+    const JobId resident = sim.bestEffort("light", 60000, 60000);
+    ASSERT_GT(sim.advance(4000, [&] { return sim.runsNow(resident); }), 0);
+    const JobId waiting = sim.bestEffort("light", 8000, 3000, 4);
+    EXPECT_GT(sim.advance(longestIdleMs, [&] { return sim.runsNow(waiting); }), 0);
+    sim.advance(1000, [] { return false; });
+    EXPECT_EQ(sim.tasksAtWork(waiting), 1);
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
