Run long-running best-effort tasks again beside others

Cause: the processors of the other best-effort tasks counted against what the workers that were left could take (bestEffortCeiling), and what such a task waits for never becomes free. The wait for a worker on which it slows nothing, 15 s where more than 60% is reserved, is longer than the 9 s in which a long-running task has to run again.

Change: a long-running best-effort task that has run before is placed at once, another one after 1.5 s, on the worker of least cost, beyond that limit if need be.

--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -21,8 +21,8 @@
 
 /** Time that a best-effort task waits for a worker on which it slows no serving task. */
 constexpr Duration noInterferenceWait{15000};
-/** The same while most of the workers' capacity is free; shorter, so that tasks do not wait next to
- * idle processors. */
+/** The same while most of the workers' capacity is free, so that tasks do not wait next to idle
+ * processors, and of long-running tasks, which have to run again within longestDelay. */
 constexpr Duration idleCapacityWait{1500};
 /** Reserved share of all processors below which most of the capacity counts as free. */
 constexpr double mostlyFreeShare = 0.6;
@@ -393,6 +393,9 @@
         return false;
     }
     const Duration waited = round.now - job.waitOf(occurrence, step).readySince;
+    if (job.stepSpec(step).long_running()) {
+        return waited > idleCapacityWait || hasTaskToResume(job);
+    }
     return waited > (this->isMostlyFree(job, round) ? idleCapacityWait : noInterferenceWait);
 }
 
@@ -409,8 +412,12 @@
 bool Coordinator::mayCrowd(const Job &job, std::uint32_t step, bool allowInterference,
                            PlanRound &round)
 {
-    return job.stepSpec(step).fills() && allowInterference && !hasPlacedTask(job) &&
-           this->isMostlyFree(job, round);
+    if (!job.stepSpec(step).fills() || !allowInterference) {
+        return false;
+    }
+    // What a long-running task waits for may never become free.
+    return job.stepSpec(step).long_running() ||
+           (!hasPlacedTask(job) && this->isMostlyFree(job, round));
 }
 
 bool Coordinator::isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step,
@@ -483,7 +490,7 @@
         }
         run.tasks[index].run += 1;
         this->place(job, run, index, *worker, now);
-        if (mayCrowd) {
+        if (mayCrowd && !step.long_running()) {
             // One task at work is enough; the others wait for processors that are left.
             return;
         }
--- a/tests/jobs/test_pace.cpp
+++ b/tests/jobs/test_pace.cpp
@@ -435,5 +435,31 @@
     EXPECT_EQ(sim.tasksAtWork(waiting), 1);
 }
 
+// Guards against: a long-running best-effort task never ran again after its worker was lost, as
+// other best-effort tasks used the processors of the workers that were left (review/5).
+TEST(LongRunningBestEffortTest, RunsAgainBesideOtherBestEffortTasks)
+{
+    SharedWorkers sim;
+    for (const char *worker : {"w0", "w1", "w2"}) {
+        sim.addWorker(worker);
+    }
+    std::vector<JobId> jobs;
+    for (int count = 0; count < 3; ++count) {
+        jobs.push_back(sim.longRunningBestEffort("light", 40000));
+        ASSERT_GT(sim.advance(3000, [&] { return sim.runsNow(jobs.back()); }), 0);
+    }
+    sim.advance(2000, [] { return false; });
+    const std::int64_t lost = sim.now;
+    sim.loseWorker("w1");
+    const auto allRun = [&] {
+        return std::all_of(jobs.begin(), jobs.end(),
+                           [&](const JobId &id) { return sim.runsNow(id); });
+    };
+    ASSERT_FALSE(allRun());
+    const std::int64_t again = sim.advance(30000, allRun);
+    ASSERT_GT(again, 0);
+    EXPECT_LE(again - lost, longestDelayMs);
+}
+
 } // namespace
 } // namespace godwitfall::jobtests
