--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -471,10 +471,13 @@
     void sampleServing(WorkerState &worker, Instant now);
     void sampleBestEffort(WorkerState &worker, Instant now);
     /** Returns the worker's best-effort tasks with the paces that its serving tasks tolerate. */
-    std::vector<PacedTask> tolerablePaces(const WorkerState &worker, Instant now) const;
-    /** Returns whether the slowed task is better off on another worker: at full pace from a
-     * checkpoint, or, once it has been halted for long, at the cost of work or of another slowdown.
-     */
+    std::vector<PacedTask> tolerablePaces(const WorkerState &worker, Instant now);
+    /** Returns the pace, 0 to 1, below which the task is only slowed while a serving task beside it
+     * misses its target. */
+    double leastPaceOf(const Job &job, const Task &task);
+    /** Returns whether the slowed task is better off on another worker: once it has lost as much
+     * time as the move costs, or, once it has been halted for long, at the cost of another
+     * slowdown. */
     bool canResumeElsewhere(const WorkerState &worker, const PacedTask &paced, Instant now);
     void setPace(const WorkerState &worker, const TaskRef &ref, Task &task, std::uint32_t percent,
                  Instant now);
@@ -625,9 +628,14 @@
     bool isUnplaceable(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
     /** Returns whether most capacity of the job's service is free. */
     bool isMostlyFree(const Job &job);
-    ResourceDemand demandOf(const Job &job, std::uint32_t step, bool allowInterference) const;
+    ResourceDemand demandOf(const Job &job, std::uint32_t step, bool allowInterference,
+                            bool mayCrowd) const;
     /** Returns whether tasks of a best-effort step may be placed where they slow serving tasks. */
     bool mayInterfere(Job &job, std::uint32_t occurrence, std::uint32_t step, PlanRound &round);
+    bool isMostlyFree(const Job &job, PlanRound &round);
+    /** Returns whether a best-effort task of the step may be placed where other best-effort tasks
+     * use the processors that are left; it shares them. */
+    bool mayCrowd(const Job &job, std::uint32_t step, bool allowInterference, PlanRound &round);
     /** Stops tasks of lower priority for a task of the step that found no worker. */
     void preempt(const Job &job, const StepRun &run, PlanRound &round);
     /** Stops the tasks that free capacity for a task of the step at the least cost to callers;
--- a/src/libgodwitfall/jobs/coordinatorpace.cpp
+++ b/src/libgodwitfall/jobs/coordinatorpace.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace godwitfall {
 
@@ -10,13 +11,17 @@
 
 /** Time between two samples of a worker's metrics, which cover the last half second. */
 constexpr Duration metricSampleGap{450};
-/** Pace in percent below which a task with checkpoints is moved to another worker after a while. */
+/** Pace in percent below which a task is moved to another worker after a while. */
 constexpr std::uint32_t slowPace = 40;
 /** Time that a slowed task stays before it is moved; above its restore time. */
 constexpr Duration slowedStayTime{1500};
-/** Time that a halted task stays before it is moved at the cost of work, or to a worker on which it
- * may be slowed again; above the busy phases of tasks, after which it may continue in place. */
+/** Time that a halted task stays before it is moved to a worker on which it may be slowed again;
+ * above the busy phases of tasks, after which it may continue in place. */
 constexpr Duration haltedStayTime{5000};
+/** Time that a run may lose by its pace before it has a least pace. */
+constexpr Duration lostTimeLimit{3000};
+/** Least pace in percent of a run that has lost that time or that is not its task's first. */
+constexpr std::uint32_t leastPace = 60;
 /** Time for which the peak of a load is kept; about one period of the users' load. */
 constexpr Duration peakMemory{20000};
 /** Share of the time that the platform allows a target to be missed, in percent, after which all
@@ -84,7 +89,15 @@
     }
 }
 
-std::vector<PacedTask> Coordinator::tolerablePaces(const WorkerState &worker, Instant now) const
+double Coordinator::leastPaceOf(const Job &job, const Task &task)
+{
+    // A run may be lost with its end: for the users nothing of the job works until it has ended
+    // again.
+    const bool isOverdue = task.run > 1 || task.lostTime >= lostTimeLimit;
+    return isOverdue && this->isMostlyFree(job) ? leastPace / static_cast<double>(fullPace) : 0.0;
+}
+
+std::vector<PacedTask> Coordinator::tolerablePaces(const WorkerState &worker, Instant now)
 {
     std::vector<PacedTask> bestEffort;
     for (const auto &[ref, job] : worker.tasks) {
@@ -92,7 +105,8 @@
         const Task &task = *job->task(ref);
         if (step.fills() && task.phase == TaskPhase::Running) {
             bestEffort.push_back(PacedTask{ref, job, step.image(), task.activity,
-                                           worker.shareOf(step.milli_cores())});
+                                           worker.shareOf(step.milli_cores()), 1.0,
+                                           this->leastPaceOf(*job, task)});
         }
     }
     if (!bestEffort.empty()) {
@@ -106,7 +120,7 @@
     if (now - worker.metricsSampledAt < metricSampleGap) {
         return;
     }
-    worker.metricsSampledAt = now;
+    const Instant sampledLast = std::exchange(worker.metricsSampledAt, now);
     this->sampleBestEffort(worker, now);
     this->sampleServing(worker, now);
     worker.invalidatePlacementCosts();
@@ -117,6 +131,8 @@
     });
     for (const PacedTask &paced : this->tolerablePaces(worker, now)) {
         Task &task = *paced.job->task(paced.ref);
+        const Duration sinceSample = now - std::max(sampledLast, task.since);
+        task.lostTime = task.lostTime + sinceSample * (fullPace - task.pace) / fullPace;
         const double share = halt ? 0.0 : paced.pace;
         const std::uint32_t pace = static_cast<std::uint32_t>(std::lround(share * fullPace));
         if (pace != task.pace) {
@@ -137,14 +153,14 @@
 {
     const jobs::StepSpec &step = paced.job->stepSpec(paced.ref.step);
     const Task &task = *paced.job->task(paced.ref);
-    const Duration slowed = now - task.slowedAt;
-    // Once it has waited for as long as it would take to do the work again.
+    // Once it has lost as much time as it would take to do the work again; how long it will be
+    // slowed is not known.
     const Duration repeated(
         step.checkpointing() ? 0 : std::int64_t(step.estimated_ms()) * task.percent / fullPace);
-    const bool halted = task.pace == 0 && slowed > haltedStayTime;
-    if (!step.checkpointing() && (!halted || slowed <= repeated)) {
+    if (task.lostTime <= repeated) {
         return false;
     }
+    const bool halted = task.pace == 0 && now - task.slowedAt > haltedStayTime;
     // A worker without other serving tasks may not exist; elsewhere it may be halted again.
     const bool allowInterference = halted && this->isMostlyFree(*paced.job);
     const PlacementRequest request{
