Deadly gangs that are not given up, in KNOWN-RED

BeforeReplyGangs requires that a gang whose start crashes its workers is given up beside other tasks. Other tasks begin on the worker in the last second, so that none of the five crashes counts as more than SILENT.

Four of the neighbours are committed as KnownRedGangs; the schedule itself stays in Ways.

--- a/tests/jobs/test_closingschedules.cpp
+++ b/tests/jobs/test_closingschedules.cpp
@@ -218,6 +218,24 @@
                          ::testing::Values(deadly("AtWorkGangs", CrashWay::AtWork, 0, true)),
                          nameOf);
 
+/** The same with gangs, in rounds and beside tasks of other lengths. */
+NamedSchedule deadlyGangs(const char *name, std::int64_t gapMs, std::uint32_t taskMs)
+{
+    NamedSchedule result = deadly(name, CrashWay::BeforeReply, 0, true);
+    result.schedule.gapMs = gapMs;
+    result.schedule.taskMs = taskMs;
+    return result;
+}
+
+// In KNOWN-RED.txt: a gang whose start crashes its worker is not given up where other tasks began
+// there in the last second each time, as these may be the cause.
+INSTANTIATE_TEST_SUITE_P(KnownRedGangs, DeadlyScheduleTest,
+                         ::testing::Values(deadlyGangs("ShorterTasks", 1200, 1000),
+                                           deadlyGangs("LongerTasks", 1200, 2000),
+                                           deadlyGangs("ShorterRounds", 1100, 1500),
+                                           deadlyGangs("LongerRounds", 1300, 1500)),
+                         nameOf);
+
 class DeadlyLastingTest : public ::testing::TestWithParam<NamedSchedule>
 {};
 
