Don't wait 18 s for a run that ended with its worker's incarnation

Callers saw jobs that could run and didn't: a worker restarted before a report had listed a run, its next incarnation was not reached, and the task stayed placed there for 18 s, short-lived or long-running.

Cause: Coordinator::applyRestart sent every such task through stopDelayedRun, as the reply to a start doesn't name the incarnation that has taken it. Since starts are bound to an incarnation, it need not: a start that was accepted, with no try that may still be carried out, was taken by the incarnation that it was for. The same wait held for starts of which no try was ever sent.

mayBeginOnNextIncarnation tells which runs may begin later: a try is in flight or had no reply, or the start was for an incarnation that was not known. These wait as before. What was never sent is returned at once. A run that was accepted is returned after nextReportTime (2 s) unless the next incarnation confirms its end before.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -691,6 +691,23 @@
     this->giveUp(toGiveUp, now);
 }
 
+bool Coordinator::mayBeginOnNextIncarnation(const TaskRef &ref, const Task &task) const
+{
+    const auto start = this->starts.find(ref);
+    const bool startInFlight = start != this->starts.end() && start->second.inFlight;
+    if (startInFlight || task.startMayArriveLate) {
+        return true;
+    }
+    if (task.phase == TaskPhase::Recording || task.phase == TaskPhase::Starting) {
+        return false;
+    }
+    // The reply to a start names no incarnation. It is that of the one that the start was for, if
+    // that was known; a former coordinator may have been of a version that did not name it.
+    const bool takenByItsIncarnation = task.startTaken && task.workerIncarnationStartMs != 0 &&
+                                       task.phase != TaskPhase::Unconfirmed;
+    return !task.listed && !takenByItsIncarnation;
+}
+
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
 {
     this->observer.workerRestarted(worker, incarnationStartMs);
@@ -703,14 +720,10 @@
             continue;
         }
         Task &task = *job->task(ref);
-        const auto start = this->starts.find(ref);
-        const bool startInFlight = start != this->starts.end() && start->second.inFlight;
-        // The new incarnation may have accepted the start before its restart was noticed; the reply
-        // to a start does not name the incarnation.
-        const bool maybeAccepted = task.phase != TaskPhase::Recording && !task.listed;
-        // A start that the new incarnation may still carry out has to be stopped there first.
-        if (startInFlight || task.startMayArriveLate || maybeAccepted) {
+        if (this->mayBeginOnNextIncarnation(ref, task)) {
             this->stopDelayedRun(ref, task, now);
+        } else if (task.phase != TaskPhase::Starting && task.startTaken && !task.listed) {
+            this->stopEndedRun(ref, task, now);
         } else if (task.phase != TaskPhase::Recording) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         }
@@ -718,6 +731,33 @@
     this->giveUp(toGiveUp, now);
 }
 
+void Coordinator::stopEndedRun(const TaskRef &ref, Task &task, Instant now)
+{
+    const auto stop = this->stops.find(ref);
+    const bool isAwaited = stop != this->stops.end() && stop->second.returnAt != Instant();
+    const Instant returnAt = isAwaited ? stop->second.returnAt : now + nextReportTime;
+    this->stopTask(ref, task, now);
+    this->stops[ref].returnAt = returnAt;
+}
+
+void Coordinator::returnEndedRuns(Instant now)
+{
+    std::vector<TaskRef> due;
+    for (const auto &[ref, stop] : this->stops) {
+        if (stop.returnAt != Instant() && now >= stop.returnAt) {
+            due.push_back(ref);
+        }
+    }
+    for (const TaskRef &ref : due) {
+        Job *job = this->table.find(ref.job);
+        Task *task = job ? job->task(ref) : nullptr;
+        // Another member of its gang may have been returned before.
+        if (task && this->stops.contains(ref) && !task->listed) {
+            this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
+        }
+    }
+}
+
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
 {
     const std::map<TaskRef, Job *> placed = worker.tasks;
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -161,6 +161,10 @@
     static constexpr std::size_t failuresToEject = 3;
     /** Least time between two ticks that send orders; short compared to every retry and hold. */
     static constexpr Duration tickGap{8};
+    /** Time for which a worker's next incarnation is awaited to confirm that a run, which no report
+     * listed, ended with the former one: two holds of one that replies. Started again sooner, a
+     * task would meet more restarts in a series of them, and each counts as a crash under it. */
+    static constexpr Duration nextReportTime = holdWait * 2;
     /** Time without progress after which a task counts as stalled; a tenth of its estimated run
      * time is added. */
     static constexpr Duration stallTime{2500};
@@ -353,6 +357,9 @@
         bool inFlight = false;
         bool acknowledged = false;
         Instant acknowledgedAt;
+        /** Of a stop: when the task is returned unless a report has listed the run; unset: not
+         * before it is settled. */
+        Instant returnAt;
     };
 
     /** A run that a worker lists and no record places there; a delayed order started it. */
@@ -474,6 +481,13 @@
     void returnLapsedTasks(WorkerState &worker, Instant now);
     /** Discards a worker that is not listed and runs nothing. */
     void discardWorker(const std::string &id);
+    /** Returns whether the task's run may begin on an incarnation of its worker after the one that
+     * it is placed on. */
+    bool mayBeginOnNextIncarnation(const TaskRef &ref, const Task &task) const;
+    /** Has the next incarnation of its worker confirm that a run has ended with the former one. */
+    void stopEndedRun(const TaskRef &ref, Task &task, Instant now);
+    /** Returns such tasks whose worker's next incarnation has not replied in time. */
+    void returnEndedRuns(Instant now);
     /** Applies a restart of the worker: sets its tasks back to waiting, or stops those that the new
      * incarnation may still start. */
     void applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -455,6 +455,7 @@
     }
     this->tickedAt = now;
     this->retryOrders(now, mayRenew);
+    this->returnEndedRuns(now);
     this->recordConfirmations(now);
     if (now >= this->movedAt + moveGap) {
         this->movedAt = now;
--- a/tests/jobs/test_incarnations.cpp
+++ b/tests/jobs/test_incarnations.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::int64_t delayMs = WorkerState::longestOrderDelay.count();
 constexpr std::int64_t leaseMs = 6000;
+/** Time for which a job may have nothing running while a task could run; set by the platform. */
+constexpr std::int64_t longestIdleMs = 3000;
 
 WorkerEntry bornAt(const std::string &id, std::int64_t startedMs)
 {
@@ -279,6 +281,149 @@
     EXPECT_EQ(world.task(id).worker, "");
 }
 
+/** Replies to the tries of a start, of which no report lists the run, before the worker restarts.
+ */
+struct RestartCase
+{
+    const char *name;
+    std::vector<OrderOutcome> replies;
+    bool inFlight;          ///< One try more awaits its reply.
+    std::int64_t startedMs; ///< Of the incarnation that the start was for; 0: not known.
+    bool mayBeginLater;     ///< A try may begin the run on the next incarnation.
+};
+
+class StartBeforeARestartTest : public testing::TestWithParam<RestartCase>
+{};
+
+// LOST, TWICE. A worker had accepted a start whose run no report listed yet, or that was never
+// sent, and restarted: the task waited for 18 s where the next incarnation was not reached.
+TEST_P(StartBeforeARestartTest, IsWaitedForOnlyIfTheNextIncarnationMayCarryItOut)
+{
+    const RestartCase &given = GetParam();
+    for (const bool longRunning : {false, true}) {
+        CoordinatorWorld world;
+        world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+        world.coordinator.setWorker(bornAt("w1", given.startedMs), Instant(1000));
+        world.reply(lostWorker, 1000, 100, {}, given.startedMs);
+        const JobId id = world.submit(oneTask(longRunning), 1000);
+        world.commit(1010);
+        std::int64_t at = 1010;
+        for (const OrderOutcome reply : given.replies) {
+            ASSERT_EQ(world.orders.starts.size(), 1U);
+            EXPECT_EQ(world.orders.starts[0].target.incarnationStartMs, given.startedMs);
+            world.orders.starts.clear();
+            at += 10;
+            world.coordinator.startAnswered(lostWorker, TaskRef{id, 0, 0, 0}, 1, Instant(at),
+                                            reply);
+            if (reply != OrderOutcome::Accepted) {
+                at += Coordinator::orderRetry.count();
+                world.tick(at);
+            }
+        }
+        ASSERT_EQ(world.orders.starts.size(), given.inFlight ? 1U : 0U);
+        world.orders.starts.clear();
+        const std::int64_t restartedAt = at + 100;
+        if (given.startedMs == 0) {
+            // The incarnation becomes known with its first report after the start.
+            world.coordinator.setWorker(bornAt("w1", 900), Instant(at));
+        }
+        world.coordinator.setWorker(bornAt("w1", restartedAt - 10), Instant(restartedAt));
+        world.runWithoutReplies(restartedAt, restartedAt + longestIdleMs);
+        if (!given.mayBeginLater) {
+            EXPECT_EQ(world.task(id).worker, "") << longRunning;
+            continue;
+        }
+        const std::int64_t lapse = restartedAt + delayMs + leaseMs;
+        world.runWithoutReplies(restartedAt + longestIdleMs + 10, lapse);
+        EXPECT_EQ(world.task(id).worker, "w1") << longRunning;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Replies, StartBeforeARestartTest,
+    testing::Values(
+        RestartCase{"Accepted", {OrderOutcome::Accepted}, false, 900, false},
+        RestartCase{"NotSentThenAccepted",
+                    {OrderOutcome::NotSent, OrderOutcome::Accepted},
+                    false,
+                    900,
+                    false},
+        RestartCase{"UnansweredThenAccepted",
+                    {OrderOutcome::Unanswered, OrderOutcome::Accepted},
+                    false,
+                    900,
+                    true},
+        RestartCase{"AcceptedByAnUnknownIncarnation", {OrderOutcome::Accepted}, false, 0, true},
+        RestartCase{"InFlight", {}, true, 900, true},
+        RestartCase{"InFlightAfterNotSent", {OrderOutcome::NotSent}, true, 900, true},
+        RestartCase{"InFlightAfterUnanswered", {OrderOutcome::Unanswered}, true, 900, true}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// LOST. As above, with a start that reached no incarnation and waits for its next try.
+TEST(IncarnationTest, StartThatWasNotSentIsNotWaitedForAfterARestart)
+{
+    CoordinatorWorld world;
+    world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
+    world.coordinator.setWorker(bornAt("w1", 900), Instant(1000));
+    world.reply(lostWorker, 1000, 100, {}, 900);
+    const JobId id = world.submit(oneTask(false), 1000);
+    world.commit(1010);
+    world.orders.starts.clear();
+    world.coordinator.startAnswered(lostWorker, TaskRef{id, 0, 0, 0}, 1, Instant(1020),
+                                    OrderOutcome::NotSent);
+    ASSERT_EQ(world.task(id).phase, TaskPhase::Starting);
+    world.coordinator.setWorker(bornAt("w1", 1090), Instant(1100));
+    EXPECT_EQ(world.task(id).worker, "");
+    EXPECT_TRUE(world.orders.stops.empty());
+}
+
+class RestartBehindACutTest : public testing::TestWithParam<std::uint64_t>
+{};
+
+// LOST. As above, over a whole schedule: short-lived tasks whose worker crashes before a report has
+// listed them, restarts and is cut off had no run for 18 s.
+TEST_P(RestartBehindACutTest, TasksThatNoReportListedRunAgainWithinTheIdleTime)
+{
+    constexpr std::int64_t cutMs = 30000;
+    constexpr std::int64_t downMs = 300;
+    constexpr std::uint32_t workMs = 4000;
+    JobSimulation simulation(GetParam(), FaultRates());
+    simulation.makeHoldsWait();
+    simulation.run(3000);
+    std::vector<TaskRef> tasks;
+    for (int count = 0; count < 4; ++count) {
+        tasks.push_back(TaskRef{simulation.submit({stepOf(1, workMs)}), 0, 0, 0});
+    }
+    simulation.run(100);
+    std::set<std::size_t> workers;
+    for (const TaskRef &task : tasks) {
+        const auto runs = simulation.ledger().running.find(task);
+        ASSERT_TRUE(runs != simulation.ledger().running.end() && runs->second.size() == 1);
+        workers.insert(std::stoul(runs->second.begin()->first.substr(1)));
+    }
+    for (const std::size_t worker : workers) {
+        simulation.crashWorker(worker, downMs);
+        simulation.cutWorker(worker, cutMs);
+    }
+    // Enough workers are left for all of them.
+    for (std::size_t count = 0; count < workers.size(); ++count) {
+        simulation.addWorker();
+    }
+    simulation.run(downMs + longestIdleMs);
+    for (const TaskRef &task : tasks) {
+        const auto runs = simulation.ledger().running.find(task);
+        EXPECT_TRUE(runs != simulation.ledger().running.end() && !runs->second.empty())
+            << task.job.value();
+    }
+    simulation.run(cutMs);
+    for (const TaskRef &task : tasks) {
+        EXPECT_EQ(simulation.shown(task.job), jobs::COMPLETED);
+    }
+    EXPECT_EQ(simulation.ledger().broken, std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RestartBehindACutTest, testing::Values(1, 2, 3, 4));
+
 // Trace. Tasks of a step of which none was ever placed are delayed as well.
 TEST(KnownRed, NamesATaskThatWasNeverPlaced)
 {
