Wait for the former leases only where a record confirms a run

Callers saw a long-running task wait for 18 s from a takeover: its worker had restarted and was not reached, though a record said that the former incarnation had taken the start and that no try of it was left.

Cause: applyRestart and stopRunsOfEarlierIncarnations stopped each such task as one that a delayed start may still begin. A confirmed run ended with its incarnation. After a takeover the entry in the registry may be older than the record, where a clock was set back, so the run counts until the former owner's leases have lapsed, as on any worker that is lost, and is stopped as before.

Before, ConfirmedTaskOfARestartedWorkerWaitsForFormerLeasesOnly (known red) and ConfirmedTaskOfAnEarlierIncarnationWaitsForFormerLeasesOnly failed.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -702,9 +702,8 @@
         return false;
     }
     // The reply to a start names no incarnation. It is that of the one that the start was for, if
-    // that was known; a former coordinator may have been of a version that did not name it.
-    const bool takenByItsIncarnation = task.startTaken && task.workerIncarnationStartMs != 0 &&
-                                       task.phase != TaskPhase::Unconfirmed;
+    // that was known.
+    const bool takenByItsIncarnation = task.startTaken && task.workerIncarnationStartMs != 0;
     return !task.listed && !takenByItsIncarnation;
 }
 
@@ -713,6 +712,7 @@
     this->observer.workerRestarted(worker, incarnationStartMs);
     this->removeUnlistedOrphans(worker, {});
     const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
+    const Instant formerLapse = worker.lapsesAt(this->bounds);
     worker.beginIncarnation(incarnationStartMs, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
@@ -722,10 +722,15 @@
         Task &task = *job->task(ref);
         if (this->mayBeginOnNextIncarnation(ref, task)) {
             this->stopDelayedRun(ref, task, now);
-        } else if (task.phase != TaskPhase::Starting && task.startTaken && !task.listed) {
-            this->stopEndedRun(ref, task, now);
-        } else if (task.phase != TaskPhase::Recording) {
+        } else if (task.listed || task.phase == TaskPhase::Starting) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
+        } else if (task.phase != TaskPhase::Recording && task.placedEpoch != this->epoch) {
+            // The entry may be of an earlier incarnation than the record, as clocks may be set
+            // back.
+            task.delayedRunLapses = std::max(task.delayedRunLapses, formerLapse);
+            this->stopTask(ref, task, now);
+        } else if (task.phase != TaskPhase::Recording) {
+            this->stopEndedRun(ref, task, now);
         }
     }
     this->giveUp(toGiveUp, now);
@@ -765,6 +770,10 @@
         Task &task = *job->task(ref);
         if (task.workerIncarnationStartMs != 0 &&
             task.workerIncarnationStartMs != worker.entry.incarnationStartMs) {
+            if (!this->mayBeginOnNextIncarnation(ref, task)) {
+                this->stopTask(ref, task, now);
+                continue;
+            }
             if (task.startMayArriveLate) {
                 // Its lease end, on the former clock, prolongs all that runs on the newest
                 // incarnation, and so do those of later epochs' holds.
--- a/tests/jobs/test_incarnations.cpp
+++ b/tests/jobs/test_incarnations.cpp
@@ -269,18 +269,44 @@
 }
 
 // LOST. After a takeover the registry shows that the worker has restarted and then it is lost: a
-// confirmed run lasts no longer than the former owner's leases, here until 7700.
-TEST(KnownRed, ConfirmedTaskOfARestartedWorkerWaitsForFormerLeasesOnly)
+// confirmed run lasts no longer than the former owner's leases, here until 7700. TWICE. It may last
+// until then, as the entry may be older than the record where a clock was set back.
+TEST(IncarnationTest, ConfirmedTaskOfARestartedWorkerWaitsForFormerLeasesOnly)
 {
     CoordinatorWorld world;
     const JobId id = world.submit(oneTask(true), 1000);
     placedOn(world, id, lostWorker, true, 900, 1000);
     world.coordinator.begin(2, Instant(1000), 1000, Instant(7700));
     world.coordinator.setWorker(bornAt("w1", 2000), Instant(2100));
-    world.runWithoutReplies(2110, 1000 + 9000);
+    world.runWithoutReplies(2110, 7700);
+    EXPECT_EQ(world.task(id).worker, "w1");
+    world.runWithoutReplies(7710, 1000 + 9000);
     EXPECT_EQ(world.task(id).worker, "");
 }
 
+// LOST, TWICE. The same where the records name two incarnations, and the registry a third one or
+// none.
+TEST(IncarnationTest, ConfirmedTaskOfAnEarlierIncarnationWaitsForFormerLeasesOnly)
+{
+    for (const bool restarted : {false, true}) {
+        CoordinatorWorld world;
+        const JobId earlier = world.submit(oneTask(true), 1000);
+        const JobId newest = world.submit(oneTask(true), 1000);
+        placedOn(world, earlier, lostWorker, true, 900, 1000);
+        placedOn(world, newest, lostWorker, true, 950, 1000);
+        world.coordinator.begin(2, Instant(1000), 1000, Instant(7700));
+        if (restarted) {
+            world.coordinator.setWorker(bornAt("w1", 2000), Instant(2100));
+        }
+        world.runWithoutReplies(2110, 7700);
+        EXPECT_EQ(world.task(earlier).worker, "w1") << restarted;
+        EXPECT_EQ(world.task(newest).worker, "w1") << restarted;
+        world.runWithoutReplies(7710, 1000 + 9000);
+        EXPECT_EQ(world.task(earlier).worker, "") << restarted;
+        EXPECT_EQ(world.task(newest).worker, "") << restarted;
+    }
+}
+
 /** Replies to the tries of a start, of which no report lists the run, before the worker restarts.
  */
 struct RestartCase
