--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -760,11 +760,28 @@
     this->giveUp(toGiveUp, now);
 }
 
+bool Coordinator::mayBeginOnNextIncarnation(const TaskRef &ref, const Task &task) const
+{
+    const auto start = this->starts.find(ref);
+    const bool startInFlight = start != this->starts.end() && start->second.inFlight;
+    if (startInFlight || task.startMayArriveLate) {
+        return true;
+    }
+    if (task.phase == TaskPhase::Recording || task.phase == TaskPhase::Starting) {
+        return false;
+    }
+    // The reply to a start names no incarnation. It is that of the one that the start was for, if
+    // that was known.
+    const bool takenByItsIncarnation = task.startTaken && task.workerIncarnationStartMs != 0;
+    return !task.listed && !takenByItsIncarnation;
+}
+
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
 {
     this->observer.workerRestarted(worker, incarnationStartMs);
     this->removeUnlistedOrphans(worker, {});
     const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
+    const Instant formerLapse = worker.lapsesAt(this->bounds);
     worker.beginIncarnation(incarnationStartMs, now);
     const std::map<TaskRef, Job *> placed = worker.tasks;
     for (const auto &[ref, job] : placed) {
@@ -772,21 +789,49 @@
             continue;
         }
         Task &task = *job->task(ref);
-        const auto start = this->starts.find(ref);
-        const bool startInFlight = start != this->starts.end() && start->second.inFlight;
-        // The new incarnation may have accepted the start before its restart was noticed; the reply
-        // to a start does not name the incarnation.
-        const bool maybeAccepted = task.phase != TaskPhase::Recording && !task.listed;
-        // A start that the new incarnation may still carry out has to be stopped there first.
-        if (startInFlight || task.startMayArriveLate || maybeAccepted) {
+        if (this->mayBeginOnNextIncarnation(ref, task)) {
             this->stopDelayedRun(ref, task, now);
-        } else if (task.phase != TaskPhase::Recording) {
+        } else if (task.listed || task.phase == TaskPhase::Starting) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
+        } else if (task.phase != TaskPhase::Recording && task.placedEpoch != this->epoch) {
+            // The entry may be of an earlier incarnation than the record, as clocks may be set
+            // back.
+            task.delayedRunLapses = std::max(task.delayedRunLapses, formerLapse);
+            this->stopTask(ref, task, now);
+        } else if (task.phase != TaskPhase::Recording) {
+            this->stopEndedRun(ref, task, now);
         }
     }
     this->giveUp(toGiveUp, now);
 }
 
+void Coordinator::stopEndedRun(const TaskRef &ref, Task &task, Instant now)
+{
+    const auto stop = this->stops.find(ref);
+    const bool isAwaited = stop != this->stops.end() && stop->second.returnAt != Instant();
+    const Instant returnAt = isAwaited ? stop->second.returnAt : now + nextReportTime;
+    this->stopTask(ref, task, now);
+    this->stops[ref].returnAt = returnAt;
+}
+
+void Coordinator::returnEndedRuns(Instant now)
+{
+    std::vector<TaskRef> due;
+    for (const auto &[ref, stop] : this->stops) {
+        if (stop.returnAt != Instant() && now >= stop.returnAt) {
+            due.push_back(ref);
+        }
+    }
+    for (const TaskRef &ref : due) {
+        Job *job = this->table.find(ref.job);
+        Task *task = job ? job->task(ref) : nullptr;
+        // Another member of its gang may have been returned before.
+        if (task && this->stops.contains(ref) && !task->listed) {
+            this->returnTask(*job, ref, *task, RunOutcome::WorkerGone, now);
+        }
+    }
+}
+
 void Coordinator::stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now)
 {
     const std::map<TaskRef, Job *> placed = worker.tasks;
@@ -794,6 +839,10 @@
         Task &task = *job->task(ref);
         if (task.workerIncarnationStartMs != 0 &&
             task.workerIncarnationStartMs != worker.entry.incarnationStartMs) {
+            if (!this->mayBeginOnNextIncarnation(ref, task)) {
+                this->stopTask(ref, task, now);
+                continue;
+            }
             if (task.startMayArriveLate) {
                 // Its lease end, on the former clock, prolongs all that runs on the newest
                 // incarnation, and so do those of later epochs' holds.
