--- a/tests/jobs/faultschedule.cpp
+++ b/tests/jobs/faultschedule.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <set>
 
+#include "idlejobwatch.h"
 #include "longrunningwatch.h"
 
 namespace godwitfall::jobtests {
@@ -17,10 +18,13 @@
 constexpr std::int64_t warmUpMs = 1500;
 /** Calm that follows a schedule; no run of a task is due later. */
 constexpr std::int64_t calmMs = 30000;
+/** The same once all jobs are done: delayed orders have been carried out by then. */
+constexpr std::int64_t shortestCalmMs = 14000;
 constexpr std::int64_t shortLivedGapMs = 700;
 /** Time between two submissions of long-running jobs before the calm. */
 constexpr std::int64_t longRunningGapMs = 1100;
 constexpr std::int64_t checkGapMs = 50;
+constexpr int restartsInSeries = 3;
 /** From a request to evacuate a zone until no start reaches its workers. */
 constexpr Duration evacuationTime{5000};
 /** Runs until the end of any schedule. */
@@ -57,8 +61,10 @@
             this->simulation.addWorker();
         }
         this->simulation.run(warmUpMs);
-        this->submitLongRunning(4);
-        this->submitLongRunning(1);
+        if (!this->schedule.shortLivedOnly) {
+            this->submitLongRunning(4);
+            this->submitLongRunning(1);
+        }
         this->simulation.run(warmUpMs);
         this->beginMs = this->simulation.now();
         std::vector<Fault> faults = this->schedule.faults;
@@ -79,7 +85,9 @@
         }
         this->playUntil(this->calmFromMs + calmMs);
         std::vector<std::string> violations = this->simulation.ledger().broken;
-        const std::vector<std::string> late = this->watch.lateTasks(this->beginMs);
+        const std::vector<std::string> late = this->schedule.shortLivedOnly
+                                                  ? this->idleJobs.idleJobs(this->beginMs)
+                                                  : this->watch.lateTasks(this->beginMs);
         violations.insert(violations.end(), late.begin(), late.end());
         return violations;
     }
@@ -93,34 +101,59 @@
         }
     }
 
+    void submitShortLived()
+    {
+        constexpr std::uint32_t bestEffortEach = 4;
+        if (!this->schedule.shortLivedOnly || ++this->shortLivedJobs % 2 != 0) {
+            this->simulation.submit({stepOf(2, 400), stepOf(1, 900, {0})});
+            return;
+        }
+        std::vector<jobs::StepSpec> longer = {stepOf(3, 2500), stepOf(2, 600, {0})};
+        for (jobs::StepSpec &step : longer) {
+            step.set_fills(this->shortLivedJobs % bestEffortEach == 0);
+        }
+        this->simulation.submit(longer);
+    }
+
     void playUntil(std::int64_t untilMs)
     {
         while (this->simulation.now() < untilMs) {
             const std::int64_t now = this->simulation.now();
-            if (now >= this->shortLivedAtMs) {
+            const bool ended = this->schedule.shortLivedOnly && now >= this->calmFromMs;
+            if (ended && now >= this->calmFromMs + shortestCalmMs && this->idleJobs.allDone()) {
+                return;
+            }
+            if (!ended && now >= this->shortLivedAtMs) {
                 this->shortLivedAtMs = now + shortLivedGapMs;
-                this->simulation.submit({stepOf(2, 400), stepOf(1, 900, {0})});
+                this->submitShortLived();
             }
-            if (now >= this->longRunningAtMs && now < this->calmFromMs) {
+            if (!this->schedule.shortLivedOnly && now >= this->longRunningAtMs &&
+                now < this->calmFromMs) {
                 this->longRunningAtMs = now + longRunningGapMs;
                 this->submitLongRunning(1);
             }
             this->simulation.run(std::min(checkGapMs, untilMs - now));
-            this->watch.check(this->beginMs, this->calmFromMs);
+            if (this->schedule.shortLivedOnly) {
+                this->idleJobs.check(this->beginMs, this->calmFromMs);
+            } else {
+                this->watch.check(this->beginMs, this->calmFromMs);
+            }
         }
     }
 
-    /** Returns the workers that run long-running tasks, or all that are up if none does, and then
-     * those that earlier faults hit. */
+    /** Returns the workers that run watched tasks, or all that are up if none does, and then those
+     * that earlier faults hit. */
     std::vector<std::size_t> targets() const
     {
         std::set<std::size_t> result;
-        for (const TaskRef &ref : this->watch.tasks()) {
-            const auto found = this->simulation.ledger().running.find(ref);
-            if (found != this->simulation.ledger().running.end()) {
-                for (const auto &[worker, run] : found->second) {
-                    result.insert(std::stoul(worker.substr(1)));
-                }
+        const std::vector<TaskRef> longRunning = this->watch.tasks();
+        for (const auto &[ref, runs] : this->simulation.ledger().running) {
+            if (!this->schedule.shortLivedOnly &&
+                std::find(longRunning.begin(), longRunning.end(), ref) == longRunning.end()) {
+                continue;
+            }
+            for (const auto &[worker, run] : runs) {
+                result.insert(std::stoul(worker.substr(1)));
             }
         }
         for (std::size_t index = 0; index < this->simulation.workersEver() && result.empty();
@@ -172,6 +205,17 @@
         case FaultKind::WorkerCut:
             this->simulation.cutWorker(worker, fault.lengthMs);
             break;
+        case FaultKind::WorkerRestartedInSeries:
+            this->simulation.crashWorkerInSeries(worker, restartsInSeries,
+                                                 fault.lengthMs / restartsInSeries,
+                                                 fault.lengthMs / restartsInSeries / 2);
+            break;
+        case FaultKind::WorkerRestartedBehindCuts:
+            this->simulation.restartWorkerBehindCuts(worker, fault.lengthMs);
+            break;
+        case FaultKind::InstancesKilled:
+            this->simulation.killInstances(fault.lengthMs);
+            break;
         case FaultKind::OrdersLost:
             this->simulation.disturbOrders(worker, OrderDisturbance::Lost, fault.lengthMs);
             break;
@@ -197,18 +241,32 @@
     std::int64_t shortLivedAtMs = 0;
     std::int64_t longRunningAtMs = 0;
     std::vector<std::size_t> hitWorkers; ///< By earlier faults.
+    std::uint32_t shortLivedJobs = 0;
     LongRunningWatch watch{this->simulation};
+    IdleJobWatch idleJobs{this->simulation};
 };
 
 } // namespace
 
 std::ostream &operator<<(std::ostream &stream, const Fault &fault)
 {
-    constexpr std::array<const char *, 14> names = {
-        "OwnerLost",           "WorkerLost",           "OwnerKilled",    "OwnerFrozen",
-        "OwnerCutFromStore",   "OwnerReadsStalled",    "WorkerReplaced", "WorkerRestarted",
-        "WorkerCut",           "OrdersLost",           "OrdersDelayed",  "ZoneEvacuated",
-        "RequestReadsStalled", "RequestHistoryDropped"};
+    constexpr std::array<const char *, 17> names = {"OwnerLost",
+                                                    "WorkerLost",
+                                                    "OwnerKilled",
+                                                    "OwnerFrozen",
+                                                    "OwnerCutFromStore",
+                                                    "OwnerReadsStalled",
+                                                    "WorkerReplaced",
+                                                    "WorkerRestarted",
+                                                    "WorkerCut",
+                                                    "WorkerRestartedInSeries",
+                                                    "WorkerRestartedBehindCuts",
+                                                    "OrdersLost",
+                                                    "OrdersDelayed",
+                                                    "InstancesKilled",
+                                                    "ZoneEvacuated",
+                                                    "RequestReadsStalled",
+                                                    "RequestHistoryDropped"};
     return stream << "Fault{FaultKind::" << names.at(static_cast<std::size_t>(fault.kind)) << ", "
                   << fault.atMs << ", " << fault.lengthMs << ", " << fault.target << "}";
 }
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t zoneCount = 2;
 /** Time between two checks of the jobs that are shown as failed. */
 constexpr std::int64_t failedCheckMs = 100;
+/** By TaskPhase. */
+constexpr std::array<const char *, 7> phaseNames = {
+    "waiting", "recording", "starting", "running", "stopping", "unconfirmed", "done"};
 
 } // namespace
 
@@ -926,10 +929,43 @@
     return found == this->acceptedAtMs.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::string JobSimulation::ownerView(const JobId &id)
+{
+    const Instance *instance = this->owner();
+    if (!instance) {
+        return "no coordinator";
+    }
+    Job *job = instance->node->jobs().find(id);
+    if (!job) {
+        return instance->name + ": not known";
+    }
+    std::string text = instance->name + ":";
+    for (const auto &[key, run] : job->stepRuns()) {
+        for (std::uint32_t index = 0; index < run.tasks.size(); ++index) {
+            const Task &task = run.tasks[index];
+            if (task.phase != TaskPhase::Done) {
+                text += " " + std::to_string(run.step) + "." + std::to_string(index) + " " +
+                        phaseNames.at(static_cast<std::size_t>(task.phase)) +
+                        (task.worker.empty() ? "" : " on " + task.worker) + " run " +
+                        std::to_string(task.run) + ",";
+            }
+        }
+    }
+    const Instant now(this->nowMs);
+    Coordinator &coordinator = instance->node->coordination();
+    for (const IdleJob &idle : coordinator.idleJobs(now)) {
+        if (idle.job == id) {
+            text += " " + std::string(toText(idle.first.reason));
+            return idle.first.reason == DelayReason::NoWorker
+                       ? text + " " + toText(coordinator.obstacleFor(idle.first.task, now))
+                       : text;
+        }
+    }
+    return text;
+}
+
 std::string JobSimulation::ownerView(const TaskRef &task)
 {
-    constexpr std::array<const char *, 7> phases = {
-        "waiting", "recording", "starting", "running", "stopping", "unconfirmed", "done"};
     const Instance *instance = this->owner();
     if (!instance) {
         return "no coordinator";
@@ -940,7 +976,7 @@
     if (!state) {
         return text + "not known";
     }
-    text += phases.at(static_cast<std::size_t>(state->phase));
+    text += phaseNames.at(static_cast<std::size_t>(state->phase));
     if (!state->worker.empty()) {
         text += " on " + state->worker;
     }
@@ -1072,6 +1108,36 @@
     });
 }
 
+void JobSimulation::crashWorkerInSeries(std::size_t index, int times, std::int64_t gapMs,
+                                        std::int64_t downMs)
+{
+    this->crashWorker(index, downMs);
+    if (times > 1) {
+        this->after(gapMs, [this, index, times, gapMs, downMs] {
+            this->crashWorkerInSeries(index, times - 1, gapMs, downMs);
+        });
+    }
+}
+
+void JobSimulation::restartWorkerBehindCuts(std::size_t index, std::int64_t milliseconds)
+{
+    const std::int64_t fifth = milliseconds / 5;
+    this->cutWorker(index, fifth * 2);
+    this->after(fifth, [this, index, fifth] { this->crashWorker(index, fifth / 2); });
+    this->after(fifth * 3, [this, index, fifth] { this->cutWorker(index, fifth * 2); });
+}
+
+void JobSimulation::killInstances(std::int64_t downMs)
+{
+    for (const auto &instance : this->instances) {
+        if (instance->node) {
+            ++instance->incarnation;
+            instance->node.reset();
+            instance->downUntil = this->nowMs + downMs;
+        }
+    }
+}
+
 void JobSimulation::replaceWorker(std::size_t index, std::int64_t afterMs)
 {
     this->loseWorker(index);
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -215,6 +215,17 @@
      * listedAfterMs later. */
     void crashWorker(std::size_t index, std::int64_t downMs, std::int64_t listedAfterMs = 0);
 
+    /** Ends a worker and each of its next incarnations, which start after downMs, gapMs after the
+     * one before; so many times. */
+    void crashWorkerInSeries(std::size_t index, int times, std::int64_t gapMs, std::int64_t downMs);
+
+    /** Cuts off a worker twice, for two fifths of the time each with a fifth between; its next
+     * incarnation starts behind the first cut. */
+    void restartWorkerBehindCuts(std::size_t index, std::int64_t milliseconds);
+
+    /** Kills all instances, which start again after the time. */
+    void killInstances(std::int64_t downMs);
+
     /** Ends a worker for good and adds one with another id after the time. */
     void replaceWorker(std::size_t index, std::int64_t afterMs);
 
@@ -246,9 +257,14 @@
      * crashes, and reason of its delay; for traces. */
     std::string ownerView(const TaskRef &task);
 
+    /** Describes how it sees the tasks of an open job that are not done, and what the job waits for
+     * if nothing of it is at work; for traces. */
+    std::string ownerView(const JobId &id);
+
     const FleetLedger &ledger() const { return this->fleet; }
     std::size_t ownersNow() const;
     const std::vector<JobId> &accepted() const { return this->acceptedJobs; }
+    const jobs::JobSpec &specOf(const JobId &id) const { return this->specs.at(id); }
 
     /** Returns whether the run fails; unset: none does. */
     std::function<bool(const TaskRef &, std::uint32_t run)> fails;
