Keep what records say of silent workers within what is known

Until renewalTimeout after the takeover only those are listed that the former owner's record calls silent. WorkersThatHaveYetToReplyGetLeases fails before. - A former owner may send orders after its successor has begun: the age of the last order counts from then. - An owner that gives its term up and resumes it used the list of before the term. - A start that is in flight counts also when it is no longer kept as open (cancelled, restarted). - On a restart the lapse that was known before it counts as well, and the shorter bound only where the incarnation was known. - A later lapse in the record than the default counts.

silenceOf() gives nothing while orders of a former owner may come, as a record tells ages only.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -68,8 +68,9 @@
 
 void Coordinator::adoptSilence(WorkerState &worker, const SilentWorker &silence)
 {
-    worker.earlierLeasesLapse = std::min(worker.earlierLeasesLapse, silence.leasesLapse);
+    worker.earlierLeasesLapse = silence.leasesLapse;
     worker.formerOrdersUntil = std::min(worker.formerOrdersUntil, silence.lastOrderAt);
+    worker.adoptedSilent = true;
     for (const auto &[ref, job] : worker.tasks) {
         Task &task = *job->task(ref);
         if (task.startMayArriveLate) {
@@ -79,20 +80,19 @@
     }
 }
 
-SilentWorker Coordinator::silenceOf(const WorkerState &worker, Instant now) const
+std::optional<SilentWorker> Coordinator::silenceOf(const WorkerState &worker, Instant now) const
 {
-    const bool startInFlight =
-        std::any_of(this->starts.begin(), this->starts.end(), [&](const auto &entry) {
-            return entry.second.inFlight && entry.second.worker == worker.entry.id;
-        });
-    const bool inFlight = startInFlight || (worker.holdInFlight && worker.holdRenews);
     Instant leasesLapse = worker.lapsesAt(this->bounds);
     if (!worker.responded && worker.incarnation > 1) {
         // It may have taken starts for the incarnation before, if that was not known.
         leasesLapse = leasesLapse + this->longestLeasedRun() + this->bounds.longestLease -
                       this->leaseLength();
     }
-    return SilentWorker{leasesLapse, worker.lastOrderAt(inFlight, now)};
+    const Instant lastOrderAt = worker.lastUnansweredOrderAt(now);
+    if (lastOrderAt > now) {
+        return std::nullopt; // A record tells ages only.
+    }
+    return SilentWorker{leasesLapse, lastOrderAt};
 }
 
 SilentWorkers Coordinator::silentWorkers(Instant now) const
@@ -105,7 +105,9 @@
         if (worker->responded && now - worker->lastSeenAt <= PlacementPolicy::responseTimeout) {
             silent.erase(id);
         } else if (!worker->tasks.empty()) {
-            silent[id] = this->silenceOf(*worker, now);
+            if (const std::optional<SilentWorker> silence = this->silenceOf(*worker, now)) {
+                silent[id] = *silence;
+            }
         }
     }
     return silent;
@@ -113,15 +115,21 @@
 
 SilentWorkers Coordinator::announceSilent(Instant now)
 {
+    // Before, nearly all workers have yet to reply for the first time.
+    const bool firstReplies = now - this->begunAt < renewalTimeout;
     SilentWorkers silent;
     for (const auto &[id, worker] : this->workers) {
         const bool replies = worker->responded && now - worker->lastSeenAt < renewalTimeout;
-        if (!replies && !worker->tasks.empty()) {
-            silent[id] = this->silenceOf(*worker, now);
+        const bool counts = !firstReplies || worker->adoptedSilent || worker->responded;
+        const std::optional<SilentWorker> silence = replies || !counts || worker->tasks.empty()
+                                                        ? std::nullopt
+                                                        : this->silenceOf(*worker, now);
+        if (silence) {
+            silent[id] = *silence;
             worker->announcedSilent = true;
-            worker->announcedAgain = false;
+            worker->withdrawalInFlight = false;
         } else {
-            worker->announcedAgain = worker->announcedSilent;
+            worker->withdrawalInFlight = worker->announcedSilent;
         }
     }
     return silent;
@@ -130,7 +138,7 @@
 void Coordinator::silentAnnounced()
 {
     for (const auto &[id, worker] : this->workers) {
-        if (std::exchange(worker->announcedAgain, false)) {
+        if (std::exchange(worker->withdrawalInFlight, false)) {
             worker->announcedSilent = false;
             worker->holdDue = std::min(worker->holdDue, worker->lastSeenAt);
             this->planNeeded = true;
@@ -142,7 +150,7 @@
 {
     return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto &entry) {
         const WorkerState &worker = *entry.second;
-        return worker.announcedSilent && !worker.announcedAgain && worker.responded &&
+        return worker.announcedSilent && !worker.withdrawalInFlight && worker.responded &&
                now - worker.lastSeenAt < renewalTimeout;
     });
 }
@@ -242,7 +250,8 @@
                 worker = std::make_unique<WorkerState>(std::move(unknown));
                 worker->listed = false;
                 worker->earlierLeasesLapse = this->formerLeasesLapse;
-                worker->formerOrdersUntil = now;
+                worker->formerOrdersUntil =
+                    std::max(now, this->formerLeasesLapse - this->longestLeasedRun());
                 this->poolsStale = true;
             }
             if (task.startMayArriveLate) {
@@ -322,7 +331,8 @@
         worker = std::make_unique<WorkerState>(entry);
         worker->earlierLeasesLapse = this->formerLeasesLapse;
         // What was sent to it before is not known.
-        worker->formerOrdersUntil = now;
+        worker->formerOrdersUntil =
+            std::max(now, this->formerLeasesLapse - this->longestLeasedRun());
         worker->holdDue = now;
     }
     const std::int64_t previousStartMs = worker->entry.incarnationStartMs;
@@ -790,7 +800,7 @@
         }
         Task &task = *job->task(ref);
         if (this->mayBeginOnNextIncarnation(ref, task)) {
-            this->stopDelayedRun(ref, task, now);
+            this->stopDelayedRun(ref, task, now, formerLapse);
         } else if (task.listed || task.phase == TaskPhase::Starting) {
             this->returnTask(*job, ref, task, RunOutcome::WorkerGone, now);
         } else if (task.phase != TaskPhase::Recording && task.placedEpoch != this->epoch) {
@@ -851,7 +861,7 @@
                 worker.earlierLeasesLapse =
                     std::max(worker.earlierLeasesLapse, this->delayedRunLapsesAt(lastHoldAt));
             }
-            this->stopDelayedRun(ref, task, now);
+            this->stopDelayedRun(ref, task, now, Instant());
         }
     }
 }
@@ -862,14 +872,15 @@
            this->bounds.longestLease - this->leaseLength();
 }
 
-void Coordinator::stopDelayedRun(const TaskRef &ref, Task &task, Instant now)
+void Coordinator::stopDelayedRun(const TaskRef &ref, Task &task, Instant now, Instant formerLapse)
 {
     // Holds of any former epoch may be carried out late as well, and prolong the run's lease.
     task.delayedRunLapses = now + WorkerState::longestOrderDelay + this->bounds.longestLease;
-    if (const WorkerState *worker = this->findWorker(WorkerId(task.worker))) {
-        const Instant lastOrderAt = this->silenceOf(*worker, now).lastOrderAt;
-        task.delayedRunLapses =
-            std::min(task.delayedRunLapses, this->delayedRunLapsesAt(lastOrderAt));
+    const WorkerState *worker = this->findWorker(WorkerId(task.worker));
+    // Else the next incarnation may have accepted a start that had a reply.
+    if (worker && task.workerIncarnationStartMs != 0) {
+        const Instant delayed = this->delayedRunLapsesAt(worker->lastUnansweredOrderAt(now));
+        task.delayedRunLapses = std::max(formerLapse, std::min(task.delayedRunLapses, delayed));
     }
     this->stopTask(ref, task, now);
 }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -511,7 +511,7 @@
      * incarnation that nobody reaches. */
     Instant delayedRunLapsesAt(Instant lastOrderAt) const;
     /** Stops a run that a delayed order may start on a later incarnation of its worker. */
-    void stopDelayedRun(const TaskRef &ref, Task &task, Instant now);
+    void stopDelayedRun(const TaskRef &ref, Task &task, Instant now, Instant formerLapse);
     /** Stops tasks that were placed on an earlier incarnation than the newest one in records. */
     void stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now);
     /** Counts a job's failure on the worker; ejects the worker after failuresToEject jobs. */
@@ -678,8 +678,8 @@
     /** Takes over what the record of a former coordinator says of the worker. */
     void adoptSilence(WorkerState &worker, const SilentWorker &silence);
     /** Returns when the leases on the worker lapse, and its last order with a lease end, if it gets
-     * no more of them. */
-    SilentWorker silenceOf(const WorkerState &worker, Instant now) const;
+     * no more of them; nothing while a former coordinator may send some. */
+    std::optional<SilentWorker> silenceOf(const WorkerState &worker, Instant now) const;
     /** Returns whether the worker may get orders with a lease end. An order without a reply may
      * have been applied, so an unresponsive worker gets none and its leases certainly lapse. */
     static bool mayProlongLeases(const WorkerState &worker, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -73,6 +73,7 @@
         return;
     }
     ++worker->ordersInFlight;
+    ++worker->startsInFlight;
     open.inFlight = true;
     ++open.tries;
     StartOrder order;
@@ -146,6 +147,9 @@
                                 Instant now, OrderOutcome outcome)
 {
     this->noteOrderAnswered(id);
+    if (WorkerState *target = this->findWorker(id); target && target->startsInFlight > 0) {
+        --target->startsInFlight;
+    }
     if (this->startsAreLimited()) {
         // Tasks wait for this start to be settled.
         this->planNeeded = true;
--- a/src/libgodwitfall/jobs/jobnode.cpp
+++ b/src/libgodwitfall/jobs/jobnode.cpp
@@ -316,6 +316,8 @@
     }
     this->coordinator.begin(epoch, now, unixMs, formerLapse, this->formerSilent,
                             this->formerEpochs);
+    // Of another term, if this node gives this one up and resumes it.
+    this->formerSilent.clear();
     // The records so far do not list the workers that were silent before.
     this->ownershipWrittenAt = longAgo;
     this->host.ownershipGained(epoch);
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -64,10 +64,11 @@
     }
 }
 
-Instant WorkerState::lastOrderAt(bool inFlight, Instant now) const
+Instant WorkerState::lastUnansweredOrderAt(Instant now) const
 {
+    const bool inFlight = this->startsInFlight > 0 || (this->holdInFlight && this->holdRenews);
     const Instant own = inFlight ? now : this->unansweredUntil - longestOrderDelay;
-    return std::min(now, std::max(own, this->formerOrdersUntil));
+    return std::max(own, this->formerOrdersUntil);
 }
 
 void WorkerState::noteReply(Instant sentAt, Instant notBefore, Instant now)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -156,8 +156,8 @@
     bool noteNoReply(Instant sentAt);
 
     /** Returns the latest time at which an order with a lease end may have been sent that got no
-     * reply; inFlight: some await one. */
-    Instant lastOrderAt(bool inFlight, Instant now) const;
+     * reply, or none yet: those that had one have been carried out. */
+    Instant lastUnansweredOrderAt(Instant now) const;
 
     /** Records a sample of the worker's clock, in ms. */
     void sampleClock(std::int64_t clockMs, Instant receivedAt);
@@ -234,10 +234,13 @@
     Instant earlierLeasesLapse;    ///< When earlier leases lapse; counts until it responds.
     /** Until when former coordinators may have sent it orders with a lease end. */
     Instant formerOrdersUntil;
-    bool announcedSilent = false; ///< A record that may be stored says so; it gets no leases.
-    bool announcedAgain = false;  ///< A later record, which is in flight, does not say so.
+    bool adoptedSilent = false; ///< The former coordinator's last record calls it silent.
+    /** A record that may be stored calls it silent: it gets no orders with a lease end. */
+    bool announcedSilent = false;
+    bool withdrawalInFlight = false; ///< A later record, not stored yet, does not call it so.
 
     unsigned ordersInFlight = 0; ///< Starts and stops that await a reply.
+    unsigned startsInFlight = 0; ///< Of these, starts.
     bool holdInFlight = false;
     bool holdRenews = false; ///< The newest hold carries a lease end.
     Instant holdDue;
--- a/tests/jobs/test_silentworkers.cpp
+++ b/tests/jobs/test_silentworkers.cpp
@@ -100,6 +100,22 @@
     EXPECT_GT(holdAt(3430), 0);
 }
 
+// Guards against: after a takeover no worker gets a lease before two records are stored, as none of
+// them has replied yet, so that a slow store lets all runs lapse.
+TEST(AnnouncedSilenceTest, WorkersThatHaveYetToReplyGetLeases)
+{
+    CoordinatorWorld world;
+    const JobId id = world.submit(oneTask(true), 1000);
+    world.placedBefore(id, lostWorker, true, 1000, 0, 2);
+    world.coordinator.begin(3, Instant(20000), 20000, Instant(26000));
+    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(20000));
+    EXPECT_TRUE(world.coordinator.announceSilent(Instant(20010)).empty());
+    world.reply(lostWorker, 20100, 500, {TaskRef{id, 0, 0, 0}});
+    world.tick(20200);
+    ASSERT_FALSE(world.orders.holds.empty());
+    EXPECT_GT(world.orders.holds.back().leaseEndMs, 0);
+}
+
 class TakeoversAfterALossTest : public testing::TestWithParam<std::uint64_t>
 {};
 
