--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -528,7 +528,7 @@
         this->acknowledgeDirty = true;
     }
     // Until the record is durable, a hold would return at once with the same ends.
-    // The same while the record that it replies is not stored, as no hold may renew leases yet.
+    // No hold may renew leases either while the newest stored record calls the worker silent.
     const bool waits = owesAcknowledgement || worker->announcedSilent;
     worker->holdDue = now + (waits ? this->longestHold(now) : first ? Duration(0) : holdGap);
 }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -330,7 +330,7 @@
     std::vector<DelayedTask> delayedTasks(Instant now) const;
 
     /** Returns the open jobs of which nothing has been at work for delayToReport or longer though
-     * the turn of a task has come, by occurrence, without the obstacle; walks all open jobs. */
+     * the turn of a task has come, by occurrence; walks all open jobs. */
     std::vector<IdleJob> idleJobs(Instant now) const;
 
     /** Returns what keeps a waiting task from the workers; walks all workers of its service. */
--- a/src/libgodwitfall/jobs/coordinatorstatistics.h
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.h
@@ -84,7 +84,6 @@
     JobId job;
     Duration idle{0};  ///< Since a task of it was last seen at work, or the first one was due.
     DelayedTask first; ///< The first task whose turn has come, and what it waits for.
-    PlacementObstacle obstacle = PlacementObstacle::None; ///< If that task waits for a worker.
     std::uint32_t waiting = 0; ///< Tasks whose turn has come, by what they do.
     std::uint32_t placed = 0;
     std::uint32_t halted = 0;
