--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -221,6 +221,8 @@
         self.seq = 0
         self.life = 0
         self.late_holds = True
+        self.failing = False  # Fails all that it starts.
+        self.gone_at = None  # When it was lost for good.
 
     async def start(self, listed=True):
         await self.server.up()
@@ -243,6 +245,15 @@
         self.runs = {}
         await self.server.down()
 
+    def gone(self):
+        """Loses power for good: nobody gets an answer any more."""
+        self.tick()
+        self.silent, self.alive, self.gone_at = now_ms() + 10 ** 9, False, now_ms()
+        self.world.note("worker", self.id, "is lost for good with", len(self.runs), "runs")
+        for key in list(self.runs):
+            self.world.ended(self, key, self.runs[key], "lost")
+        self.runs = {}
+
     def clock(self):
         return now_ms() - self.zero
 
@@ -293,7 +304,7 @@
                 elif at >= gang["ends"]:
                     self.end(key, "done")
                 continue
-            if run["lasts"]:
+            if run["lasts"] and not run["fails"]:
                 continue
             if at >= run["ends"]:
                 self.end(key, "failed" if run["fails"] else "done")
@@ -495,6 +506,7 @@
         self.network = 100 + os.getpid() % 100
         self.store, self.workers, self.instances = Store(), [], []
         self.jobs, self.gangs = {}, {}
+        self.ended_at = {}
         self.live, self.noted, self.done, self.failed, self.voided = {}, {}, {}, {}, set()
         self.broken, self.late, self.version = [], False, 0
         self.closing = False
@@ -580,7 +592,9 @@
         if checkpoint and checkpoint not in known["saved"].get(task if not spec.get("gang") else task.rsplit(".", 1)[0], ()):
             self.broke("UNASKED", f"{task} starts with the checkpoint {checkpoint} of none of its runs")
         work = known["work"](task, run) if known.get("work") else spec.get("estimated_ms", 1000)
-        fails = known["fails"](task, run) if known.get("fails") else False
+        fails = worker.failing or (known["fails"](task, run) if known.get("fails") else False)
+        if worker.failing:
+            work = 50
         began = now_ms()
         state = {"began": began, "ends": began + work, "stop": None, "gang": None, "saved": "", "fails": fails, "late": self.late,
                  "lasts": spec.get("long_running", False), "cpu": spec.get("cpu", 0), "fills": spec.get("fills", False)}
@@ -597,6 +611,7 @@
         task, number = key
         self.note(worker.id, "ends", task, "run", number, how)
         self.live.get(task, set()).discard((worker.id, worker.life, number))
+        self.ended_at[task] = now_ms()
         if run["gang"] is not None and how != "done":
             run["gang"]["there"].discard(task)
             run["gang"]["broken"] = True
@@ -623,6 +638,9 @@
                 if worker.alive and now_ms() >= worker.beat_at:
                     worker.register()
                     worker.beat_at = now_ms() + 1500
+                if worker.gone_at and now_ms() >= worker.gone_at + 3 * 1500:
+                    worker.gone_at = None
+                    self.store.put("keyed.servers", worker.id, b"")  # After three heartbeats of silence.
             await asyncio.sleep(0.01)
 
     async def submit(self, instance, prefix, ident, body, service="svc", tries=5, others=None, **more):
