--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,27 +1,30 @@
-"""MIXED: machines in touch give 0 as `waiting` while accepted jobs wait of which no task has started."""
+"""LOST: tasks that last don't run, with room for them on a sound worker, long after it has stopped to fail its starts."""
 import asyncio
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from world import BOUNDS, HOST, Instance, Worker, World, call, now_ms  # noqa: E402
+from world import HOST, Instance, Worker, World, now_ms  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CUT_S = 5.5  # Of one worker of eight.
-JOBS = 12
+FAULT_S = 4.0
+JOBS = 10
+# From RULES.md, LOST: from 6 s after its last run, for 3 s, if these and the 4 s before them are calm.
+AFTER_RUN_MS, STANDS_MS, CALM_BEFORE_MS = 6000, 3000, 4000
 
 
 async def main():
     world = World(os.path.join(HERE, "record.txt"))
+    world.attempts = 3
     world.put_config(
-        [{"name": "r-plan", "host": HOST, "path_prefix": "/plan/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
-          "priority": 0, "service": "svc", "max_attempts": 2, "stretch": 2.0}],
+        [{"name": "r-watch", "host": HOST, "path_prefix": "/watch/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 2500,
+          "priority": 0, "service": "svc", "max_attempts": 3, "stretch": 2.2}],
         [{"name": "svc", "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": False, "enforces_capacity": True, "spare": False}])
     beat = asyncio.ensure_future(world.beat())
     try:
-        for number in range(8):
-            worker = Worker(world, number, zone=f"z{number % 3 + 1}")
+        for number in range(12):
+            worker = Worker(world, number, cpu=64000, mem=256000, zone=f"z{number % 3 + 1}", kind="a" if number else "b")
             world.workers.append(worker)
             await worker.start()
         for number in range(3):
@@ -29,48 +32,48 @@
             world.instances.append(instance)
             await instance.start()
         await asyncio.sleep(4)
-
-        async def hand_in(ident, cpu, length):
-            body = {"spec": "a plan", "steps": [{"count": 1, "cpu": cpu, "mem_mb": 256, "estimated_ms": length}]}
-            return await world.submit(world.instances[int(ident, 16) % 3], "/plan/", ident, body, others=world.instances)
-        # Seven workers have work for a minute, one is free.
-        await asyncio.gather(*[hand_in(f"{0xa0 + number:016x}", 16000, 60000) for number in range(7)])
-        await asyncio.sleep(2)
-        free = [worker for worker in world.workers if not worker.runs]
-        if len(free) != 1:
-            return 2
-        if TROUBLE:
-            free[0].silent = now_ms() + int(CUT_S * 1000)
-            world.note(free[0].id, "is cut off for", CUT_S, "s")
-        accepted = await asyncio.gather(*[hand_in(f"{0xb0 + number:016x}", 1000, 500) for number in range(JOBS)])
+        grey = world.workers[0]
+        grey.failing = TROUBLE
+        world.note(grey.id, "fails all that it starts" if TROUBLE else "is sound")
+        fault_end = now_ms() + int(FAULT_S * 1000)
+        body = {"spec": "a watch", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimated_ms": 400, "long_running": True, "requirements": "b"}]}
+        idents = [f"{0xd0 + number:016x}" for number in range(JOBS)]
+        accepted = await asyncio.gather(*[world.submit(world.instances[n % 3], "/watch/", ident, body, others=world.instances) for n, ident in enumerate(idents)])
         if not all(accepted):
             return 2
-        wrong = {}
-        answers = 0
-        until = now_ms() + 20000
+        if not TROUBLE:
+            fault_end = now_ms()
+        tasks = [ident + ".0.0.0" for ident in idents]
+        idle_since = {task: now_ms() for task in tasks}  # Since the end of the last run, or its acceptance.
+        broken, longest = {}, 0
+        until = now_ms() + 30000
         while now_ms() < until:
-            for instance in world.instances:
-                # Accepted over visible_ms + 2 s before, and no task of it has started.
-                old = now_ms() - BOUNDS["visible_ms"] - 2000
-                before = {ident for ident, job in world.jobs.items() if job["accepted"] and job["accepted"] < old}
-                status, answer = await call(instance.front, "GET", "/plan/")
-                begun = {task.split(".")[0] for task in world.live} | {task.split(".")[0] for task in world.done}
-                left = len(before - begun)
-                answers += status == 200
-                if status == 200 and answer["waiting"] * 2 < left:
-                    wrong.setdefault(instance.name, []).append((now_ms(), answer["waiting"], left))
-                    world.note("client: GET /plan/ at", instance.name, "->", status, answer, "though of", left, "jobs nothing has started")
-            if len(world.done) == JOBS:
-                break
+            if grey.failing and now_ms() >= fault_end:
+                grey.failing = False
+                world.note(grey.id, "is sound again")
+            at = now_ms()
+            room = grey.cpu - sum(run["cpu"] for run in grey.runs.values()) >= 2 * 1000
+            for task in tasks:
+                if world.live.get(task):
+                    idle_since[task] = None
+                    continue
+                if idle_since[task] is None or world.ended_at.get(task, 0) > idle_since[task]:
+                    idle_since[task] = world.ended_at.get(task, at)
+                idle = at - idle_since[task]
+                calm = at - STANDS_MS - CALM_BEFORE_MS >= fault_end
+                if room and calm and idle >= AFTER_RUN_MS + STANDS_MS:
+                    if task not in broken:
+                        world.note("LOST", task, "doesn't run,", idle, "ms after its last run,", at - fault_end, "ms after the fault")
+                    broken[task] = idle
+                    longest = max(longest, idle)
             await asyncio.sleep(0.05)
-        for name, seen in wrong.items():
-            print(f"{name}: {len(seen)} answers in {seen[-1][0] - seen[0][0]} ms with under half of the jobs that wait, such as {seen[0][1]} of {seen[0][2]}")
-        print(f"{answers} answers; {len(world.done)} of {JOBS} jobs done")
+        running = sum(1 for task in tasks if world.live.get(task))
+        print(f"{len(broken)} of {JOBS} tasks that last didn't run for up to {longest} ms after their last run, with room for them; {running} run now")
         for rule, text in world.broken:
             print(rule, text)
-        if wrong:
+        if broken:
             return 1
-        return 0 if len(world.done) == JOBS else 2
+        return 0 if running == JOBS else 2
     finally:
         beat.cancel()
         world.clean()
