--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,13 +5,13 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from world import HOST, Instance, Worker, World, now_ms  # noqa: E402
+from world import HOST, Instance, Worker, World, now_ms, run  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FAULT_S = 4.0
 JOBS = 10
-# From RULES.md, LOST: from 6 s after its last run, for 3 s, if these and the 4 s before them are calm.
-AFTER_RUN_MS, STANDS_MS, CALM_BEFORE_MS = 6000, 3000, 4000
+# From RULES.md, LOST: from 6 s after its last run, for 3 s, if these and the 4 s before them are calm; to be calm takes contact_ms.
+AFTER_RUN_MS, STANDS_MS, CALM_BEFORE_MS, CONTACT_MS = 6000, 3000, 4000, 3000
 
 
 async def main():
@@ -60,7 +60,7 @@
                 if idle_since[task] is None or world.ended_at.get(task, 0) > idle_since[task]:
                     idle_since[task] = world.ended_at.get(task, at)
                 idle = at - idle_since[task]
-                calm = at - STANDS_MS - CALM_BEFORE_MS >= fault_end
+                calm = at - STANDS_MS - CALM_BEFORE_MS - CONTACT_MS >= fault_end
                 if room and calm and idle >= AFTER_RUN_MS + STANDS_MS:
                     if task not in broken:
                         world.note("LOST", task, "doesn't run,", idle, "ms after its last run,", at - fault_end, "ms after the fault")
@@ -79,4 +79,4 @@
         world.clean()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run(main))
