--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,7 +6,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from world import HOST, Instance, Worker, World  # noqa: E402
+from world import HOST, Instance, Worker, World, run  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EVENTS = 20
@@ -65,4 +65,4 @@
         world.clean()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run(main))
