--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,7 +5,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from world import BOUNDS, HOST, Instance, Worker, World, call, now_ms  # noqa: E402
+from world import BOUNDS, HOST, Instance, Worker, World, call, now_ms, run  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CUT_S = 5.5  # Of one worker of eight.
@@ -76,4 +76,4 @@
         world.clean()
 
 
-sys.exit(asyncio.run(main()))
+sys.exit(run(main))
