Give a restarted worker no task by the entry of its former incarnation

Cause: a worker that restarts under its id may be of another service, kind or size. WorkerState kept one `born` for the registry's entry and for the incarnation that replied, so that a reply of the new incarnation made the worker usable with the facts of the former one, until the registry was read some 0.15 s later. A late entry of a former incarnation did the same by another way.

Change: the start of the present incarnation is a field of WorkerState; the entry keeps its own, and the worker takes tasks only while both agree (WorkerState::entryIsCurrent). All searches for workers go through takesTasks and freeSlots, and starts are bound to the incarnation that they were placed on, so that no other path combines the two. Late entries of a former incarnation are dropped.

The simulated registry now keeps entries as they were written; before, it told the present one whenever it was read.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -852,7 +852,7 @@
     logLine(LogLevel::Info, "worker_reborn",
             {{"worker", former.entry.id.value()},
              {"born", std::to_string(startMs)},
-             {"former_born", std::to_string(former.entry.incarnationStartMs)},
+             {"former_born", std::to_string(former.incarnationStartMs)},
              {"former_ends_applied", std::to_string(former.ends.applied)},
              {"former_ends_discarded", std::to_string(former.ends.discarded)},
              {"former_ends_in_hold", std::to_string(former.ends.discarding)}});
--- a/src/libgodwitfall/jobs/advicecache.cpp
+++ b/src/libgodwitfall/jobs/advicecache.cpp
@@ -16,7 +16,7 @@
     }
     const auto cached = ofStep->second.find(worker.entry.id.value());
     if (cached == ofStep->second.end() ||
-        cached->second.incarnationStartMs != worker.entry.incarnationStartMs) {
+        cached->second.incarnationStartMs != worker.incarnationStartMs) {
         return false;
     }
     return cached->second.ticket.empty() || now + useMargin < cached->second.validUntil;
@@ -44,7 +44,7 @@
     for (const WorkerState *worker : candidates) {
         if (order.workers.size() < maxWorkersPerRequest && !this->known(step, *worker, now)) {
             order.workers.push_back(worker->entry.id);
-            this->requestedWorkers[worker->entry.id.value()] = worker->entry.incarnationStartMs;
+            this->requestedWorkers[worker->entry.id.value()] = worker->incarnationStartMs;
         }
     }
     if (order.workers.empty()) {
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -259,8 +259,8 @@
                 task.startMayArriveUntil = lastOrderAt + WorkerState::longestOrderDelay;
                 task.delayedRunLapses = this->delayedRunLapsesAt(lastOrderAt);
             }
-            worker->entry.incarnationStartMs =
-                std::max(worker->entry.incarnationStartMs, task.workerIncarnationStartMs);
+            worker->incarnationStartMs =
+                std::max(worker->incarnationStartMs, task.workerIncarnationStartMs);
             worker->assign(ref, job);
             worker->unanswered.push_back(UnansweredStart{ref, task.run, now, worker->incarnation});
         }
@@ -335,7 +335,12 @@
             std::max(now, this->formerLeasesLapse - this->longestLeasedRun());
         worker->holdDue = now;
     }
-    const std::int64_t previousStartMs = worker->entry.incarnationStartMs;
+    const std::int64_t previousStartMs = worker->incarnationStartMs;
+    if (worker->entryIsCurrent() && entry.incarnationStartMs != previousStartMs &&
+        worker->hadIncarnation(entry.incarnationStartMs)) {
+        // A late entry of a former incarnation tells nothing of the present one.
+        return;
+    }
     worker->wasDraining = worker->entry.draining;
     worker->entry = entry;
     worker->zoneEvacuated = this->evacuatedZones.contains(entry.zone);
@@ -345,16 +350,15 @@
     if (worker->entry.draining) {
         this->endWatches(*worker);
     }
-    if (previousStartMs != 0) {
-        worker->entry.incarnationStartMs = previousStartMs;
-        if (entry.incarnationStartMs > previousStartMs &&
-            !worker->hadIncarnation(entry.incarnationStartMs)) {
-            this->applyRestart(*worker, entry.incarnationStartMs, now);
-        } else if (entry.incarnationStartMs != previousStartMs) {
-            // A late entry of an earlier incarnation, or the worker's clock was set back. Its next
-            // reply tells.
-            worker->holdDue = std::min(worker->holdDue, now);
-        }
+    if (previousStartMs == 0) {
+        worker->incarnationStartMs = entry.incarnationStartMs;
+    } else if (entry.incarnationStartMs > previousStartMs &&
+               !worker->hadIncarnation(entry.incarnationStartMs)) {
+        this->applyRestart(*worker, entry.incarnationStartMs, now);
+    } else if (entry.incarnationStartMs != previousStartMs) {
+        // A late entry of an earlier incarnation, or the worker's clock was set back. Its next
+        // reply tells.
+        worker->holdDue = std::min(worker->holdDue, now);
     }
     if (auto former = this->unansweredOfUnlisted.extract(entry.id.value())) {
         worker->unanswered.insert(worker->unanswered.end(), former.mapped().begin(),
@@ -486,10 +490,10 @@
         worker->holdDue = now + holdGap;
         return;
     }
-    if (worker->entry.incarnationStartMs == 0) {
-        worker->entry.incarnationStartMs = report.incarnationStartMs;
+    if (worker->incarnationStartMs == 0) {
+        worker->incarnationStartMs = report.incarnationStartMs;
     } else if (report.incarnationStartMs != 0 &&
-               report.incarnationStartMs != worker->entry.incarnationStartMs) {
+               report.incarnationStartMs != worker->incarnationStartMs) {
         // One hold is in flight at a time, so the incarnation that replies is the newest.
         this->applyRestart(*worker, report.incarnationStartMs, now);
     }
@@ -848,7 +852,7 @@
     for (const auto &[ref, job] : placed) {
         Task &task = *job->task(ref);
         if (task.workerIncarnationStartMs != 0 &&
-            task.workerIncarnationStartMs != worker.entry.incarnationStartMs) {
+            task.workerIncarnationStartMs != worker.incarnationStartMs) {
             if (!this->mayBeginOnNextIncarnation(ref, task)) {
                 this->stopTask(ref, task, now);
                 continue;
@@ -1026,7 +1030,7 @@
         // A record that names a former incarnation would have successors wait for the wrong one.
         const WorkerState *worker = this->findWorker(WorkerId(task->worker));
         const bool restarted =
-            worker && worker->entry.incarnationStartMs != task->workerIncarnationStartMs;
+            worker && worker->incarnationStartMs != task->workerIncarnationStartMs;
         if (worker && worker->zoneEvacuated) {
             this->dropStart(*job, start.ref, *task, *worker, now);
             continue;
--- a/src/libgodwitfall/jobs/coordinatorcrashes.cpp
+++ b/src/libgodwitfall/jobs/coordinatorcrashes.cpp
@@ -244,7 +244,7 @@
             evidence = jobs::SILENT;
         }
         crashed.push_back(CrashedRun{task.run, evidence, sign, worker.entry.id.value(), this->epoch,
-                                     worker.entry.incarnationStartMs, this->unixMs, now});
+                                     worker.incarnationStartMs, this->unixMs, now});
         if (sign == jobs::LEASES_LAPSED) {
             this->silentCrashes[worker.entry.id.value()].push_back(countedRef(*job, ref));
         }
@@ -275,7 +275,7 @@
     }
     const auto isWithdrawn = [&](const CrashedRun &crash) {
         return crash.sign == jobs::LEASES_LAPSED && crash.worker == worker.entry.id.value() &&
-               crash.incarnationStartMs == worker.entry.incarnationStartMs;
+               crash.incarnationStartMs == worker.incarnationStartMs;
     };
     for (const TaskRef &ref : silent.mapped()) {
         Job *job = this->table.find(ref.job);
@@ -297,8 +297,7 @@
 {
     WorkerState *worker = this->findWorker(id);
     // The end of a call to a former incarnation may be processed after a reply of the next one.
-    if (!worker ||
-        (incarnationStartMs != 0 && incarnationStartMs != worker->entry.incarnationStartMs)) {
+    if (!worker || (incarnationStartMs != 0 && incarnationStartMs != worker->incarnationStartMs)) {
         return;
     }
     worker->noteClosed(now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -25,7 +25,7 @@
 OrderTarget Coordinator::targetOfIncarnation(const WorkerState &worker) const
 {
     OrderTarget target = this->targetOf(worker);
-    target.incarnationStartMs = worker.entry.incarnationStartMs;
+    target.incarnationStartMs = worker.incarnationStartMs;
     return target;
 }
 
@@ -302,8 +302,8 @@
     Task *task = job ? job->task(ref) : nullptr;
     // Its task's placement tells which incarnation the newest run was sent to.
     const bool sentToPresent =
-        sameIncarnation || (task && task->run == run &&
-                            task->workerIncarnationStartMs == worker->entry.incarnationStartMs);
+        sameIncarnation ||
+        (task && task->run == run && task->workerIncarnationStartMs == worker->incarnationStartMs);
     worker->noteUnanswered(sentToPresent ? now : Instant(), now);
     if (task) {
         std::erase_if(task->lateStarts, [&](const LateStart &start) {
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -742,7 +742,7 @@
         return now - start.at > WorkerState::longestOrderDelay;
     });
     task.worker = worker.entry.id.value();
-    task.workerIncarnationStartMs = worker.entry.incarnationStartMs;
+    task.workerIncarnationStartMs = worker.incarnationStartMs;
     task.placedMs = this->unixMs;
     task.placedEpoch = this->epoch;
     task.since = now;
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -147,8 +147,8 @@
     return std::any_of(this->workers.begin(), this->workers.end(), [&](const auto &known) {
         const WorkerState &worker = *known.second;
         const WorkerEntry &entry = worker.entry;
-        return worker.zoneEvacuated && worker.listed && !entry.draining &&
-               entry.service.value() == service && worker.fits(spec) &&
+        return worker.zoneEvacuated && worker.listed && worker.entryIsCurrent() &&
+               !entry.draining && entry.service.value() == service && worker.fits(spec) &&
                (spec.required_label().empty() || entry.hasLabel(spec.required_label()));
     });
 }
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -128,7 +128,7 @@
 
 bool PlacementPolicy::takesTasks(const WorkerState &worker, Instant now)
 {
-    return worker.listed && !worker.entry.draining && worker.responded &&
+    return worker.listed && worker.entryIsCurrent() && !worker.entry.draining && worker.responded &&
            !worker.zoneUnresponsive && !worker.zoneEvacuated && now >= worker.ejectedUntil &&
            now - worker.lastSeenAt <= responseTimeout;
 }
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -24,17 +24,18 @@
 
 WorkerState::WorkerState(WorkerEntry entry)
     : entry(std::move(entry))
+    , incarnationStartMs(this->entry.incarnationStartMs)
 {}
 
 void WorkerState::beginIncarnation(std::int64_t startMs, Instant now)
 {
-    if (this->entry.incarnationStartMs != 0) {
-        this->formerIncarnations.push_back(this->entry.incarnationStartMs);
+    if (this->incarnationStartMs != 0) {
+        this->formerIncarnations.push_back(this->incarnationStartMs);
     }
     if (this->formerIncarnations.size() > formerIncarnationsKept) {
         this->formerIncarnations.pop_front();
     }
-    this->entry.incarnationStartMs = startMs;
+    this->incarnationStartMs = startMs;
     ++this->incarnation;
     this->ends = EndNumbers();
     this->responded = false;
@@ -191,8 +192,8 @@
 
 std::int64_t WorkerState::freeSlots(const jobs::StepSpec &step) const
 {
-    if (!this->listed || this->entry.draining || this->zoneEvacuated || !this->responded ||
-        !this->fits(step)) {
+    if (!this->listed || !this->entryIsCurrent() || this->entry.draining || this->zoneEvacuated ||
+        !this->responded || !this->fits(step)) {
         return 0;
     }
     const auto times = [](std::int64_t free, std::uint64_t need) {
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -33,7 +33,8 @@
     Resources capacity;
     std::string kind;
     std::string rack;
-    std::int64_t incarnationStartMs = 0; ///< Start of its incarnation, since 1970; 0: not known.
+    /** Start of the incarnation that wrote it, since 1970; 0: not known. */
+    std::int64_t incarnationStartMs = 0;
 
     bool hasLabel(const std::string &label) const
     {
@@ -216,7 +217,17 @@
     /** Returns the number of placed tasks of one occurrence of the step. */
     std::uint32_t countOf(const JobId &job, std::uint32_t occurrence, std::uint32_t step) const;
 
-    WorkerEntry entry;
+    /** Returns whether the entry describes the present incarnation. The service, labels and
+     * capacity of any other incarnation tell nothing of what the present one may be sent. */
+    bool entryIsCurrent() const
+    {
+        return this->entry.incarnationStartMs == this->incarnationStartMs;
+    }
+
+    WorkerEntry entry; ///< The newest one that was read; may be of another incarnation.
+    /** Start of the present incarnation, since 1970, as its entry, its reply or a former
+     * coordinator's record tells; 0: not known. */
+    std::int64_t incarnationStartMs = 0;
     bool listed = true;     ///< The registry lists it.
     bool responded = false; ///< Its incarnation has replied under the current epoch.
     Instant lastSeenAt;
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -195,6 +195,7 @@
         this->deliver(
             order.target,
             [this, order, workMs, fails, gangSize](SimWorker &worker) {
+                this->simulation.checkStartOnKind(order.target.worker, order.task);
                 this->simulation.checkStartInZone(order.target.worker, order.task);
                 const std::uint64_t starts = this->simulation.fleet.starts;
                 const OrderOutcome outcome = worker.start(order, workMs, fails, gangSize);
@@ -362,6 +363,7 @@
         this->workers.back()->keepsAccount = disabled != DisabledMechanism::WorkerAccount;
         this->workers.back()->keepsLeases = disabled != DisabledMechanism::WorkerLease;
         this->workerCutUntil.push_back(0);
+        this->setListed(index, true);
     }
     for (std::size_t index = 0; index < instanceCount; ++index) {
         this->instances.push_back(
@@ -554,7 +556,7 @@
             instance->registryCursor = this->registryChanges.size();
             for (std::size_t index = 0; index < this->workers.size(); ++index) {
                 if (!this->unlisted.contains(index)) {
-                    node.coordination().setWorker(this->workers[index]->entry(), now);
+                    node.coordination().setWorker(this->registry.at(index), now);
                 }
             }
         }
@@ -631,6 +633,19 @@
     });
 }
 
+void JobSimulation::checkStartOnKind(const WorkerId &worker, const TaskRef &task)
+{
+    const std::string &label =
+        this->specs.at(task.job).steps(static_cast<int>(task.step)).required_label();
+    const WorkerEntry entry = this->workers[std::stoul(worker.value().substr(1))]->entry();
+    if (!label.empty() && !entry.hasLabel(label) && !this->fleet.delayedOrder) {
+        this->fleet.broken.push_back("start of " + task.job.value() + "." +
+                                     std::to_string(task.step) + "." + std::to_string(task.index) +
+                                     ", which requires " + label + ", on " + worker.value() +
+                                     " of kind " + entry.kind);
+    }
+}
+
 void JobSimulation::checkStartInZone(const WorkerId &worker, const TaskRef &task)
 {
     const auto found = this->requestedAtMs.find(this->zoneOf(std::stoul(worker.value().substr(1))));
@@ -664,11 +679,10 @@
     const Instant now(this->nowMs);
     while (instance.registryCursor < this->registryChanges.size()) {
         const std::size_t index = this->registryChanges[instance.registryCursor++];
-        const WorkerEntry entry = this->workers[index]->entry();
         if (this->unlisted.contains(index)) {
-            instance.node->coordination().removeWorker(entry.id, now);
+            instance.node->coordination().removeWorker(this->workers[index]->entry().id, now);
         } else {
-            instance.node->coordination().setWorker(entry, now);
+            instance.node->coordination().setWorker(this->registry.at(index), now);
         }
     }
 }
@@ -677,8 +691,10 @@
 {
     if (listed) {
         this->unlisted.erase(worker);
+        this->registry[worker] = this->workers[worker]->entry();
     } else {
         this->unlisted.insert(worker);
+        this->registry.erase(worker);
     }
     this->registryChanges.push_back(worker);
 }
@@ -1029,6 +1045,7 @@
 void JobSimulation::restartWorker(std::size_t index)
 {
     this->workers[index]->restart(this->nowMs);
+    this->registry[index] = this->workers[index]->entry();
     for (const auto &instance : this->instances) {
         if (instance->node && instance->node->coordinates()) {
             instance->node->coordination().setWorker(this->workers[index]->entry(),
@@ -1089,6 +1106,14 @@
     });
 }
 
+void JobSimulation::crashWorkerAndChange(std::size_t index, std::int64_t downMs,
+                                         std::int64_t listedAfterMs, const std::string &kind,
+                                         std::int64_t milliCores)
+{
+    this->workers[index]->changeAtRestart(kind, milliCores);
+    this->crashWorker(index, downMs, listedAfterMs);
+}
+
 void JobSimulation::drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs)
 {
     this->workers[index]->draining = true;
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -215,6 +215,10 @@
      * listedAfterMs later. */
     void crashWorker(std::size_t index, std::int64_t downMs, std::int64_t listedAfterMs = 0);
 
+    /** The same; its next incarnation is of the kind and has the capacity. */
+    void crashWorkerAndChange(std::size_t index, std::int64_t downMs, std::int64_t listedAfterMs,
+                              const std::string &kind, std::int64_t milliCores);
+
     /** Ends a worker and each of its next incarnations, which start after downMs, gapMs after the
      * one before; so many times. */
     void crashWorkerInSeries(std::size_t index, int times, std::int64_t gapMs, std::int64_t downMs);
@@ -296,6 +300,8 @@
     /** Crashes the worker that has started the deadly task; checks the bound on its starts. */
     void crashUnder(const WorkerId &worker, const TaskRef &task);
     void checkStartAfterCrashes(const TaskRef &task);
+    /** Checks that the worker has the label that the task requires, as a start reaches it. */
+    void checkStartOnKind(const WorkerId &worker, const TaskRef &task);
     /** Checks that the zone of the worker is not evacuated, as a start reaches it. */
     void checkStartInZone(const WorkerId &worker, const TaskRef &task);
     void readRequests(Instance &instance);
@@ -352,6 +358,7 @@
     };
     std::map<std::size_t, Disturbance> disturbances; ///< By worker.
     std::set<std::size_t> unlisted;                  ///< Workers that the registry does not list.
+    std::map<std::size_t, WorkerEntry> registry;     ///< Newest entries of those that it lists.
     std::vector<std::size_t> registryChanges;        ///< Workers, in the order of their changes.
     std::vector<std::unique_ptr<Instance>> instances;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -1,6 +1,7 @@
 #include "simworker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace godwitfall::jobtests {
 
@@ -194,6 +195,11 @@
     this->capacity.milliCores = milliCores;
 }
 
+void SimWorker::changeAtRestart(const std::string &nextKind, std::int64_t nextMilliCores)
+{
+    this->atRestart = {nextKind, nextMilliCores};
+}
+
 std::int64_t SimWorker::allowedMilliCores() const
 {
     std::int64_t allowed = this->capacity.milliCores;
@@ -294,6 +300,11 @@
     this->reached = false;
     this->leaseEndMs = 0;
     this->incarnationStartMs = atMs;
+    if (const auto next = std::exchange(this->atRestart, std::nullopt)) {
+        this->kind = next->first;
+        this->capacity.milliCores = next->second;
+        this->formerCapacities.clear();
+    }
     this->nowMs = atMs;
     this->up = true;
     this->draining = false;
@@ -306,7 +317,7 @@
     entry.service = ServiceId("orchard");
     entry.address = "127.0.0.1:1";
     entry.capacity = this->capacity;
-    entry.kind = "a";
+    entry.kind = this->kind;
     entry.rack = "r1";
     entry.zone = this->zone;
     entry.draining = this->draining;
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -87,6 +87,9 @@
     /** Changes what it says of its capacity; runs go on. */
     void setCapacity(std::int64_t milliCores);
 
+    /** Sets the kind and the capacity that its incarnations from the next restart on have. */
+    void changeAtRestart(const std::string &nextKind, std::int64_t nextMilliCores);
+
     /** Returns its own steady clock, in ms. */
     std::int64_t clock() const
     {
@@ -95,6 +98,7 @@
 
     bool up = true;
     ZoneId zone;                ///< Of its entry.
+    std::string kind = "a";     ///< Of its entry.
     bool draining = false;      ///< Its entry says so until it restarts.
     bool guardsCapacity = true; ///< Off: takes whatever it is told to start.
     bool checksFence = true;    ///< Off: accepts any token, to show that checks notice.
@@ -127,6 +131,7 @@
     /** Returns the runs that the coordinator can know of. */
     std::int64_t knownRuns() const;
 
+    std::optional<std::pair<std::string, std::int64_t>> atRestart; ///< Kind and milli-cores.
     Resources capacity;
     std::map<std::int64_t, std::int64_t> formerCapacities; ///< By when they ended, in ms.
     const std::int64_t clockOffset;
--- a/tests/jobs/test_crashevidence.cpp
+++ b/tests/jobs/test_crashevidence.cpp
@@ -279,6 +279,8 @@
     entry.incarnationStartMs = 1000;
     this->world.coordinator.setWorker(entry, Instant(this->now));
     replyOf(1000, {});
+    entry.incarnationStartMs = 2000;
+    this->world.coordinator.setWorker(entry, Instant(this->now));
     replyOf(2000, {});
     this->advance(50);
     ASSERT_EQ(this->world.orders.starts.size(), 1U);
--- a/tests/jobs/test_longrunning.cpp
+++ b/tests/jobs/test_longrunning.cpp
@@ -126,14 +126,16 @@
 {
     CoordinatorWorld world;
     world.coordinator.begin(1, Instant(1000), 1000, Instant(1000));
-    world.coordinator.setWorker(entryOf(lostWorker.value()), Instant(1000));
+    WorkerEntry entry = entryOf(lostWorker.value());
+    entry.incarnationStartMs = 7;
+    world.coordinator.setWorker(entry, Instant(1000));
     world.reply(lostWorker, 1000, 500, {}, 7);
     const JobId id = world.submit(oneTask(true), 1010);
     world.coordinator.plan(Instant(1010), 1010);
     world.coordinator.takeBatch();
-    WorkerEntry restarted = entryOf(lostWorker.value());
-    restarted.incarnationStartMs = 900;
-    world.coordinator.setWorker(restarted, Instant(1020));
+    ASSERT_EQ(world.task(id).worker, lostWorker.value());
+    entry.incarnationStartMs = 900;
+    world.coordinator.setWorker(entry, Instant(1020));
     world.coordinator.committed(Instant(1030), true);
     EXPECT_EQ(world.orders.starts.size(), 0U);
     EXPECT_EQ(world.task(id).worker, "");
--- a/tests/jobs/test_parts.cpp
+++ b/tests/jobs/test_parts.cpp
@@ -685,7 +685,7 @@
     const StepRef step{jobId, 0, 0};
     WorkerState good(entryOf("good"));
     WorkerState bad(entryOf("bad"));
-    good.entry.incarnationStartMs = bad.entry.incarnationStartMs = 7;
+    good.incarnationStartMs = bad.incarnationStartMs = 7;
     const std::vector<WorkerState *> both = {&good, &bad};
     EXPECT_TRUE(cache.ask(step, both, rules, Instant(1000)));
     ASSERT_EQ(orders.adviceRequests.size(), 1U);
@@ -707,7 +707,7 @@
     // Without a reply it asks again after a pause.
     cache.answered(step, std::nullopt, Instant(3600));
     EXPECT_FALSE(cache.ask(step, both, rules, Instant(3700)));
-    bad.entry.incarnationStartMs = 8;
+    bad.incarnationStartMs = 8;
     EXPECT_TRUE(cache.ask(step, both, rules, Instant(3900)));
     EXPECT_EQ(orders.adviceRequests[2].workers.size(), 2U)
         << "a new incarnation is asked about again";
--- a/tests/jobs/test_placement.cpp
+++ b/tests/jobs/test_placement.cpp
@@ -462,6 +462,10 @@
     // The worker restarts; both of its slots are free again.
     report.running.clear();
     report.incarnationStartMs = 8;
+    WorkerEntry next = entryOf(0);
+    next.incarnationStartMs = 8;
+    next.capacity.milliCores = 2 * taskCores;
+    coordinator.setWorker(next, Instant(60100));
     coordinator.holdAnswered(WorkerId("w0"), Instant(60100), Instant(60110), OrderOutcome::Accepted,
                              report);
     for (const std::uint32_t index : {0U, 1U}) {
