Log runs that a worker lists and that are not placed there

`unplaced_run` and `godwitfall_unplaced_runs_total` name each such run with the worker's `born` and its state or end.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1044,6 +1044,18 @@
          {"read_ms", std::to_string((this->now() - this->configFollower.requestedAt).count())}});
 }
 
+void EntryInstance::unplacedRunListed(const TaskRef &task, std::uint32_t run,
+                                      const WorkerState &worker, std::optional<RunEnd> end)
+{
+    this->metrics.count("godwitfall_unplaced_runs_total");
+    logLine(LogLevel::Info, "unplaced_run",
+            {{"task", platform::taskName(task)},
+             {"run", std::to_string(run)},
+             {"worker", worker.entry.id.value()},
+             {"born", std::to_string(worker.incarnationStartMs)},
+             {"state", end ? toText(*end) : "running"}});
+}
+
 void EntryInstance::startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                                     unsigned tries)
 {
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -71,6 +71,8 @@
     void ownershipLost(std::uint64_t epoch, const char *reason) override;
     void startsPaused(bool held, StartsPause reason, Duration viewAge) override;
     void zoneEvacuation(const ZoneId &zone, bool requested) override;
+    void unplacedRunListed(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                           std::optional<RunEnd> end) override;
     void startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                          unsigned tries) override;
     void startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker) override;
--- a/src/godwitfall/instancemetrics.cpp
+++ b/src/godwitfall/instancemetrics.cpp
@@ -18,6 +18,8 @@
     MetricHelp{"godwitfall_job_memory_bytes",
                "Memory for accepted jobs, by use (estimated, bound), bytes."},
     MetricHelp{"godwitfall_starts_held_total", "Times that task starts were paused and resumed."},
+    MetricHelp{"godwitfall_unplaced_runs_total",
+               "Runs that a worker listed and that were not placed there."},
     MetricHelp{"godwitfall_starts_unanswered_total", "Tries to start a run that got no reply."},
     MetricHelp{"godwitfall_starts_dropped_total", "Starts not sent or revoked, by reason."},
     MetricHelp{"godwitfall_jobs_finished_total",
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -559,6 +559,9 @@
             worker.addUnplacedRun(job->stepSpec(running.task.step));
         }
         OrphanRun &orphan = this->orphans[{running.task, worker.entry.id.value()}];
+        if (orphan.run != running.run) {
+            this->observer.unplacedRunListed(running.task, running.run, worker, std::nullopt);
+        }
         if (orphan.run != running.run || now - orphan.stoppedAt > orphanStopGap) {
             orphan = OrphanRun{running.run, now};
             this->sendStop(worker, running.task, running.run);
@@ -632,6 +635,7 @@
         return;
     }
     if (task->worker != worker.entry.id.value() || task->run != ended.run) {
+        this->observer.unplacedRunListed(ended.task, ended.run, worker, ended.how);
         this->applyOrphanEnd(*job, ended, *task, now);
         return;
     }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -97,6 +97,9 @@
      * so far. */
     virtual void startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                                  unsigned tries) = 0;
+    /** The worker lists a run that is not placed there, as running or with its end. */
+    virtual void unplacedRunListed(const TaskRef &task, std::uint32_t run,
+                                   const WorkerState &worker, std::optional<RunEnd> end) = 0;
     /** The start of the run is not sent, or revoked, as the zone of its worker is evacuated. */
     virtual void startDropped(const TaskRef &task, std::uint32_t run,
                               const WorkerState &worker) = 0;
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -1,6 +1,7 @@
 #include "workerstate.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -11,8 +12,16 @@
 /** Incarnations of which late replies and registry entries are recognised. */
 constexpr std::size_t formerIncarnationsKept = 16;
 
+constexpr std::array<const char *, 6> endNames = {"done",   "failed", "stopped",
+                                                  "lapsed", "broken", "alone"};
+
 } // namespace
 
+const char *toText(RunEnd end)
+{
+    return endNames.at(static_cast<std::size_t>(end));
+}
+
 Resources reservedBy(const jobs::StepSpec &step)
 {
     Resources need;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -52,6 +52,9 @@
     GangIncomplete, ///< Not all members of its gang started in time.
 };
 
+/** Returns the end's name in logs. */
+const char *toText(RunEnd end);
+
 /** One run that a worker lists as running. */
 struct RunningTask
 {
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -54,6 +54,9 @@
     void workerRestarted(const WorkerState &, std::int64_t) override {}
     void orderFenced(const WorkerId &) override {}
     void startUnanswered(const TaskRef &, std::uint32_t, const WorkerId &, unsigned) override {}
+    void unplacedRunListed(const TaskRef &, std::uint32_t, const WorkerState &,
+                           std::optional<RunEnd>) override
+    {}
     void startDropped(const TaskRef &task, std::uint32_t, const WorkerState &) override
     {
         this->droppedStarts.push_back(task);
