Count a job as waiting until a worker has taken a start of it

Cause: Coordinator::place set the state of the job to RUNNING and published it when a task was placed, before its start was sent, let alone taken; nothing set it back when the start was refused, dropped or never answered. PROTOCOL.md counts "accepted jobs for which no task has started", and a start is "a task that a worker has begun on an order".

Change: the state follows from the first proof of a start: its reply, a listed run, or a listed end. A successor derives it from the published state and from what the records say of starts, runs and ends. It never goes back.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -231,6 +231,10 @@
     if (!job.closed() && !job.cancelled) {
         this->unplaced.insert(&job);
     }
+    // The record that its first task began may have been lost with the former coordinator.
+    if (job.published == Job::State::RUNNING || job.hasBegun()) {
+        this->noteBegun(job);
+    }
     if (job.closed() && job.finishedMs == 0) {
         // Its final state was published before its progress was written.
         job.finishedMs = std::max<std::int64_t>(1, this->unixMs);
@@ -383,6 +387,14 @@
     }
 }
 
+void Coordinator::noteBegun(Job &job)
+{
+    if (job.state == Job::State::QUEUED) {
+        job.state = Job::State::RUNNING;
+        this->publishState(job);
+    }
+}
+
 void Coordinator::publishState(Job &job)
 {
     if (job.state != job.published) {
@@ -474,6 +486,9 @@
     Job *job = this->table.find(running.task.job);
     Task *task = job ? job->task(running.task) : nullptr;
     const bool known = task && task->worker == worker.entry.id.value() && task->run == running.run;
+    if (job) {
+        this->noteBegun(*job);
+    }
     if (!known) {
         if (job && static_cast<int>(running.task.step) < job->spec().steps_size()) {
             worker.addUnplacedRun(job->stepSpec(running.task.step));
@@ -545,6 +560,9 @@
 {
     Job *job = this->table.find(ended.task.job);
     Task *task = job ? job->task(ended.task) : nullptr;
+    if (job) {
+        this->noteBegun(*job);
+    }
     if (!task || task->phase == TaskPhase::Done) {
         return;
     }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -596,6 +596,8 @@
     void recordConfirmations(Instant now);
     /** The same of one step, at once. */
     void recordConfirmations(Job &job, std::uint32_t occurrence, std::uint32_t step);
+    /** Notes that a worker has taken a start of the job, so that it no longer counts as waiting. */
+    void noteBegun(Job &job);
     /** Publishes the job's state to clients if it has changed. */
     void publishState(Job &job);
     void noteFenced(const WorkerId &id);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -183,6 +183,7 @@
         task->since = now;
         task->progressAt = now;
         this->starts.erase(found);
+        this->noteBegun(*job);
         this->confirmStart(*job, ref, now);
         return;
     case OrderOutcome::Fenced:
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -746,9 +746,7 @@
     if (job.firstPlacedAt == Instant()) {
         job.firstPlacedAt = now;
     }
-    if (job.state == Job::State::QUEUED) {
-        job.state = Job::State::RUNNING;
-        this->publishState(job);
+    if (job.inParts() && job.storedParts.empty()) {
         this->markDirty(job);
     }
     this->markDirty(job, ref);
--- a/src/libgodwitfall/jobs/job.cpp
+++ b/src/libgodwitfall/jobs/job.cpp
@@ -307,6 +307,17 @@
     });
 }
 
+bool Job::hasBegun() const
+{
+    return std::any_of(this->runs.begin(), this->runs.end(), [](const auto &entry) {
+        const StepRun &run = entry.second;
+        return run.done > 0 ||
+               std::any_of(run.tasks.begin(), run.tasks.end(), [](const Task &task) {
+                   return task.startTaken || !task.failedRuns.empty() || task.harmless;
+               });
+    });
+}
+
 bool Job::allDone() const
 {
     const std::size_t expected =
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -212,6 +212,9 @@
     /** Returns whether all steps that the step depends on are done. */
     bool dependenciesDone(std::uint32_t occurrence, std::uint32_t step) const;
 
+    /** Returns whether the progress shows that a worker has taken a start of some task. */
+    bool hasBegun() const;
+
     /** Returns whether every task of every occurrence is done. */
     bool allDone() const;
 
--- a/src/libgodwitfall/jobs/jobtable.h
+++ b/src/libgodwitfall/jobs/jobtable.h
@@ -68,7 +68,8 @@
     /** Returns the newest record of learned image pressures. */
     const jobs::LearntPressures &pressures() const { return this->learned; }
 
-    /** Returns the number of jobs of the queue that are published as queued and not cancelled. */
+    /** Returns the number of jobs of the queue that are published as queued, of which no task has
+     * started as far as it is known, and not cancelled. */
     std::size_t queuedJobs(const std::string &queue) const;
 
     std::unordered_map<std::string, std::unique_ptr<Job>> &all() { return this->jobsById; }
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -850,6 +850,18 @@
     return id;
 }
 
+std::vector<std::size_t> JobSimulation::waitingShown() const
+{
+    std::vector<std::size_t> shown;
+    for (const auto &instance : this->instances) {
+        if (instance->node && this->nowMs >= instance->frozenUntil &&
+            instance->node->ready(Instant(this->nowMs))) {
+            shown.push_back(instance->node->jobs().queuedJobs(this->config.queues.front().name));
+        }
+    }
+    return shown;
+}
+
 std::size_t JobSimulation::endsRead(const JobId &id) const
 {
     return static_cast<std::size_t>(
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -158,6 +158,9 @@
     /** Returns the state of the job that most instances show. */
     jobs::JobState shown(const JobId &id);
 
+    /** Returns how many jobs wait by what each instance says that is ready. */
+    std::vector<std::size_t> waitingShown() const;
+
     /** Returns how many instances that run now have read from the log that the job has ended. */
     std::size_t endsRead(const JobId &id) const;
 
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -170,6 +170,7 @@
         this->ledger.broken.push_back("start of the cancelled " + taskText(order.task));
     }
     live.insert({this->id, order.run});
+    this->ledger.begunJobs.insert(order.task.job);
     ++this->ledger.starts;
     this->runs[key] =
         Run{this->nowMs, this->nowMs + workMs, fails, false, this->ledger.delayedOrder, false};
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -27,6 +27,7 @@
     std::map<TaskRef, EndOfRun> lastEnds; ///< Of the run that ended last, by task.
     std::set<TaskRef> acknowledgedDone;
     std::set<TaskRef> everDone;                ///< Tasks with a run that has ended as done.
+    std::set<JobId> begunJobs;                 ///< Jobs of which a worker has begun a task.
     std::vector<std::string> broken;           ///< Descriptions of the violated guarantees.
     std::map<JobId, std::int64_t> cancelledAt; ///< When cancels were acknowledged, in ms.
     /** Numbers of the runs that have ended as failed, by task. */
