Eject failing workers by what is new evidence, and no longer than their tasks can wait

Cause: each second failure after the third began the next, twice as long ejection, also of runs that had been started before the first one, so that ten failures of one moment led to 16 s at once. After it all waiting tasks were started together on a worker that might still fail.

With one ejection a moment the schedules still broke: all tasks failed again after 2 s.

Change: a failure, and a success, counts if its run was started after the last ejection. Then the worker is on probation: it takes one task at a time, until a run is done or has been at work for a second. The longest ejection follows from the bound: two probes fit into longestDelay. Starts that were placed there and not sent yet are taken back.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -532,6 +532,7 @@
             this->stopTask(running.task, *task, now);
         }
     }
+    this->noteProbeAtWork(worker, running.task, *task, now);
 }
 
 void Coordinator::removeUnlistedOrphans(const WorkerState &worker,
@@ -576,12 +577,14 @@
     }
     switch (ended.how) {
     case RunEnd::Done:
-        worker.failedJobs.clear();
-        worker.ejectionCount = 0;
+        // A run of before an ejection does not show that later ones succeed.
+        if (!worker.onProbation || worker.probe == ended.task) {
+            worker.noteSuccess();
+        }
         this->finishTask(*job, ended.task, *task, now);
         break;
     case RunEnd::Failed:
-        this->recordFailure(worker, job->id(), now);
+        this->recordFailure(worker, job->id(), *task, now);
         this->failTask(*job, ended.task, *task, now);
         break;
     case RunEnd::Stopped:
@@ -664,8 +667,9 @@
     }
     for (const auto &[ref, job] : stalled) {
         if (this->mayInterrupt(*job, ref)) {
-            this->recordFailure(worker, job->id(), now);
-            this->stopTask(ref, *job->task(ref), now);
+            Task &task = *job->task(ref);
+            this->recordFailure(worker, job->id(), task, now);
+            this->stopTask(ref, task, now);
         }
     }
 }
@@ -774,17 +778,43 @@
     }
 }
 
-void Coordinator::recordFailure(WorkerState &worker, const JobId &job, Instant now)
+void Coordinator::recordFailure(WorkerState &worker, const JobId &job, const Task &task,
+                                Instant now)
 {
+    if (task.startSentAt < worker.failuresCountFrom) {
+        // It was started before the ejection, so it tells no more than those that led to that.
+        return;
+    }
     worker.failedJobs.insert(job.value());
-    if (worker.failedJobs.size() < failuresToEject) {
+    if (!worker.onProbation && worker.failedJobs.size() < failuresToEject) {
         return;
     }
-    const std::int64_t factor = std::int64_t(1) << std::min(worker.ejectionCount, 4U);
+    constexpr unsigned mostDoublings = 8;
+    const std::int64_t factor = std::int64_t(1) << std::min(worker.ejectionCount, mostDoublings);
     ++worker.ejectionCount;
-    // One more failure after the ejection starts the next one.
     worker.failedJobs = {job.value()};
-    this->eject(worker, std::min(firstEjection * factor, longestEjection), now);
+    worker.onProbation = true;
+    const Duration length = std::min(firstEjection * factor, this->longestEjection());
+    worker.failuresCountFrom = now + length;
+    this->eject(worker, length, now);
+}
+
+void Coordinator::noteProbeAtWork(WorkerState &worker, const TaskRef &ref, const Task &task,
+                                  Instant now)
+{
+    const Duration atWork = now - task.since;
+    if (worker.probe != ref || task.phase != TaskPhase::Running || atWork < probeTime) {
+        return;
+    }
+    // A run at full pace has made some progress after this part (1/n) of its estimated time.
+    constexpr std::int64_t progressDivisor = 50;
+    const std::int64_t estimatedMs = this->table.find(ref.job)->stepSpec(ref.step).estimated_ms();
+    const bool standsStill =
+        task.percent == 0 && task.pace == 100 && atWork.count() > estimatedMs / progressDivisor;
+    if (!standsStill) {
+        worker.noteSuccess();
+        this->planNeeded = true;
+    }
 }
 
 void Coordinator::eject(WorkerState &worker, Duration length, Instant now)
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -157,9 +157,13 @@
     static constexpr unsigned ordersPerWorker = 32;
     /** Ejection of a worker that refused a start or did not reply to it. */
     static constexpr Duration refusalEjection{500};
-    /** First ejection of a worker on which distinct jobs failed; doubles each time. */
+    /** First ejection of a worker on which distinct jobs failed; doubles with each probe that
+     * fails, up to longestEjection(). */
     static constexpr Duration firstEjection{2000};
-    static constexpr Duration longestEjection{16000};
+    /** Time for which a probe has been at work when its worker counts as sound again. */
+    static constexpr Duration probeTime{1000};
+    /** Longest wait of the holds of a worker with a probe. */
+    static constexpr Duration probeHoldWait{100};
     /** Distinct jobs that fail on a worker without a success in between before it is ejected. */
     static constexpr std::size_t failuresToEject = 3;
     /** Least time between two ticks that send orders; short compared to every retry and hold. */
@@ -231,6 +235,10 @@
      * tasks of a worker that is lost run again within WorkerBounds::longestDelay. */
     Duration leaseLength() const;
 
+    /** Returns the longest ejection: two probes fit into WorkerBounds::longestDelay, as the first
+     * one may come just before the worker recovers, and a task may have no other worker. */
+    Duration longestEjection() const;
+
     /** Returns the longest time from the beginning of such a lease until its runs have ended, also
      * on a worker whose clock is slow. */
     Duration longestLeasedRun() const;
@@ -499,8 +507,11 @@
     void applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now);
     /** Stops tasks that were placed on an earlier incarnation than the newest one in records. */
     void stopRunsOfEarlierIncarnations(WorkerState &worker, Instant now);
-    /** Counts a job's failure on the worker; ejects the worker after failuresToEject jobs. */
-    void recordFailure(WorkerState &worker, const JobId &job, Instant now);
+    /** Counts the failure of a job's run on the worker; ejects the worker after failuresToEject
+     * jobs, or if it was a probe. */
+    void recordFailure(WorkerState &worker, const JobId &job, const Task &task, Instant now);
+    /** Counts a probe as a success once its run has been at work for probeTime. */
+    void noteProbeAtWork(WorkerState &worker, const TaskRef &ref, const Task &task, Instant now);
     /** Places nothing on the worker for the time; the observer only receives ejections for
      * failures. */
     void eject(WorkerState &worker, Duration length, Instant now);
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -37,6 +37,11 @@
     return std::min(this->bounds.longestLease, Duration(static_cast<std::int64_t>(onSlowClock)));
 }
 
+Duration Coordinator::longestEjection() const
+{
+    return (this->bounds.longestDelay - probeTime - replacementTime) / 2;
+}
+
 Duration Coordinator::longestLeasedRun() const
 {
     /** A lease may outlast its length by this fraction (1/n); above the bound on clock drift. */
@@ -66,6 +71,11 @@
         this->abandonStart(job, ref, task, now);
         return;
     }
+    // It may have been ejected since the task was placed.
+    if (worker->onProbation && now < worker->ejectedUntil && open.tries == 0) {
+        this->abandonStart(job, ref, task, now);
+        return;
+    }
     const bool waitsForReply = task.watched && (worker->closedAt != Instant() ||
                                                 now - worker->repliedAt > watchedReplyAge);
     if (worker->ordersInFlight >= ordersPerWorker || waitsForReply || worker->announcedSilent) {
@@ -351,6 +361,7 @@
         const Duration wait = std::min(shared ? sharedHoldWait : holdWait, this->longestHold(now));
         order.wait = !settled                 ? Duration(0)
                      : isWatched(worker, now) ? std::min(wait, watchedHoldWait)
+                     : worker.probe           ? std::min(wait, probeHoldWait)
                                               : wait;
     }
     const bool forAnyIncarnation = order.leaseEndMs == 0 && order.acknowledged == 0;
--- a/src/libgodwitfall/jobs/coordinatorplan.cpp
+++ b/src/libgodwitfall/jobs/coordinatorplan.cpp
@@ -743,6 +743,9 @@
     task.since = now;
     task.percent = 0;
     worker.assign(ref, job);
+    if (worker.onProbation && !worker.probe) {
+        worker.probe = ref;
+    }
     if (job.firstPlacedAt == Instant()) {
         job.firstPlacedAt = now;
     }
--- a/src/libgodwitfall/jobs/coordinatorstatistics.cpp
+++ b/src/libgodwitfall/jobs/coordinatorstatistics.cpp
@@ -345,7 +345,7 @@
             continue;
         }
         PlacementObstacle obstacle = PlacementObstacle::None;
-        if (now < worker->ejectedUntil) {
+        if (now < worker->ejectedUntil || worker->probe) {
             obstacle = PlacementObstacle::Ejected;
         } else if (!PlacementPolicy::takesTasks(*worker, now)) {
             obstacle = PlacementObstacle::TakesNoTasks;
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -130,7 +130,7 @@
 {
     return worker.listed && worker.entryIsCurrent() && !worker.entry.draining && worker.responded &&
            !worker.zoneUnresponsive && !worker.zoneEvacuated && now >= worker.ejectedUntil &&
-           now - worker.lastSeenAt <= responseTimeout;
+           !worker.probe && now - worker.lastSeenAt <= responseTimeout;
 }
 
 Resources PlacementPolicy::freeCapacity(const WorkerState &worker, bool bestEffort, Instant now)
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -156,6 +156,17 @@
     }
     this->suspects.erase(ref);
     this->tasks.erase(found);
+    if (this->probe == ref) {
+        this->probe.reset();
+    }
+}
+
+void WorkerState::noteSuccess()
+{
+    this->failedJobs.clear();
+    this->ejectionCount = 0;
+    this->onProbation = false;
+    this->probe.reset();
 }
 
 Resources WorkerState::missingFor(const jobs::StepSpec &step) const
@@ -177,9 +188,12 @@
 std::int64_t WorkerState::freeSlots(const jobs::StepSpec &step) const
 {
     if (!this->listed || !this->entryIsCurrent() || this->entry.draining || this->zoneEvacuated ||
-        !this->responded || !this->fits(step)) {
+        !this->responded || this->probe || !this->fits(step)) {
         return 0;
     }
+    if (this->onProbation) {
+        return 1;
+    }
     const auto times = [](std::int64_t free, std::uint64_t need) {
         return need > 0 ? free / static_cast<std::int64_t>(need)
                         : std::numeric_limits<std::int64_t>::max();
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -194,6 +194,9 @@
      * reference is valid until the next change. */
     const std::vector<BestEffortShare> &fullPaceBestEffortShares() const;
 
+    /** Records that a run has succeeded, which ends what failures have led to. */
+    void noteSuccess();
+
     /** Drops the cached placement costs after a change of their inputs. */
     void invalidatePlacementCosts();
 
@@ -247,7 +250,12 @@
 
     Instant coldUntil; ///< From the time at which its entry was read, so at the latest.
     Instant ejectedUntil;
-    unsigned ejectionCount = 0;
+    /** It has been ejected for failures and no run has succeeded since: it takes one task at a
+     * time, to show whether it is sound again. */
+    bool onProbation = false;
+    std::optional<TaskRef> probe;     ///< That task, while it is placed here.
+    unsigned ejectionCount = 0;       ///< Ejections for failures since the last success.
+    Instant failuresCountFrom;        ///< When the last of these ended; runs of before say no more.
     std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
     std::map<std::string, double> interferenceCosts; ///< By image; cache of PlacementPolicy.
     /** Cache of PlacementPolicy; unset: not computed since the last change. */
--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -1071,7 +1071,13 @@
     }
 }
 
-void JobSimulation::addWorker()
+void JobSimulation::failStarts(std::size_t index, std::int64_t milliseconds)
+{
+    this->workers[index]->failing = true;
+    this->after(milliseconds, [this, index] { this->workers[index]->failing = false; });
+}
+
+void JobSimulation::addWorker(const std::string &kind)
 {
     const std::size_t index = this->workers.size();
     Resources capacity;
@@ -1081,6 +1087,7 @@
                                                         static_cast<std::int64_t>(index) * 77777,
                                                         this->fleet));
     this->workers.back()->zone = this->zoneOf(index);
+    this->workers.back()->kind = kind;
     this->workers.back()->restart(this->nowMs);
     this->workerCutUntil.push_back(0);
     this->setListed(index, true);
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -212,7 +212,10 @@
     void drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs);
 
     /** Adds a worker that the registry lists at once. */
-    void addWorker();
+    void addWorker(const std::string &kind = "a");
+
+    /** For the time the worker fails all that it starts. */
+    void failStarts(std::size_t index, std::int64_t milliseconds);
 
     /** Ends a worker for good; the registry removes it after its usual time of silence. */
     void loseWorker(std::size_t index);
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t longestLeaseMs = 6000;
 constexpr std::int64_t stopMs = 200;
+/** Length of a run on a worker that fails all that it starts. */
+constexpr std::int64_t failureMs = 30;
 /** Time for which the members of a gang wait for the others. */
 constexpr std::int64_t gangWaitMs = 3000;
 constexpr std::int64_t taskMilliCores = 1000; ///< Of each task of a simulation.
@@ -172,8 +174,9 @@
     live.insert({this->id, order.run});
     this->ledger.begunJobs.insert(order.task.job);
     ++this->ledger.starts;
-    this->runs[key] =
-        Run{this->nowMs, this->nowMs + workMs, fails, false, this->ledger.delayedOrder, false};
+    const std::int64_t lengthMs = this->failing ? failureMs : workMs;
+    this->runs[key] = Run{this->nowMs, this->nowMs + lengthMs,    fails || this->failing,
+                          false,       this->ledger.delayedOrder, false};
     if (gangSize > 0) {
         Run &run = this->runs[key];
         run.gang = true;
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -101,6 +101,7 @@
     ZoneId zone;                ///< Of its entry.
     std::string kind = "a";     ///< Of its entry.
     bool draining = false;      ///< Its entry says so until it restarts.
+    bool failing = false;       ///< On: all runs that it starts fail soon.
     bool guardsCapacity = true; ///< Off: takes whatever it is told to start.
     bool checksFence = true;    ///< Off: accepts any token, to show that checks notice.
     bool keepsAccount = true;   ///< Off: notes no failed runs and crashes, for the same reason.
