--- a/tests/platform/test_entryinstance.cpp
+++ b/tests/platform/test_entryinstance.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
 #include "jobsimulation.h"
 #include "logging.h"
 #include "logratelimiter.h"
+#include "platform/codec.h"
 #include "platform/names.h"
 #include "platformstore.h"
 
@@ -212,6 +214,71 @@
     EXPECT_EQ(shown, 1U);
 }
 
+// MIXED. Guards against: an instance that was deposed, and reads the jobs anew, answers that none
+// of them waits.
+TEST_F(EntryInstanceTest, CountsNoJobsFromAViewThatIsNotLoaded)
+{
+    constexpr std::size_t jobCount = 40;
+    constexpr auto settled = std::chrono::seconds(1); // It coordinates by then.
+    constexpr auto watched = std::chrono::seconds(4);
+    for (std::size_t number = 1; number <= jobCount; ++number) {
+        jobs::JobSpec spec;
+        spec.set_queue("plan");
+        *spec.add_steps() = jobtests::stepOf(1, 100);
+        this->store.put(platform::names::jobTopic, "a/" + jobIdOf(static_cast<int>(number)),
+                        spec.SerializeAsString());
+    }
+    std::optional<Clock::time_point> countedAt;
+    bool deposed = false;
+    std::size_t refused = 0;
+    std::size_t counted = 0;
+    std::vector<std::string> wrong;
+    std::function<void()> ask = [&] {
+        HttpCall call;
+        call.step = "count";
+        call.address = jobApiAddress;
+        call.method = "GET";
+        call.target = "/plan/";
+        call.headers["Host"] = "a.example";
+        this->client.call(std::move(call), [&](const Result<HttpResponse> &result) {
+            const bool ok = result && result->status == 200;
+            const bool all = ok && result->body == platform::waitingBody(jobCount);
+            if (all && !countedAt) {
+                countedAt = Clock::now();
+            }
+            if (countedAt && !deposed && Clock::now() - *countedAt > settled) {
+                jobs::Ownership other;
+                other.set_epoch(100);
+                other.set_instance("other");
+                this->store.latency = Duration(300);
+                this->store.put(platform::names::jobTopic, JobTable::ownerKey,
+                                other.SerializeAsString());
+                deposed = true;
+            }
+            if (deposed) {
+                refused += result && result->status == 503 ? 1 : 0;
+                counted += all ? 1 : 0;
+                if (ok && !all) {
+                    wrong.push_back(result->body);
+                }
+                if (refused > 0 && all) {
+                    this->context.stop();
+                }
+            }
+            if (countedAt && Clock::now() - *countedAt > settled + watched) {
+                this->context.stop();
+            }
+            this->timer.expires_after(std::chrono::milliseconds(10));
+            this->timer.async_wait([&](const boost::system::error_code &) { ask(); });
+        });
+    };
+    ask();
+    this->context.run();
+    EXPECT_EQ(wrong, std::vector<std::string>());
+    EXPECT_GT(refused, 0U);
+    EXPECT_GT(counted, 0U);
+}
+
 // Guards against a failed job of which the log tells nothing, as hundreds of others are completed
 // in the same second.
 TEST_F(EntryInstanceTest, LogsFailuresBesideManyCompletedJobs)
