Refuse jobs with text that can't be stored

Cause: the codec took the text over into protobuf fields of kind `string`. Writing one that is not UTF-8 only logs an error, reading it fails.

--- a/tests/platform/test_codec.cpp
+++ b/tests/platform/test_codec.cpp
@@ -26,6 +26,14 @@
              Case{R"({"spec":"x","steps":[{"count":1,"after":[0]}]})", "not earlier"},
              Case{R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})", "not earlier"},
              Case{R"({"spec":"x","steps":[{"count":4000000}]})", "more than 20000"},
+             // A record with such text can't be read back: the job would be accepted and lost.
+             Case{R"({"spec":"x","steps":[{"count":1,"image":"a\ud83c\udf4e"}]})", ""},
+             Case{R"({"spec":"x","steps":[{"count":1,"image":"a\udf4e"}]})", "UTF-8"},
+             Case{R"({"spec":"x","steps":[{"count":1,"affinity":"\udc00"}]})", "UTF-8"},
+             Case{R"({"spec":"x","steps":[{"count":1,"requirements":"\udfff"}]})", "UTF-8"},
+             Case{"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"image\":\"\xff\"}]}", "UTF-8"},
+             Case{"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"image\":\"\xc3\"}]}", "UTF-8"},
+             Case{R"({"spec":"half \udc00","steps":[{"count":1}]})", "UTF-8"},
          }) {
         const Result<jobs::JobSpec> spec = parseSubmission(given.body);
         EXPECT_EQ(spec.has_value(), *given.reason == '\0') << given.body;
