--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -608,7 +608,7 @@
     if (step.long_running() || job.closed()) {
         return;
     }
-    // A delayed start began the run. Its end is acknowledged with the others, after which the
+    // A late start began the run. Its end is acknowledged with the others, after which the
     // worker discards it, so it has to be counted here.
     if (ended.how == RunEnd::Done) {
         this->finishTask(job, ended.task, task, now);
@@ -782,7 +782,7 @@
                                 Instant now)
 {
     if (task.startSentAt < worker.failuresCountFrom) {
-        // It was started before the ejection, so it tells no more than those that led to that.
+        // A run of before the ejection tells no more than those that led to it.
         return;
     }
     worker.failedJobs.insert(job.value());
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -255,7 +255,7 @@
     bool onProbation = false;
     std::optional<TaskRef> probe;     ///< That task, while it is placed here.
     unsigned ejectionCount = 0;       ///< Ejections for failures since the last success.
-    Instant failuresCountFrom;        ///< When the last of these ended; runs of before say no more.
+    Instant failuresCountFrom;        ///< End of the last one; runs of before are no evidence.
     std::set<std::string> failedJobs; ///< Jobs that failed here since the last success.
     std::map<std::string, double> interferenceCosts; ///< By image; cache of PlacementPolicy.
     /** Cache of PlacementPolicy; unset: not computed since the last change. */
