--- a/review/standins-3/standin.py
+++ b/review/standins-3/standin.py
@@ -264,7 +264,7 @@
         self.last_beat = time.monotonic()
         self.store.put("keyed.servers", self.name, json.dumps(
             {"service": self.service, "address": f"{self.host}:{self.port}", "zone": self.zone, "version": "v1",
-             "slots": 8, "state": self.state, "cold_remaining_ms": 0, "remaining_ms": 0,
+             "slots": 8, "state": self.state, "cold_remaining_ms": 0,
              "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0}, "labels": [self.kind, self.rack],
              "clock_ms": self.clock(), "born": self.born, "seq_no": self.seq_no}).encode())
 
