Tell what is known of a worker as a start of a bounded step is sent

Neither logs nor metrics said what the coordinator believed to be there as it sent a start, how old that belief was, or that it had given up the place of a run that was at work.

No decision changes.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1078,6 +1078,42 @@
              {"reason", "zone_evacuated"}});
 }
 
+void EntryInstance::boundedStartSent(const BoundedStart &start, const WorkerState &worker)
+{
+    logLine(LogLevel::Info, "bounded_start",
+            {{"task", platform::taskName(start.task)},
+             {"run", std::to_string(start.run)},
+             {"worker", worker.entry.id.value()},
+             {"tries", std::to_string(start.tries)},
+             {"most", std::to_string(start.most)},
+             {"placed", std::to_string(start.placed)},
+             {"unplaced", std::to_string(start.orphans)},
+             {"report_age_ms", std::to_string(start.sinceReport.count())},
+             {"placed_ago_ms", std::to_string(start.sincePlaced.count())}});
+}
+
+void EntryInstance::runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                                  std::uint32_t doneRun)
+{
+    this->metrics.count("godwitfall_runs_superseded_total");
+    logLine(LogLevel::Info, "run_superseded",
+            {{"task", platform::taskName(task)},
+             {"run", std::to_string(run)},
+             {"worker", worker.entry.id.value()},
+             {"done_run", std::to_string(doneRun)}});
+}
+
+void EntryInstance::stepBoundExceeded(const StepRef &step, std::size_t listed,
+                                      const WorkerState &worker)
+{
+    this->metrics.count("godwitfall_step_bounds_exceeded_total");
+    logLine(LogLevel::Warning, "step_bound_exceeded",
+            {{"step", platform::stepName(step)},
+             {"worker", worker.entry.id.value()},
+             {"listed", std::to_string(listed)},
+             {"placed", std::to_string(worker.countOf(step.job, step.occurrence, step.step))}});
+}
+
 void EntryInstance::configOutdated()
 {
     logLine(LogLevel::Info, "config_outdated",
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -76,6 +76,11 @@
     void startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                          unsigned tries) override;
     void startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker) override;
+    void boundedStartSent(const BoundedStart &start, const WorkerState &worker) override;
+    void runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                       std::uint32_t doneRun) override;
+    void stepBoundExceeded(const StepRef &step, std::size_t listed,
+                           const WorkerState &worker) override;
     void recordsRejected(const std::vector<JobRecord> &records) override;
     void recordUnreadable(const JobRecord &record) override;
     void jobEndRead(const Job &job) override;
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -461,6 +461,7 @@
     for (const RunningTask &running : report.running) {
         this->applyRunning(*worker, running, now);
     }
+    this->reportExceededBounds(*worker, report);
     const std::uint64_t appliedBefore = ends.applied;
     for (const EndedTask &ended : report.ended) {
         if (ended.number > appliedBefore) {
@@ -535,6 +536,44 @@
     this->noteProbeAtWork(worker, running.task, *task, now);
 }
 
+void Coordinator::reportExceededBounds(WorkerState &worker, const WorkerReport &report)
+{
+    std::map<StepRef, std::set<std::uint32_t>> listed;
+    for (const RunningTask &running : report.running) {
+        const TaskRef &ref = running.task;
+        Job *job = this->table.find(ref.job);
+        if (job && job->task(ref) && job->stepSpec(ref.step).max_per_worker() > 0) {
+            listed[StepRef{ref.job, ref.occurrence, ref.step}].insert(ref.index);
+        }
+    }
+    std::set<StepRef> exceeded;
+    for (const auto &[step, indexes] : listed) {
+        if (indexes.size() <= this->table.find(step.job)->stepSpec(step.step).max_per_worker()) {
+            continue;
+        }
+        exceeded.insert(step);
+        if (!worker.exceededBounds.contains(step)) {
+            this->observer.stepBoundExceeded(step, indexes.size(), worker);
+        }
+    }
+    worker.exceededBounds = std::move(exceeded);
+}
+
+std::uint32_t Coordinator::countOrphans(const StepRef &step, const WorkerState &worker) const
+{
+    std::uint32_t count = 0;
+    for (auto orphan =
+             this->orphans.lower_bound({TaskRef{step.job, step.occurrence, step.step, 0}, {}});
+         orphan != this->orphans.end(); ++orphan) {
+        const TaskRef &ref = orphan->first.first;
+        if (StepRef{ref.job, ref.occurrence, ref.step} != step) {
+            break;
+        }
+        count += orphan->first.second == worker.entry.id.value() ? 1 : 0;
+    }
+    return count;
+}
+
 void Coordinator::removeUnlistedOrphans(const WorkerState &worker,
                                         const std::vector<RunningTask> &listed)
 {
@@ -581,7 +620,7 @@
         if (!worker.onProbation || worker.probe == ended.task) {
             worker.noteSuccess();
         }
-        this->finishTask(*job, ended.task, *task, now);
+        this->finishTask(*job, ended.task, *task, ended.run, now);
         break;
     case RunEnd::Failed:
         this->recordFailure(worker, job->id(), *task, now);
@@ -611,7 +650,7 @@
     // A late start began the run. Its end is acknowledged with the others, after which the
     // worker discards it, so it has to be counted here.
     if (ended.how == RunEnd::Done) {
-        this->finishTask(job, ended.task, task, now);
+        this->finishTask(job, ended.task, task, ended.run, now);
     } else if (ended.how == RunEnd::Failed && this->countFailure(job, ended.task, ended.run)) {
         this->failJob(job, JobEndReason::AttemptsUsedUp, ended.task, now);
     }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -64,6 +64,20 @@
     std::int64_t untilMs = 0; ///< Since 1970.
 };
 
+/** What the coordinator knows of a worker as it sends it a start of a step that bounds its tasks on
+ * one worker. */
+struct BoundedStart
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+    unsigned tries = 0;        ///< To start the run, this one included.
+    std::uint32_t most = 0;    ///< Tasks of the step that may run on one worker.
+    std::uint32_t placed = 0;  ///< Tasks of the step that are placed there, this one included.
+    std::uint32_t orphans = 0; ///< Runs of the step that the worker lists and that are not placed.
+    Duration sinceReport{0};   ///< Since the worker's newest report.
+    Duration sincePlaced{0};   ///< Since the task was placed there.
+};
+
 /** Receives the coordinator's decisions and observations; for logs and metrics. */
 class CoordinatorObserver
 {
@@ -102,6 +116,13 @@
     /** The start of the run is not sent, or revoked, as the zone of its worker is evacuated. */
     virtual void startDropped(const TaskRef &task, std::uint32_t run,
                               const WorkerState &worker) = 0;
+    virtual void boundedStartSent(const BoundedStart &start, const WorkerState &worker) = 0;
+    /** The task is done by the end of doneRun; its newer run on the worker may be at work. */
+    virtual void runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                               std::uint32_t doneRun) = 0;
+    /** The worker lists runs of more tasks of the step than may run on one worker. */
+    virtual void stepBoundExceeded(const StepRef &step, std::size_t listed,
+                                   const WorkerState &worker) = 0;
 };
 
 /**
@@ -466,11 +487,20 @@
                                        Instant now) const;
 
     void applyRunning(WorkerState &worker, const RunningTask &running, Instant now);
+    /** Tells the observer of steps of which the worker lists more tasks than may run there; once
+     * for as long as it does. */
+    void reportExceededBounds(WorkerState &worker, const WorkerReport &report);
+    /** Tells the observer of a start that is sent, if its step bounds its tasks on one worker. */
+    void reportBoundedStart(const Job &job, const TaskRef &ref, const Task &task, unsigned tries,
+                            const WorkerState &worker, Instant now) const;
     /** Removes the orphan runs that the worker no longer lists. */
     void removeUnlistedOrphans(const WorkerState &worker, const std::vector<RunningTask> &listed);
     /** Returns whether an orphan run of the task may be running, so that it may not be started. */
     bool hasOrphanRun(const TaskRef &ref, Instant now) const;
     void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
+    /** Returns how many runs of the step, of one occurrence, the worker lists that are not placed
+     * there. */
+    std::uint32_t countOrphans(const StepRef &step, const WorkerState &worker) const;
     /** Applies the end of a run that no record placed on its worker. */
     void applyOrphanEnd(Job &job, const EndedTask &ended, Task &task, Instant now);
     /** Sets tasks back to waiting that the report of a hold sent at sentAt should list and does
@@ -573,7 +603,8 @@
      * harmlessAge. */
     void noteAtWork(WorkerState &worker, Job &job, const TaskRef &ref, Task &task, Instant now);
 
-    void finishTask(Job &job, const TaskRef &ref, Task &task, Instant now);
+    /** Applies the end of the run as done, which need not be the task's newest one. */
+    void finishTask(Job &job, const TaskRef &ref, Task &task, std::uint32_t endedRun, Instant now);
     /** Counts a failed run, once; returns whether the task has used up its attempts. */
     bool countFailure(Job &job, const TaskRef &ref, std::uint32_t run);
     void failTask(Job &job, const TaskRef &ref, Task &task, Instant now);
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -16,7 +16,8 @@
     this->planNeeded = true;
 }
 
-void Coordinator::finishTask(Job &job, const TaskRef &ref, Task &task, Instant now)
+void Coordinator::finishTask(Job &job, const TaskRef &ref, Task &task, std::uint32_t endedRun,
+                             Instant now)
 {
     const jobs::StepSpec &step = job.stepSpec(ref.step);
     if (step.long_running() || job.closed()) {
@@ -33,6 +34,10 @@
         Task &member = run.tasks[index];
         const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
         if (member.phase != TaskPhase::Done) {
+            const WorkerState *worker = this->findWorker(WorkerId(member.worker));
+            if (worker && member.run != endedRun) {
+                this->observer.runSuperseded(memberRef, member.run, *worker, endedRun);
+            }
             this->detach(memberRef, member);
             member.phase = TaskPhase::Done;
             ++run.done;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -98,12 +98,32 @@
         order.ticket = *ticket;
     }
     worker->noteLeaseEnd(order.leaseEndMs);
+    this->reportBoundedStart(job, ref, task, open.tries, *worker, now);
     open.sentAt = now;
     task.unlisted = false;
     task.startSentAt = task.startSentAt == Instant() ? now : task.startSentAt;
     this->orders.start(std::move(order));
 }
 
+void Coordinator::reportBoundedStart(const Job &job, const TaskRef &ref, const Task &task,
+                                     unsigned tries, const WorkerState &worker, Instant now) const
+{
+    const std::uint32_t most = job.stepSpec(ref.step).max_per_worker();
+    if (most == 0) {
+        return;
+    }
+    BoundedStart start;
+    start.task = ref;
+    start.run = task.run;
+    start.tries = tries;
+    start.most = most;
+    start.placed = worker.countOf(ref.job, ref.occurrence, ref.step);
+    start.orphans = this->countOrphans(StepRef{ref.job, ref.occurrence, ref.step}, worker);
+    start.sinceReport = now - worker.lastSeenAt;
+    start.sincePlaced = Duration(this->unixMs - task.placedMs);
+    this->observer.boundedStartSent(start, worker);
+}
+
 bool Coordinator::mayProlongLeases(const WorkerState &worker, Instant now)
 {
     return worker.responded && now - worker.lastSeenAt < renewalTimeout;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -243,8 +243,9 @@
     EndNumbers ends;
 
     std::map<TaskRef, Job *> tasks;
-    std::set<TaskRef> suspects; ///< Of tasks: those under which workers have crashed.
-    Resources reserved;         ///< Without the processors of best-effort tasks.
+    std::set<StepRef> exceededBounds; ///< Of which its newest report lists too many tasks.
+    std::set<TaskRef> suspects;       ///< Of tasks: those under which workers have crashed.
+    Resources reserved;               ///< Without the processors of best-effort tasks.
     Resources unplaced; ///< The same of runs that no record places here, as of its last report.
     std::int64_t bestEffortMilliCores = 0;
 
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -61,6 +61,19 @@
     {
         this->droppedStarts.push_back(task);
     }
+    void boundedStartSent(const BoundedStart &start, const WorkerState &) override
+    {
+        this->boundedStarts.push_back(start);
+    }
+    void runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &,
+                       std::uint32_t) override
+    {
+        this->supersededRuns.emplace_back(task, run);
+    }
+    void stepBoundExceeded(const StepRef &step, std::size_t, const WorkerState &) override
+    {
+        this->exceededBounds.push_back(step);
+    }
     void workPending() override {}
     void progressNeeded(std::uint64_t) override { this->needsProgress = true; }
     void ownershipGained(std::uint64_t) override { this->needsWorkers = true; }
@@ -83,6 +96,9 @@
     std::vector<HeldBackTask> heldBack;
     std::vector<std::pair<bool, StartsPause>> pauses;
     std::vector<TaskRef> droppedStarts; ///< As the zone of their worker is evacuated.
+    std::vector<BoundedStart> boundedStarts;
+    std::vector<std::pair<TaskRef, std::uint32_t>> supersededRuns;
+    std::vector<StepRef> exceededBounds; ///< Of which a worker listed too many tasks.
     std::vector<std::pair<std::string, bool>>
         capacityChanges; ///< Service, and whether it is short.
 
