Check the service, the label and the bound of a step at the workers of the simulation

The simulated workers checked the label; several schedules set max_per_worker, and none checked it. RouteCheckTest shows that the checks notice nodes that are not told of the conditions.

--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -208,8 +208,11 @@
                 const std::uint64_t starts = this->simulation.fleet.starts;
                 const OrderOutcome outcome = worker.start(order, workMs, fails, gangSize);
                 // A repeated order begins no other run.
-                if (this->simulation.fleet.starts != starts && this->simulation.deadly &&
-                    this->simulation.deadly(order.task)) {
+                const bool begun = this->simulation.fleet.starts != starts;
+                if (begun) {
+                    this->simulation.checkRoute(worker, order.task);
+                }
+                if (begun && this->simulation.deadly && this->simulation.deadly(order.task)) {
                     this->simulation.crashUnder(order.target.worker, order.task);
                 }
                 return worker.up ? outcome : OrderOutcome::Unanswered;
@@ -651,6 +654,34 @@
     }
 }
 
+void JobSimulation::checkRoute(const SimWorker &worker, const TaskRef &task)
+{
+    if (this->fleet.delayedOrder) {
+        return;
+    }
+    const std::string start = "start of " + task.job.value() + "." + std::to_string(task.step) +
+                              "." + std::to_string(task.index) + " on " + worker.entry().id.value();
+    const ServiceId &service = this->config.queues.front().service;
+    if (worker.service != service) {
+        this->fleet.broken.push_back(start + " of " + worker.service.value() + ", not " +
+                                     service.value());
+    }
+    const std::uint32_t most =
+        this->specs.at(task.job).steps(static_cast<int>(task.step)).max_per_worker();
+    std::set<std::uint32_t> others;
+    std::string runs;
+    for (const auto &[other, run] : worker.otherRunsOfStep(task)) {
+        others.insert(other.index);
+        const bool done = this->fleet.everDone.contains(other);
+        runs += ", run " + std::to_string(run) + " of " + std::to_string(other.index) +
+                (done ? " (done by another run)" : "");
+    }
+    if (most > 0 && others.size() >= most) {
+        this->fleet.broken.push_back(start + " beside other tasks of its step, which allows " +
+                                     std::to_string(most) + " on one worker" + runs);
+    }
+}
+
 void JobSimulation::checkStartInZone(const WorkerId &worker, const TaskRef &task)
 {
     const auto found = this->requestedAtMs.find(this->zoneOf(std::stoul(worker.value().substr(1))));
@@ -692,11 +723,20 @@
     }
 }
 
+WorkerEntry JobSimulation::entryOf(std::size_t worker) const
+{
+    WorkerEntry entry = this->workers[worker]->entry();
+    if (this->disabled == DisabledMechanism::ServiceOfWorkers) {
+        entry.service = this->config.queues.front().service;
+    }
+    return entry;
+}
+
 void JobSimulation::setListed(std::size_t worker, bool listed)
 {
     if (listed) {
         this->unlisted.erase(worker);
-        this->registry[worker] = this->workers[worker]->entry();
+        this->registry[worker] = this->entryOf(worker);
     } else {
         this->unlisted.insert(worker);
         this->registry.erase(worker);
@@ -833,6 +873,12 @@
         *spec.add_steps() = step;
     }
     this->specs.emplace(id, spec);
+    if (this->disabled == DisabledMechanism::StepConditions) {
+        for (jobs::StepSpec &step : *spec.mutable_steps()) {
+            step.clear_required_label();
+            step.clear_max_per_worker();
+        }
+    }
     for (const auto &instance : this->instances) {
         if (!instance->node || this->nowMs < instance->frozenUntil) {
             continue;
@@ -1062,11 +1108,10 @@
 void JobSimulation::restartWorker(std::size_t index)
 {
     this->workers[index]->restart(this->nowMs);
-    this->registry[index] = this->workers[index]->entry();
+    this->registry[index] = this->entryOf(index);
     for (const auto &instance : this->instances) {
         if (instance->node && instance->node->coordinates()) {
-            instance->node->coordination().setWorker(this->workers[index]->entry(),
-                                                     Instant(this->nowMs));
+            instance->node->coordination().setWorker(this->registry[index], Instant(this->nowMs));
         }
     }
 }
@@ -1138,6 +1183,12 @@
     this->crashWorker(index, downMs, listedAfterMs);
 }
 
+void JobSimulation::changeServiceOf(std::size_t index, const ServiceId &service)
+{
+    this->workers[index]->changeServiceAtRestart(service);
+    this->restartWorker(index);
+}
+
 void JobSimulation::drainWorker(std::size_t index, std::int64_t milliseconds, std::int64_t downMs)
 {
     this->workers[index]->draining = true;
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -140,6 +140,8 @@
     WorkerAccount,
     EvacuationRequests, ///< Nodes are not told of requests to evacuate zones.
     EvacuationBound,    ///< Nodes start tasks on any view of the requests.
+    StepConditions,     ///< Nodes are not told on which workers a step may run, and how many of it.
+    ServiceOfWorkers,   ///< Nodes are told that all workers belong to the service of the jobs.
 };
 
 /**
@@ -244,6 +246,9 @@
     void crashWorkerAndChange(std::size_t index, std::int64_t downMs, std::int64_t listedAfterMs,
                               const std::string &kind, std::int64_t milliCores);
 
+    /** Restarts a worker, which belongs to the service from then on. */
+    void changeServiceOf(std::size_t index, const ServiceId &service);
+
     /** Ends a worker and each of its next incarnations, which start after downMs, gapMs after the
      * one before; so many times. */
     void crashWorkerInSeries(std::size_t index, int times, std::int64_t gapMs, std::int64_t downMs);
@@ -327,6 +332,9 @@
     void checkStartAfterCrashes(const TaskRef &task);
     /** Checks that the worker has the label that the task requires, as a start reaches it. */
     void checkStartOnKind(const WorkerId &worker, const TaskRef &task);
+    /** Checks that the worker belongs to the service of the jobs and runs no more tasks of the step
+     * than it allows, as a run begins there. */
+    void checkRoute(const SimWorker &worker, const TaskRef &task);
     /** Checks that the zone of the worker is not evacuated, as a start reaches it. */
     void checkStartInZone(const WorkerId &worker, const TaskRef &task);
     void readRequests(Instance &instance);
@@ -352,6 +360,8 @@
     bool reaches(const Instance &instance, std::size_t worker) const;
     /** Returns whether a disturbance of the kind affects the next order to the worker. */
     bool disturbs(std::size_t worker, OrderDisturbance kind);
+    /** Returns what the worker writes to the registry. */
+    WorkerEntry entryOf(std::size_t worker) const;
     /** Lists the worker in the registry, or removes it. */
     void setListed(std::size_t worker, bool listed);
     void unlistAfterSilence(std::size_t worker);
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -212,12 +212,28 @@
     return allowed;
 }
 
+bool SimWorker::isKnown(const Run &run) const
+{
+    return !run.startedLate || this->nowMs > run.startedAtMs + reportMs;
+}
+
 std::int64_t SimWorker::knownRuns() const
 {
-    return std::count_if(this->runs.begin(), this->runs.end(), [this](const auto &entry) {
-        const Run &run = entry.second;
-        return !run.startedLate || this->nowMs > run.startedAtMs + reportMs;
-    });
+    return std::count_if(this->runs.begin(), this->runs.end(),
+                         [this](const auto &entry) { return this->isKnown(entry.second); });
+}
+
+std::vector<std::pair<TaskRef, std::uint32_t>> SimWorker::otherRunsOfStep(const TaskRef &task) const
+{
+    std::vector<std::pair<TaskRef, std::uint32_t>> others;
+    for (const auto &[key, run] : this->runs) {
+        const TaskRef &other = key.first;
+        if (other.job == task.job && other.occurrence == task.occurrence &&
+            other.step == task.step && other.index != task.index && this->isKnown(run)) {
+            others.push_back(key);
+        }
+    }
+    return others;
 }
 
 OrderOutcome SimWorker::stop(const StopOrder &order)
@@ -305,6 +321,7 @@
         this->capacity.milliCores = next->second;
         this->formerCapacities.clear();
     }
+    this->service = std::exchange(this->serviceAtRestart, std::nullopt).value_or(this->service);
     this->nowMs = atMs;
     this->up = true;
     this->draining = false;
@@ -314,7 +331,7 @@
 {
     WorkerEntry entry;
     entry.id = WorkerId(this->id);
-    entry.service = ServiceId("orchard");
+    entry.service = this->service;
     entry.address = "127.0.0.1:1";
     entry.capacity = this->capacity;
     entry.kind = this->kind;
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -91,6 +91,13 @@
     /** Sets the kind and the capacity that its incarnations from the next restart on have. */
     void changeAtRestart(const std::string &nextKind, std::int64_t nextMilliCores);
 
+    /** Sets the service that its incarnations from the next restart on belong to. */
+    void changeServiceAtRestart(const ServiceId &next) { this->serviceAtRestart = next; }
+
+    /** Returns the runs of other tasks of the task's step here, those that are being stopped
+     * included, as far as the coordinator can know of them. */
+    std::vector<std::pair<TaskRef, std::uint32_t>> otherRunsOfStep(const TaskRef &task) const;
+
     /** Returns its own steady clock, in ms. */
     std::int64_t clock() const
     {
@@ -106,6 +113,8 @@
     bool checksFence = true;    ///< Off: accepts any token, to show that checks notice.
     bool keepsAccount = true;   ///< Off: notes no failed runs and crashes, for the same reason.
     bool keepsLeases = true;    ///< Off: runs continue past the lease, to show that checks notice.
+    /** Of its entry. */
+    ServiceId service{"orchard"};
 
 private:
     struct Run
@@ -130,10 +139,13 @@
     const std::string id;
     /** Returns the capacity that starts have to go by: also a former one, for a while. */
     std::int64_t allowedMilliCores() const;
-    /** Returns the runs that the coordinator can know of. */
+    /** Returns whether the coordinator can know of the run. */
+    bool isKnown(const Run &run) const;
+    /** Returns the number of such runs. */
     std::int64_t knownRuns() const;
 
     std::optional<std::pair<std::string, std::int64_t>> atRestart; ///< Kind and milli-cores.
+    std::optional<ServiceId> serviceAtRestart;
     Resources capacity;
     std::map<std::int64_t, std::int64_t> formerCapacities; ///< By when they ended, in ms.
     const std::int64_t clockOffset;
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -1,4 +1,5 @@
-// Steps that bound how many of their tasks run on one worker.
+// No start puts a task on a worker of another service, without the label that its step requires, or
+// beside more tasks of its step than the step allows there.
 #include <algorithm>
 #include <random>
 #include <string>
@@ -13,6 +14,37 @@
 namespace godwitfall::jobtests {
 namespace {
 
+struct DisabledCase
+{
+    const char *name;
+    DisabledMechanism disabled;
+    bool detected;
+};
+
+class RouteCheckTest : public testing::TestWithParam<DisabledCase>
+{};
+
+// Guards against a check that finds nothing: each condition that nodes are not told of is broken.
+TEST_P(RouteCheckTest, NoticesStartsAgainstConditions)
+{
+    JobSimulation simulation(1, FaultRates(), GetParam().disabled);
+    simulation.changeServiceOf(0, ServiceId("vineyard"));
+    simulation.run(3000);
+    jobs::StepSpec step = stepOf(12, 500);
+    step.set_max_per_worker(2);
+    const JobId id = simulation.submit({step});
+    simulation.run(8000);
+    EXPECT_EQ(!simulation.ledger().broken.empty(), GetParam().detected);
+    EXPECT_EQ(simulation.shown(id), jobs::COMPLETED);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Mechanisms, RouteCheckTest,
+    testing::Values(DisabledCase{"AllInForce", DisabledMechanism::None, false},
+                    DisabledCase{"NoStepConditions", DisabledMechanism::StepConditions, true},
+                    DisabledCase{"NoServices", DisabledMechanism::ServiceOfWorkers, true}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /** Two tasks, of which one may run on a worker, and a former coordinator's record of the first. */
 class BoundedStepTest : public testing::Test
 {
