Tests that fail: starts beyond the bound of a step, in three ways

- a run that no record places on the worker is not counted (1 of 1 case);
- a start is sent, or sent again, though the worker has listed such a run since (3 of 3 cases);

--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -165,5 +165,270 @@
     EXPECT_EQ(this->world.host.exceededBounds.size(), 2U);
 }
 
+/** When the worker lists a run of the first task that no record places there. */
+enum class Listed {
+    BeforePlacement,
+    BeforeStart, ///< The second task is placed there; its record is not stored yet.
+    AfterTryThatWasNotSent,
+    AfterUnansweredTry,
+};
+
+struct OrphanCase
+{
+    const char *name;
+    Listed listed;
+    TaskPhase phase; ///< Of the second task afterwards.
+};
+
+class OrphanRunTest : public BoundedStepTest, public testing::WithParamInterface<OrphanCase>
+{};
+
+// ROUTE. Guards against a start beside a run of the same step that no record places on the worker,
+// however late the worker lists that run. Once it has ended, the start is sent.
+TEST_P(OrphanRunTest, CountsAgainstTheBoundOfItsStep)
+{
+    this->begin(2, true);
+    const RunningTask orphan{this->ref(0), 2, {}, 10, 0};
+    const bool listedFirst = GetParam().listed == Listed::BeforePlacement;
+    this->list(this->worker, false, 1010);
+    this->report(this->worker, 1020,
+                 listedFirst ? std::vector{orphan} : std::vector<RunningTask>());
+    this->world.coordinator.plan(Instant(1030), 1030);
+    if (!listedFirst) {
+        ASSERT_EQ(this->task(1).phase, TaskPhase::Recording);
+    }
+    if (GetParam().listed == Listed::BeforeStart) {
+        this->report(this->worker, 1040, {orphan});
+    }
+    this->world.coordinator.takeBatch();
+    this->world.coordinator.committed(Instant(1050), true);
+    if (GetParam().listed >= Listed::AfterTryThatWasNotSent) {
+        ASSERT_EQ(this->startsOf(1), 1U);
+        this->answerStart(1, 1060,
+                          GetParam().listed == Listed::AfterUnansweredTry ? OrderOutcome::Unanswered
+                                                                          : OrderOutcome::NotSent);
+        this->report(this->worker, 1070, {orphan});
+    }
+    for (std::int64_t at = 1080; at < 1600; at += 20) {
+        this->world.tick(at);
+        this->world.commit(at);
+    }
+    EXPECT_EQ(this->startsOf(1), 0U);
+    EXPECT_EQ(this->task(1).phase, GetParam().phase);
+    this->world.coordinator.stopAnswered(this->worker, this->ref(1), this->task(1).run,
+                                         Instant(1610), OrderOutcome::Accepted);
+    this->report(this->worker, 1620, {}, {EndedTask{1, this->ref(0), 2, RunEnd::Stopped, {}}});
+    this->report(this->worker, 1650, {}, {EndedTask{1, this->ref(0), 2, RunEnd::Stopped, {}}});
+    this->world.commit(1660);
+    EXPECT_EQ(this->startsOf(1), 1U) << "the run has ended";
+}
+
+/** How far the first task's second run has come when its first run's end arrives. */
+enum class Progress { Sent, Unanswered, Taken, Listed };
+
+struct SupersededCase
+{
+    const char *name;
+    Progress progress;
+};
+
+class SupersededRunTest : public BoundedStepTest, public testing::WithParamInterface<SupersededCase>
+{
+protected:
+    /** Has the second run placed, and the first run's end reported by another worker. */
+    void supersede()
+    {
+        const Progress progress = GetParam().progress;
+        this->begin(1, false);
+        this->list(this->worker, false, 1010);
+        this->report(this->worker, 1020, {});
+        this->world.commit(1030);
+        ASSERT_EQ(this->startsOf(0), 1U);
+        ASSERT_EQ(this->task(1).phase, TaskPhase::Waiting);
+        if (progress == Progress::Unanswered) {
+            this->answerStart(0, 1040, OrderOutcome::Unanswered);
+        } else if (progress != Progress::Sent) {
+            this->answerStart(0, 1040, OrderOutcome::Accepted);
+        }
+        if (progress == Progress::Listed) {
+            this->report(this->worker, 1050, {this->secondRun});
+        }
+        this->list(this->formerWorker, true, 1060);
+        this->report(this->formerWorker, 1070, {},
+                     {EndedTask{1, this->ref(0), 1, RunEnd::Done, {}}});
+        ASSERT_EQ(this->task(0).phase, TaskPhase::Done);
+    }
+
+    const RunningTask secondRun{this->ref(0), 2, {}, 10, 0};
+};
+
+// ROUTE, LIMIT. Guards against a start in the place of a run that continues though an earlier run
+// of its task has ended as done on another worker. The run is stopped, and counts until then.
+TEST_P(SupersededRunTest, KeepsItsPlaceUntilItHasEnded)
+{
+    this->supersede();
+    EXPECT_TRUE(this->stopSent(2));
+    this->world.commit(1080);
+    EXPECT_EQ(this->startsOf(1), 0U);
+    this->report(this->worker, 1090, {this->secondRun});
+    this->world.commit(1100);
+    EXPECT_EQ(this->startsOf(1), 0U);
+    this->world.coordinator.stopAnswered(this->worker, this->ref(0), 2, Instant(1110),
+                                         OrderOutcome::Accepted);
+    this->report(this->worker, 1120, {this->secondRun});
+    this->world.commit(1130);
+    EXPECT_EQ(this->startsOf(1), 0U) << "it is being stopped";
+    this->report(this->worker, 1140, {}, {EndedTask{1, this->ref(0), 2, RunEnd::Stopped, {}}});
+    this->world.commit(1150);
+    EXPECT_EQ(this->startsOf(1), 1U) << "it has ended";
+}
+
+// LOST. Guards against a task that waits for ever for a run that never began: its worker does not
+// reply to the stop.
+TEST_P(SupersededRunTest, KeepsItsPlaceNoLongerThanItsLease)
+{
+    this->supersede();
+    const std::int64_t endMs = 1070 + this->world.coordinator.longestLeasedRun().count() + 100;
+    for (std::int64_t at = 1080; at < endMs; at += 20) {
+        this->report(this->worker, at, {});
+        this->world.tick(at);
+        this->world.commit(at);
+    }
+    EXPECT_GE(this->startsOf(1), 1U);
+}
+
+/** What is played beside jobs whose steps are as wide as their bounds allow. */
+struct TightSchedule
+{
+    FaultRates rates;
+    bool longRunning = false;
+    std::uint32_t mostPerWorker = 1;
+};
+
+/** Plays jobs with one step that takes all workers at its bound, beside faults of all kinds;
+ * returns the violated guarantees. */
+std::vector<std::string> playTightBounds(std::uint64_t seed, const TightSchedule &schedule)
+{
+    constexpr std::size_t fleet = 8;
+    constexpr int rounds = 24;
+    constexpr std::int64_t cutMs = 9000;
+    constexpr std::size_t mostLongRunning = 3;
+    /** Runs until the end of any schedule. */
+    constexpr std::int64_t longRunMs = 600000;
+    std::mt19937_64 random(seed);
+    const auto upTo = [&](std::int64_t most) {
+        return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(most + 1));
+    };
+    JobSimulation simulation(seed, schedule.rates);
+    simulation.makeHoldsWait();
+    while (simulation.workersEver() < fleet) {
+        simulation.addWorker();
+    }
+    simulation.run(2500);
+    std::vector<JobId> longRunning;
+    for (int round = 0; round < rounds; ++round) {
+        const auto width = static_cast<std::uint32_t>(fleet * schedule.mostPerWorker);
+        const std::int64_t workMs = schedule.longRunning ? longRunMs : 300 + upTo(2500);
+        jobs::StepSpec step = stepOf(width, static_cast<std::uint32_t>(workMs));
+        step.set_max_per_worker(schedule.mostPerWorker);
+        step.set_long_running(schedule.longRunning);
+        const JobId id = simulation.submit({step});
+        if (schedule.longRunning) {
+            longRunning.push_back(id);
+        }
+        if (longRunning.size() > mostLongRunning) {
+            simulation.cancel(longRunning.front());
+            longRunning.erase(longRunning.begin());
+        }
+        if (round % 4 == 1) {
+            simulation.cutWorker(random() % fleet, cutMs);
+        }
+        simulation.run(200 + upTo(1500));
+    }
+    simulation.heal();
+    for (const JobId &id : longRunning) {
+        simulation.cancel(id);
+    }
+    simulation.run(40000);
+    std::vector<std::string> broken = simulation.ledger().broken;
+    for (const JobId &id : simulation.accepted()) {
+        if (!schedule.longRunning && simulation.shown(id) != jobs::COMPLETED) {
+            broken.push_back("not completed: " + id.value() + "\n" + simulation.ownerView(id));
+        }
+    }
+    return broken;
+}
+
+FaultRates ratesOf(int lost, int delayed, int kill)
+{
+    FaultRates rates;
+    rates.orderLost = lost;
+    rates.replyLost = lost;
+    rates.orderDelayed = delayed;
+    rates.perSecondKill = kill;
+    return rates;
+}
+
+struct FoundSchedule
+{
+    const char *name;
+    TightSchedule schedule;
+    std::uint64_t seed;
+};
+
+class FoundBoundTest : public testing::TestWithParam<FoundSchedule>
+{};
+
+// ROUTE. Guards against the same on whole schedules: orders are late or lost, workers are cut off,
+// and coordinators are lost.
+TEST_P(FoundBoundTest, NoStartExceedsTheBound)
+{
+    EXPECT_EQ(playTightBounds(GetParam().seed, GetParam().schedule), std::vector<std::string>());
+}
+
+RC_GTEST_PROP(TightBoundProperty, NoStartExceedsTheBound, ())
+{
+    const auto seed = *rc::gen::inRange<std::uint64_t>(0, 100000).as("seed");
+    TightSchedule schedule;
+    schedule.rates =
+        ratesOf(*rc::gen::inRange(0, 30).as("lost"), *rc::gen::inRange(0, 60).as("delayed"),
+                *rc::gen::inRange(0, 120).as("kills"));
+    schedule.longRunning = *rc::gen::inRange(0, 4) == 0;
+    schedule.mostPerWorker = *rc::gen::inRange<std::uint32_t>(1, 3);
+    const std::vector<std::string> broken = playTightBounds(seed, schedule);
+    for (const std::string &violation : broken) {
+        RC_LOG() << violation << std::endl;
+    }
+    RC_ASSERT(broken.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(KnownRedOrphans, OrphanRunTest,
+                         testing::Values(OrphanCase{"BeforePlacement", Listed::BeforePlacement,
+                                                    TaskPhase::Waiting}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+INSTANTIATE_TEST_SUITE_P(
+    KnownRedSends, OrphanRunTest,
+    testing::Values(
+        OrphanCase{"BeforeStart", Listed::BeforeStart, TaskPhase::Waiting},
+        OrphanCase{"AfterTryThatWasNotSent", Listed::AfterTryThatWasNotSent, TaskPhase::Waiting},
+        OrphanCase{"AfterUnansweredTry", Listed::AfterUnansweredTry, TaskPhase::Stopping}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+INSTANTIATE_TEST_SUITE_P(KnownRedSuperseded, SupersededRunTest,
+                         testing::Values(SupersededCase{"Sent", Progress::Sent},
+                                         SupersededCase{"Unanswered", Progress::Unanswered},
+                                         SupersededCase{"Taken", Progress::Taken},
+                                         SupersededCase{"Listed", Progress::Listed}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+INSTANTIATE_TEST_SUITE_P(KnownRedSuperseded, FoundBoundTest,
+                         testing::Values(FoundSchedule{"AllFaults", {ratesOf(20, 20, 60)}, 67},
+                                         FoundSchedule{
+                                             "AllFaultsAgain", {ratesOf(20, 20, 60)}, 132},
+                                         FoundSchedule{"OrdersDelayed", {ratesOf(0, 60, 0)}, 228},
+                                         FoundSchedule{"OwnersKilled", {ratesOf(20, 0, 120)}, 163}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace godwitfall::jobtests
