Count runs that no record places on a worker against the bound of their step

Cause: one of three found. Processors and memory of a worker count the runs that only the worker lists (orphan runs); the bound of a step counted placed tasks alone.

Change: WorkerState holds its orphan runs, with what they use; countOf(), by which tasks are placed, counts their tasks. A run counts until a report no longer lists it, as its resources do.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1111,7 +1111,7 @@
             {{"step", platform::stepName(step)},
              {"worker", worker.entry.id.value()},
              {"listed", std::to_string(listed)},
-             {"placed", std::to_string(worker.countOf(step.job, step.occurrence, step.step))}});
+             {"placed", std::to_string(worker.countPlaced(step))}});
 }
 
 void EntryInstance::configOutdated()
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -133,7 +133,7 @@
     this->starts.clear();
     this->startLimit.reset();
     this->stops.clear();
-    this->orphans.clear();
+    this->orphanedTasks.clear();
     this->silentCrashes.clear();
     this->advice.clear();
     this->dirty.clear();
@@ -456,11 +456,10 @@
         this->planNeeded = true;
     }
     ++this->reports;
-    this->removeUnlistedOrphans(*worker, report.running);
-    worker->unplaced = Resources();
     for (const RunningTask &running : report.running) {
         this->applyRunning(*worker, running, now);
     }
+    this->removeUnlistedOrphans(*worker);
     this->reportExceededBounds(*worker, report);
     const std::uint64_t appliedBefore = ends.applied;
     for (const EndedTask &ended : report.ended) {
@@ -491,17 +490,7 @@
         this->noteBegun(*job);
     }
     if (!known) {
-        if (job && static_cast<int>(running.task.step) < job->spec().steps_size()) {
-            worker.addUnplacedRun(job->stepSpec(running.task.step));
-        }
-        OrphanRun &orphan = this->orphans[{running.task, worker.entry.id.value()}];
-        if (orphan.run != running.run) {
-            this->observer.unplacedRunListed(running.task, running.run, worker, std::nullopt);
-        }
-        if (orphan.run != running.run || now - orphan.stoppedAt > orphanStopGap) {
-            orphan = OrphanRun{running.run, now};
-            this->sendStop(worker, running.task, running.run);
-        }
+        this->applyOrphan(worker, job, RunRef{running.task, running.run}, now);
         return;
     }
     if (running.percent != task->percent || running.checkpoint != task->checkpoint) {
@@ -559,38 +548,58 @@
     worker.exceededBounds = std::move(exceeded);
 }
 
-std::uint32_t Coordinator::countOrphans(const StepRef &step, const WorkerState &worker) const
+void Coordinator::applyOrphan(WorkerState &worker, const Job *job, const RunRef &run, Instant now)
+{
+    const bool known = worker.orphans.contains(run);
+    const bool hasStep = job && static_cast<int>(run.task.step) < job->spec().steps_size();
+    OrphanRun &orphan =
+        worker.addOrphan(run, hasStep ? reservedBy(job->stepSpec(run.task.step)) : Resources());
+    orphan.lastListedIn = this->reports;
+    if (!known) {
+        this->orphanedTasks.emplace(run.task, worker.entry.id.value());
+        this->observer.unplacedRunListed(run.task, run.run, worker, std::nullopt);
+    }
+    if (!known || now - orphan.stopSentAt > orphanStopGap) {
+        orphan.stopSentAt = now;
+        this->sendStop(worker, run.task, run.run);
+    }
+}
+
+void Coordinator::removeUnlistedOrphans(WorkerState &worker)
 {
-    std::uint32_t count = 0;
-    for (auto orphan =
-             this->orphans.lower_bound({TaskRef{step.job, step.occurrence, step.step, 0}, {}});
-         orphan != this->orphans.end(); ++orphan) {
-        const TaskRef &ref = orphan->first.first;
-        if (StepRef{ref.job, ref.occurrence, ref.step} != step) {
-            break;
+    std::vector<RunRef> ended;
+    for (const auto &[run, orphan] : worker.orphans) {
+        if (orphan.lastListedIn != this->reports) {
+            ended.push_back(run);
         }
-        count += orphan->first.second == worker.entry.id.value() ? 1 : 0;
     }
-    return count;
+    for (const RunRef &run : ended) {
+        this->removeOrphan(worker, run);
+    }
 }
 
-void Coordinator::removeUnlistedOrphans(const WorkerState &worker,
-                                        const std::vector<RunningTask> &listed)
+void Coordinator::removeOrphans(WorkerState &worker)
 {
-    const std::size_t removed = std::erase_if(this->orphans, [&](const auto &entry) {
-        return entry.first.second == worker.entry.id.value() &&
-               std::none_of(listed.begin(), listed.end(), [&](const RunningTask &running) {
-                   return running.task == entry.first.first;
-               });
-    });
-    this->planNeeded = this->planNeeded || removed > 0;
+    while (!worker.orphans.empty()) {
+        this->removeOrphan(worker, RunRef(worker.orphans.begin()->first));
+    }
+}
+
+void Coordinator::removeOrphan(WorkerState &worker, const RunRef &run)
+{
+    worker.removeOrphan(run);
+    const auto other = worker.orphans.lower_bound(RunRef{run.task, 0});
+    if (other == worker.orphans.end() || other->first.task != run.task) {
+        this->orphanedTasks.erase({run.task, worker.entry.id.value()});
+    }
+    this->planNeeded = true;
 }
 
 bool Coordinator::hasOrphanRun(const TaskRef &ref, Instant now) const
 {
-    return std::any_of(this->orphans.lower_bound({ref, {}}),
-                       this->orphans.upper_bound({ref, lastId}), [&](const auto &entry) {
-                           const auto worker = this->workers.find(entry.first.second);
+    return std::any_of(this->orphanedTasks.lower_bound({ref, {}}),
+                       this->orphanedTasks.upper_bound({ref, lastId}), [&](const auto &entry) {
+                           const auto worker = this->workers.find(entry.second);
                            return worker != this->workers.end() &&
                                   now <= worker->second->lapsesAt(this->bounds);
                        });
@@ -750,7 +759,7 @@
 void Coordinator::applyRestart(WorkerState &worker, std::int64_t incarnationStartMs, Instant now)
 {
     this->observer.workerRestarted(worker, incarnationStartMs);
-    this->removeUnlistedOrphans(worker, {});
+    this->removeOrphans(worker);
     const GivenUp toGiveUp = this->countCrash(worker, jobs::OTHER_INCARNATION, now);
     const Instant formerLapse = worker.lapsesAt(this->bounds);
     worker.beginIncarnation(incarnationStartMs, now);
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -400,13 +400,6 @@
         Instant returnAt;
     };
 
-    /** A run that a worker lists and no record places there; a delayed order started it. */
-    struct OrphanRun
-    {
-        std::uint32_t run = 0;
-        Instant stoppedAt; ///< When its stop was last sent.
-    };
-
     /** Rules of a job: its queue's or, once the queue is removed, those of its submission. */
     struct JobRules
     {
@@ -493,14 +486,16 @@
     /** Tells the observer of a start that is sent, if its step bounds its tasks on one worker. */
     void reportBoundedStart(const Job &job, const TaskRef &ref, const Task &task, unsigned tries,
                             const WorkerState &worker, Instant now) const;
-    /** Removes the orphan runs that the worker no longer lists. */
-    void removeUnlistedOrphans(const WorkerState &worker, const std::vector<RunningTask> &listed);
+    /** Applies a run that the worker lists and no record places there: it is stopped. */
+    void applyOrphan(WorkerState &worker, const Job *job, const RunRef &run, Instant now);
+    /** Removes the orphan runs that the newest report of the worker does not list. */
+    void removeUnlistedOrphans(WorkerState &worker);
+    /** Removes all orphan runs of the worker. */
+    void removeOrphans(WorkerState &worker);
+    void removeOrphan(WorkerState &worker, const RunRef &run);
     /** Returns whether an orphan run of the task may be running, so that it may not be started. */
     bool hasOrphanRun(const TaskRef &ref, Instant now) const;
     void applyEnded(WorkerState &worker, const EndedTask &ended, Instant now);
-    /** Returns how many runs of the step, of one occurrence, the worker lists that are not placed
-     * there. */
-    std::uint32_t countOrphans(const StepRef &step, const WorkerState &worker) const;
     /** Applies the end of a run that no record placed on its worker. */
     void applyOrphanEnd(Job &job, const EndedTask &ended, Task &task, Instant now);
     /** Sets tasks back to waiting that the report of a hold sent at sentAt should list and does
@@ -770,8 +765,8 @@
     StartLimit startLimit;
     std::uint64_t openedStarts = 0; ///< Number of the start that was opened last.
     std::map<TaskRef, OpenOrder> stops;
-    /** By task and worker. */
-    std::map<std::pair<TaskRef, std::string>, OrphanRun> orphans;
+    /** Tasks with orphan runs, and the workers of these. */
+    std::set<std::pair<TaskRef, std::string>> orphanedTasks;
     /** Tasks for which a crash was counted as their worker was silent, by worker. */
     std::map<std::string, std::vector<TaskRef>> silentCrashes;
     JobSet dirty;                      ///< Jobs whose progress the next batch records.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -117,8 +117,9 @@
     start.run = task.run;
     start.tries = tries;
     start.most = most;
-    start.placed = worker.countOf(ref.job, ref.occurrence, ref.step);
-    start.orphans = this->countOrphans(StepRef{ref.job, ref.occurrence, ref.step}, worker);
+    const StepRef step{ref.job, ref.occurrence, ref.step};
+    start.placed = worker.countPlaced(step);
+    start.orphans = worker.countOrphans(step);
     start.sinceReport = now - worker.lastSeenAt;
     start.sincePlaced = Duration(this->unixMs - task.placedMs);
     this->observer.boundedStartSent(start, worker);
@@ -463,6 +464,7 @@
 
 void Coordinator::discardWorker(const std::string &id)
 {
+    this->removeOrphans(*this->workers.at(id));
     this->workers.erase(id);
     this->poolsStale = true;
 }
--- a/src/libgodwitfall/jobs/job.h
+++ b/src/libgodwitfall/jobs/job.h
@@ -37,6 +37,15 @@
     auto operator<=>(const StepRef &) const = default;
 };
 
+/** Names one run of a task. */
+struct RunRef
+{
+    TaskRef task;
+    std::uint32_t run = 0;
+
+    auto operator<=>(const RunRef &) const = default;
+};
+
 /** State of a task as its coordinator knows it. */
 enum class TaskPhase : std::uint8_t {
     Waiting,     ///< Not placed.
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -12,6 +12,17 @@
 /** Incarnations of which late replies and registry entries are recognised. */
 constexpr std::size_t formerIncarnationsKept = 16;
 
+/** Sorts before all runs of the step. */
+RunRef firstRunOf(const StepRef &step)
+{
+    return RunRef{TaskRef{step.job, step.occurrence, step.step, 0}, 0};
+}
+
+bool isOf(const TaskRef &task, const StepRef &step)
+{
+    return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
+}
+
 constexpr std::array<const char *, 6> endNames = {"done",   "failed", "stopped",
                                                   "lapsed", "broken", "alone"};
 
@@ -55,7 +66,8 @@
     this->holdDue = now;
     this->earlierLeasesLapse = now;
     this->latestLeaseEndMs = 0;
-    this->unplaced = Resources();
+    this->orphans.clear();
+    this->orphansReserved = Resources();
 }
 
 bool WorkerState::hadIncarnation(std::int64_t startMs) const
@@ -137,9 +149,23 @@
     }
 }
 
-void WorkerState::addUnplacedRun(const jobs::StepSpec &step)
+OrphanRun &WorkerState::addOrphan(const RunRef &run, const Resources &use)
 {
-    this->unplaced += reservedBy(step);
+    const auto [orphan, added] = this->orphans.try_emplace(run);
+    if (added) {
+        orphan->second.reserved = use;
+        this->orphansReserved += use;
+    }
+    return orphan->second;
+}
+
+void WorkerState::removeOrphan(const RunRef &run)
+{
+    const auto orphan = this->orphans.find(run);
+    if (orphan != this->orphans.end()) {
+        this->orphansReserved -= orphan->second.reserved;
+        this->orphans.erase(orphan);
+    }
 }
 
 void WorkerState::release(const TaskRef &ref)
@@ -249,14 +275,33 @@
     this->cachedFullPaceShares.reset();
 }
 
-std::uint32_t WorkerState::countOf(const JobId &job, std::uint32_t occurrence,
-                                   std::uint32_t step) const
+std::uint32_t WorkerState::countOf(const StepRef &step) const
+{
+    std::set<TaskRef> orphaned;
+    for (auto at = this->orphans.lower_bound(firstRunOf(step));
+         at != this->orphans.end() && isOf(at->first.task, step); ++at) {
+        if (!this->tasks.contains(at->first.task)) {
+            orphaned.insert(at->first.task);
+        }
+    }
+    return this->countPlaced(step) + static_cast<std::uint32_t>(orphaned.size());
+}
+
+std::uint32_t WorkerState::countPlaced(const StepRef &step) const
+{
+    std::uint32_t count = 0;
+    for (auto at = this->tasks.lower_bound(firstRunOf(step).task);
+         at != this->tasks.end() && isOf(at->first, step); ++at) {
+        ++count;
+    }
+    return count;
+}
+
+std::uint32_t WorkerState::countOrphans(const StepRef &step) const
 {
     std::uint32_t count = 0;
-    for (auto at = this->tasks.lower_bound(TaskRef{job, occurrence, step, 0});
-         at != this->tasks.end() && at->first.job == job && at->first.occurrence == occurrence &&
-         at->first.step == step;
-         ++at) {
+    for (auto at = this->orphans.lower_bound(firstRunOf(step));
+         at != this->orphans.end() && isOf(at->first.task, step); ++at) {
         ++count;
     }
     return count;
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -109,6 +109,14 @@
     std::uint64_t discarding = 0;   ///< Ends up to this number the hold in flight lets it discard.
 };
 
+/** A run on a worker that no record places there; a delayed order began it. */
+struct OrphanRun
+{
+    Resources reserved;
+    std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it.
+    Instant stopSentAt;             ///< When its stop was last sent.
+};
+
 /** State of a worker as known to the coordinator: entry, lease, load and recent failures. */
 class WorkerState
 {
@@ -163,14 +171,17 @@
     /** Removes the task and frees its resources. */
     void release(const TaskRef &ref);
 
-    /** Counts the resources of a run that the worker lists and no record places there. */
-    void addUnplacedRun(const jobs::StepSpec &step);
+    /** Returns the orphan run; adds it if it is not known, with the resources that it uses. */
+    OrphanRun &addOrphan(const RunRef &run, const Resources &reserved);
+
+    /** Removes the orphan run and frees its resources. */
+    void removeOrphan(const RunRef &run);
 
     /** Returns whether what is placed on the worker, or runs there, exceeds its capacity. */
     bool overcommitted() const { return !this->used().fitsIn(this->entry.capacity); }
 
     /** Returns the resources of what is placed on the worker or runs there. */
-    Resources used() const { return this->reserved + this->unplaced; }
+    Resources used() const { return this->reserved + this->orphansReserved; }
 
     /** Returns the resources that the step's tasks lack next to the used ones; negative amounts are
      * to spare. */
@@ -200,8 +211,14 @@
     /** Drops the cached placement costs after a change of their inputs. */
     void invalidatePlacementCosts();
 
-    /** Returns the number of placed tasks of one occurrence of the step. */
-    std::uint32_t countOf(const JobId &job, std::uint32_t occurrence, std::uint32_t step) const;
+    /** Returns the number of tasks of the step that are placed on the worker or run there. */
+    std::uint32_t countOf(const StepRef &step) const;
+
+    /** Returns the number of tasks of the step that are placed on the worker. */
+    std::uint32_t countPlaced(const StepRef &step) const;
+
+    /** Returns the number of orphan runs of the step. */
+    std::uint32_t countOrphans(const StepRef &step) const;
 
     /** Returns whether the entry describes the present incarnation. The service, labels and
      * capacity of any other incarnation tell nothing of what the present one may be sent. */
@@ -246,7 +263,8 @@
     std::set<StepRef> exceededBounds; ///< Of which its newest report lists too many tasks.
     std::set<TaskRef> suspects;       ///< Of tasks: those under which workers have crashed.
     Resources reserved;               ///< Without the processors of best-effort tasks.
-    Resources unplaced; ///< The same of runs that no record places here, as of its last report.
+    std::map<RunRef, OrphanRun> orphans;
+    Resources orphansReserved; ///< By orphans; without the processors of best-effort tasks.
     std::int64_t bestEffortMilliCores = 0;
 
     Instant coldUntil; ///< From the time at which its entry was read, so at the latest.
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -402,7 +402,7 @@
     RC_ASSERT(broken.empty());
 }
 
-INSTANTIATE_TEST_SUITE_P(KnownRedOrphans, OrphanRunTest,
+INSTANTIATE_TEST_SUITE_P(Moments, OrphanRunTest,
                          testing::Values(OrphanCase{"BeforePlacement", Listed::BeforePlacement,
                                                     TaskPhase::Waiting}),
                          [](const auto &info) { return std::string(info.param.name); });
