Keep the place of a run whose task is done by an earlier run until it has ended

Cause: a worker is silent until its leases have lapsed; its task runs again on another worker; the first one returns and lists the end of the first run as done. That end completes the task, and finishTask() took the newer run off its worker: its processors, its memory and its share of the step's bound were free at once, and no stop was sent until a report listed the run, up to a second later. What counts on a worker followed from the state of the task, not from the run.

Change: the run becomes an orphan run of its worker, which counts for capacity and bounds, is stopped at once, and is removed when a report shows that it has ended: one that does not list it, asked for after the worker took its start or confirmed its stop. A run whose start had no reply counts until its lease would have ended at the latest, so that no task waits for ever for a run that never began (KeepsItsPlaceNoLongerThanItsLease). A worker that the registry no longer lists is kept while such a run may be at work.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -459,7 +459,7 @@
     for (const RunningTask &running : report.running) {
         this->applyRunning(*worker, running, now);
     }
-    this->removeUnlistedOrphans(*worker);
+    this->removeEndedOrphans(*worker, sentAt, now);
     this->reportExceededBounds(*worker, report);
     const std::uint64_t appliedBefore = ends.applied;
     for (const EndedTask &ended : report.ended) {
@@ -560,17 +560,65 @@
         this->observer.unplacedRunListed(run.task, run.run, worker, std::nullopt);
     }
     if (!known || now - orphan.stopSentAt > orphanStopGap) {
-        orphan.stopSentAt = now;
-        this->sendStop(worker, run.task, run.run);
+        this->stopOrphan(worker, run, orphan, now);
     }
 }
 
-void Coordinator::removeUnlistedOrphans(WorkerState &worker)
+void Coordinator::supersede(const Job &job, const TaskRef &ref, const Task &task,
+                            std::uint32_t doneRun, Instant now)
+{
+    WorkerState *worker = this->findWorker(WorkerId(task.worker));
+    const auto start = this->starts.find(ref);
+    const bool tried =
+        start != this->starts.end() && (start->second.inFlight || start->second.unanswered);
+    const bool hasNotBegun =
+        task.phase == TaskPhase::Recording || (task.phase == TaskPhase::Starting && !tried);
+    // A worker that has not replied to this coordinator gets no starts before it lists its runs.
+    if (!worker || !worker->responded || task.run == doneRun || hasNotBegun) {
+        return;
+    }
+    this->observer.runSuperseded(ref, task.run, *worker, doneRun);
+    const RunRef run{ref, task.run};
+    OrphanRun &orphan = worker->addOrphan(run, reservedBy(job.stepSpec(ref.step)));
+    this->orphanedTasks.emplace(ref, worker->entry.id.value());
+    orphan.knownSince = now;
+    orphan.lastListedIn = task.listed ? task.lastListedIn : 0;
+    orphan.mayBeginUntil =
+        task.startTaken || task.listed ? Instant() : now + this->longestLeasedRun();
+    this->stopOrphan(*worker, run, orphan, now);
+}
+
+void Coordinator::stopOrphan(WorkerState &worker, const RunRef &run, OrphanRun &orphan, Instant now)
+{
+    orphan.stopSentAt = now;
+    this->sendStop(worker, run.task, run.run);
+}
+
+void Coordinator::orphanStopped(WorkerState &worker, const RunRef &run, Instant now,
+                                OrderOutcome outcome)
+{
+    const auto orphan = worker.orphans.find(run);
+    if (orphan == worker.orphans.end()) {
+        return;
+    }
+    if (outcome == OrderOutcome::OtherIncarnation) {
+        this->removeOrphan(worker, run);
+    } else if (isSettledStop(outcome)) {
+        orphan->second.stoppedAt = now;
+    }
+}
+
+void Coordinator::removeEndedOrphans(WorkerState &worker, Instant askedAt, Instant now)
 {
     std::vector<RunRef> ended;
-    for (const auto &[run, orphan] : worker.orphans) {
-        if (orphan.lastListedIn != this->reports) {
+    for (auto &[run, orphan] : worker.orphans) {
+        if (orphan.lastListedIn == this->reports) {
+            continue;
+        }
+        if (orphan.endedIfUnlisted(askedAt, now)) {
             ended.push_back(run);
+        } else if (orphan.stoppedAt == Instant() && now - orphan.stopSentAt > orphanStopGap) {
+            this->stopOrphan(worker, run, orphan, now);
         }
     }
     for (const RunRef &run : ended) {
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -488,8 +488,16 @@
                             const WorkerState &worker, Instant now) const;
     /** Applies a run that the worker lists and no record places there: it is stopped. */
     void applyOrphan(WorkerState &worker, const Job *job, const RunRef &run, Instant now);
-    /** Removes the orphan runs that the newest report of the worker does not list. */
-    void removeUnlistedOrphans(WorkerState &worker);
+    /** Makes the run of a task that is done by an earlier one an orphan run, if it may be at work:
+     * it is stopped, and keeps its place until it has ended. */
+    void supersede(const Job &job, const TaskRef &ref, const Task &task, std::uint32_t doneRun,
+                   Instant now);
+    void stopOrphan(WorkerState &worker, const RunRef &run, OrphanRun &orphan, Instant now);
+    /** Applies the reply to the stop of an orphan run. */
+    void orphanStopped(WorkerState &worker, const RunRef &run, Instant now, OrderOutcome outcome);
+    /** Removes the orphan runs that have ended, as the report that was asked for at the time does
+     * not list them. Others are stopped again. */
+    void removeEndedOrphans(WorkerState &worker, Instant askedAt, Instant now);
     /** Removes all orphan runs of the worker. */
     void removeOrphans(WorkerState &worker);
     void removeOrphan(WorkerState &worker, const RunRef &run);
@@ -719,6 +727,8 @@
     void trySendStop(const TaskRef &ref, OpenOrder &open, Instant now);
     /** Notes that a start or stop to the worker awaits its reply no longer. */
     void noteOrderAnswered(const WorkerId &id);
+    /** Returns whether the stop need not be sent again: the run has ended, or never begins. */
+    static bool isSettledStop(OrderOutcome outcome);
     void sendHold(WorkerState &worker, Instant now, bool mayRenew);
     /** Returns the longest time between two renewals of a worker's leases. */
     Duration longestHold(Instant now) const;
--- a/src/libgodwitfall/jobs/coordinatorjobs.cpp
+++ b/src/libgodwitfall/jobs/coordinatorjobs.cpp
@@ -34,10 +34,7 @@
         Task &member = run.tasks[index];
         const TaskRef memberRef{ref.job, ref.occurrence, ref.step, index};
         if (member.phase != TaskPhase::Done) {
-            const WorkerState *worker = this->findWorker(WorkerId(member.worker));
-            if (worker && member.run != endedRun) {
-                this->observer.runSuperseded(memberRef, member.run, *worker, endedRun);
-            }
+            this->supersede(job, memberRef, member, endedRun, now);
             this->detach(memberRef, member);
             member.phase = TaskPhase::Done;
             ++run.done;
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -331,6 +331,12 @@
     this->orders.stop(StopOrder{this->targetOf(worker), ref, run});
 }
 
+bool Coordinator::isSettledStop(OrderOutcome outcome)
+{
+    return outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Superseded ||
+           outcome == OrderOutcome::TooLate;
+}
+
 void Coordinator::stopAnswered(const WorkerId &id, const TaskRef &ref, std::uint32_t run,
                                Instant now, OrderOutcome outcome)
 {
@@ -339,6 +345,9 @@
         this->noteFenced(id);
         return;
     }
+    if (WorkerState *worker = this->findWorker(id)) {
+        this->orphanStopped(*worker, RunRef{ref, run}, now, outcome);
+    }
     const auto found = this->stops.find(ref);
     if (found == this->stops.end() || found->second.run != run || found->second.worker != id) {
         return;
@@ -357,9 +366,7 @@
         this->giveUp(toGiveUp, now);
         return;
     }
-    const bool settled = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::Superseded ||
-                         outcome == OrderOutcome::TooLate;
-    if (settled) {
+    if (isSettledStop(outcome)) {
         open.acknowledged = true;
         open.acknowledgedAt = now;
     }
@@ -448,8 +455,9 @@
     for (const auto &[id, worker] : this->workers) {
         this->returnLapsedTasks(*worker, now);
         // What the newest record says of a worker binds this coordinator.
-        if (!worker->listed && worker->tasks.empty() && !worker->holdInFlight &&
-            !worker->announcedSilent) {
+        const bool mayHaveRuns = !worker->tasks.empty() || (!worker->orphans.empty() &&
+                                                            now <= worker->lapsesAt(this->bounds));
+        if (!worker->listed && !mayHaveRuns && !worker->holdInFlight && !worker->announcedSilent) {
             idle.push_back(id);
             continue;
         }
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -42,6 +42,15 @@
     return need;
 }
 
+bool OrphanRun::endedIfUnlisted(Instant askedAt, Instant now) const
+{
+    if (this->lastListedIn > 0) {
+        return true;
+    }
+    const bool stopped = this->stoppedAt != Instant() && this->stoppedAt < askedAt;
+    return stopped || (this->knownSince < askedAt && now >= this->mayBeginUntil);
+}
+
 WorkerState::WorkerState(WorkerEntry entry)
     : entry(std::move(entry))
     , incarnationStartMs(this->entry.incarnationStartMs)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -109,12 +109,20 @@
     std::uint64_t discarding = 0;   ///< Ends up to this number the hold in flight lets it discard.
 };
 
-/** A run on a worker that no record places there; a delayed order began it. */
+/** A run that may be at work on a worker and that no record places there: a delayed order began it,
+ * or its task is done by an earlier run. */
 struct OrphanRun
 {
     Resources reserved;
-    std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it.
+    Instant knownSince;
+    std::uint64_t lastListedIn = 0; ///< Number of the newest report that listed it; 0: none.
     Instant stopSentAt;             ///< When its stop was last sent.
+    Instant stoppedAt;              ///< When its worker confirmed that stop; unset: it has not.
+    /** Until when a start of it may be carried out; unset: it has begun. */
+    Instant mayBeginUntil;
+
+    /** Returns whether it is over if a report that was asked for at the time does not list it. */
+    bool endedIfUnlisted(Instant askedAt, Instant now) const;
 };
 
 /** State of a worker as known to the coordinator: entry, lease, load and recent failures. */
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -50,11 +50,11 @@
 {
 protected:
     /** Takes over after so many runs of the first task, which may be done. */
-    void begin(std::uint32_t runs, bool done)
+    void begin(std::uint32_t runs, bool done, std::uint32_t mostPerWorker = 1)
     {
         jobs::JobSpec spec = oneTask(false);
         spec.mutable_steps(0)->set_count(2);
-        spec.mutable_steps(0)->set_max_per_worker(1);
+        spec.mutable_steps(0)->set_max_per_worker(mostPerWorker);
         this->job = this->world.submit(spec, 1000);
         jobs::JobProgress progress;
         progress.set_state(jobs::RUNNING);
@@ -72,6 +72,7 @@
     {
         WorkerEntry entry = entryOf(worker.value());
         entry.draining = draining;
+        entry.capacity.milliCores = this->milliCores;
         this->world.coordinator.setWorker(entry, Instant(at));
     }
 
@@ -118,6 +119,7 @@
 
     const WorkerId worker{"w1"};
     const WorkerId formerWorker{"w2"};
+    std::int64_t milliCores = 64000; ///< Of each worker.
     JobId job{"0"};
     CoordinatorWorld world;
 };
@@ -230,6 +232,7 @@
 {
     const char *name;
     Progress progress;
+    bool fullWorker = false; ///< The worker's capacity limits its tasks instead of their step.
 };
 
 class SupersededRunTest : public BoundedStepTest, public testing::WithParamInterface<SupersededCase>
@@ -239,7 +242,10 @@
     void supersede()
     {
         const Progress progress = GetParam().progress;
-        this->begin(1, false);
+        if (GetParam().fullWorker) {
+            this->milliCores = 1000;
+        }
+        this->begin(1, false, GetParam().fullWorker ? 0 : 1);
         this->list(this->worker, false, 1010);
         this->report(this->worker, 1020, {});
         this->world.commit(1030);
@@ -251,7 +257,7 @@
             this->answerStart(0, 1040, OrderOutcome::Accepted);
         }
         if (progress == Progress::Listed) {
-            this->report(this->worker, 1050, {this->secondRun});
+            this->report(this->worker, 1050, {this->secondRun()});
         }
         this->list(this->formerWorker, true, 1060);
         this->report(this->formerWorker, 1070, {},
@@ -259,7 +265,7 @@
         ASSERT_EQ(this->task(0).phase, TaskPhase::Done);
     }
 
-    const RunningTask secondRun{this->ref(0), 2, {}, 10, 0};
+    RunningTask secondRun() const { return RunningTask{this->ref(0), 2, {}, 10, 0}; }
 };
 
 // ROUTE, LIMIT. Guards against a start in the place of a run that continues though an earlier run
@@ -270,12 +276,12 @@
     EXPECT_TRUE(this->stopSent(2));
     this->world.commit(1080);
     EXPECT_EQ(this->startsOf(1), 0U);
-    this->report(this->worker, 1090, {this->secondRun});
+    this->report(this->worker, 1090, {this->secondRun()});
     this->world.commit(1100);
     EXPECT_EQ(this->startsOf(1), 0U);
     this->world.coordinator.stopAnswered(this->worker, this->ref(0), 2, Instant(1110),
                                          OrderOutcome::Accepted);
-    this->report(this->worker, 1120, {this->secondRun});
+    this->report(this->worker, 1120, {this->secondRun()});
     this->world.commit(1130);
     EXPECT_EQ(this->startsOf(1), 0U) << "it is being stopped";
     this->report(this->worker, 1140, {}, {EndedTask{1, this->ref(0), 2, RunEnd::Stopped, {}}});
@@ -415,14 +421,18 @@
         OrphanCase{"AfterUnansweredTry", Listed::AfterUnansweredTry, TaskPhase::Stopping}),
     [](const auto &info) { return std::string(info.param.name); });
 
-INSTANTIATE_TEST_SUITE_P(KnownRedSuperseded, SupersededRunTest,
+INSTANTIATE_TEST_SUITE_P(States, SupersededRunTest,
                          testing::Values(SupersededCase{"Sent", Progress::Sent},
                                          SupersededCase{"Unanswered", Progress::Unanswered},
                                          SupersededCase{"Taken", Progress::Taken},
-                                         SupersededCase{"Listed", Progress::Listed}),
+                                         SupersededCase{"Listed", Progress::Listed},
+                                         SupersededCase{"SentToFullWorker", Progress::Sent, true},
+                                         SupersededCase{"TakenByFullWorker", Progress::Taken, true},
+                                         SupersededCase{"ListedByFullWorker", Progress::Listed,
+                                                        true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
-INSTANTIATE_TEST_SUITE_P(KnownRedSuperseded, FoundBoundTest,
+INSTANTIATE_TEST_SUITE_P(Seeds, FoundBoundTest,
                          testing::Values(FoundSchedule{"AllFaults", {ratesOf(20, 20, 60)}, 67},
                                          FoundSchedule{
                                              "AllFaultsAgain", {ratesOf(20, 20, 60)}, 132},
