Ask again for the conditions of a placement each time its start is sent

Cause: a start waits for its record, for connections and for replies, and is sent up to four times within a second or more. The bound of its step, the label and the service were asked for when the task was placed, other runs of the task before the first try; a report or an entry in between went unheard.

Change: dropReason() names the first condition that does not hold any more, each time a start is sent; dropStart() returns the task, or stops its run where a try may be carried out yet, as for evacuated zones. start_dropped has the condition and the age of the worker's newest report, and the metric counts by condition.

--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1067,15 +1067,18 @@
              {"tries", std::to_string(tries)}});
 }
 
-void EntryInstance::startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker)
+void EntryInstance::startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                                 DropReason reason)
 {
-    this->metrics.count("godwitfall_starts_dropped_total", "reason=\"zone_evacuated\"");
+    this->metrics.count("godwitfall_starts_dropped_total",
+                        std::string("reason=\"") + toText(reason) + "\"");
     logLine(LogLevel::Info, "start_dropped",
             {{"task", platform::taskName(task)},
              {"run", std::to_string(run)},
              {"worker", worker.entry.id.value()},
              {"zone", worker.entry.zone.value()},
-             {"reason", "zone_evacuated"}});
+             {"reason", toText(reason)},
+             {"report_age_ms", std::to_string((this->now() - worker.lastSeenAt).count())}});
 }
 
 void EntryInstance::boundedStartSent(const BoundedStart &start, const WorkerState &worker)
--- a/src/godwitfall/entryinstance.h
+++ b/src/godwitfall/entryinstance.h
@@ -75,7 +75,8 @@
                            std::optional<RunEnd> end) override;
     void startUnanswered(const TaskRef &task, std::uint32_t run, const WorkerId &worker,
                          unsigned tries) override;
-    void startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker) override;
+    void startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                      DropReason reason) override;
     void boundedStartSent(const BoundedStart &start, const WorkerState &worker) override;
     void runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
                        std::uint32_t doneRun) override;
--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,6 +11,9 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
+constexpr std::array<const char *, 6> dropNames = {"zone_evacuated", "service",  "label",
+                                                   "step_bound",     "capacity", "orphan_run"};
+
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
 /** Sorts after the id of any worker; ids are printable. */
@@ -25,6 +28,11 @@
     return outcomeNames.at(static_cast<std::size_t>(outcome));
 }
 
+const char *toText(DropReason reason)
+{
+    return dropNames.at(static_cast<std::size_t>(reason));
+}
+
 Coordinator::Coordinator(JobTable &table, const WorkerBounds &bounds, OrderSender &orders,
                          CoordinatorObserver &observer)
     : table(table)
@@ -1043,10 +1051,10 @@
         const bool restarted =
             worker && worker->incarnationStartMs != task->workerIncarnationStartMs;
         if (worker && worker->zoneEvacuated) {
-            this->dropStart(*job, start.ref, *task, *worker, now);
+            this->dropStart(*job, start.ref, *task, *worker, DropReason::ZoneEvacuated, now);
             continue;
         }
-        if (!maySend || this->pausesStarts || restarted || this->hasOrphanRun(start.ref, now)) {
+        if (!maySend || this->pausesStarts || restarted) {
             this->returnTask(*job, start.ref, *task, RunOutcome::Refused, now);
             continue;
         }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -42,6 +42,19 @@
 /** Returns the outcome's name in logs and metrics. */
 const char *toText(RunOutcome outcome);
 
+/** Why the start of a placed task is not sent, or sent again; a closed list in logs and metrics. */
+enum class DropReason : std::uint8_t {
+    ZoneEvacuated, ///< The zone of its worker is evacuated.
+    Service,       ///< Its worker belongs to another service.
+    Label,         ///< Its worker lacks the label that its step requires.
+    StepBound,     ///< Its worker runs as many other tasks of its step as the step allows.
+    Capacity,      ///< It does not fit on its worker any more.
+    OrphanRun,     ///< A worker may still run it, though no record places it there.
+};
+
+/** Returns the reason's name in logs and metrics. */
+const char *toText(DropReason reason);
+
 /** A crash of a worker that was counted for a task, and what the count rests on. */
 struct CountedCrash
 {
@@ -113,9 +126,9 @@
     /** The worker lists a run that is not placed there, as running or with its end. */
     virtual void unplacedRunListed(const TaskRef &task, std::uint32_t run,
                                    const WorkerState &worker, std::optional<RunEnd> end) = 0;
-    /** The start of the run is not sent, or revoked, as the zone of its worker is evacuated. */
-    virtual void startDropped(const TaskRef &task, std::uint32_t run,
-                              const WorkerState &worker) = 0;
+    /** The start of the run is not sent, or revoked; its task is placed anew. */
+    virtual void startDropped(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
+                              DropReason reason) = 0;
     virtual void boundedStartSent(const BoundedStart &start, const WorkerState &worker) = 0;
     /** The task is done by the end of doneRun; its newer run on the worker may be at work. */
     virtual void runSuperseded(const TaskRef &task, std::uint32_t run, const WorkerState &worker,
@@ -711,9 +724,13 @@
     /** Sets a task that was not confirmed to run back to waiting, or stops its run if some try may
      * still be carried out. */
     void abandonStart(Job &job, const TaskRef &ref, Task &task, Instant now);
-    /** The same as the zone of the worker is evacuated. */
+    /** The same for the reason, of which the observer is told. */
     void dropStart(Job &job, const TaskRef &ref, Task &task, const WorkerState &worker,
-                   Instant now);
+                   DropReason reason, Instant now);
+    /** Returns which condition of its placement does not hold any more on the worker of the task,
+     * whose start is not confirmed; nothing if all of them hold. */
+    std::optional<DropReason> dropReason(const Job &job, const TaskRef &ref,
+                                         const WorkerState &worker, Instant now) const;
     /** Drops the starts in evacuated zones that do not await a reply. */
     void dropEvacuatedStarts(Instant now);
     /** Returns whether the worker's zone alone, which is evacuated, keeps it from taking the step.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -61,13 +61,12 @@
     open.run = task.run;
     open.worker = WorkerId(task.worker);
     open.retryAt = now + orderRetry;
-    if (worker && worker->zoneEvacuated) {
-        this->dropStart(job, ref, task, *worker, now);
+    // Reports and entries since the task was placed may have changed what is known of its worker.
+    if (const auto reason = worker ? this->dropReason(job, ref, *worker, now) : std::nullopt) {
+        this->dropStart(job, ref, task, *worker, *reason, now);
         return;
     }
-    // Its capacity may have shrunk since the task was placed.
-    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now) ||
-        worker->overcommitted()) {
+    if (!worker || worker->entry.address.empty() || !mayProlongLeases(*worker, now)) {
         this->abandonStart(job, ref, task, now);
         return;
     }
@@ -141,10 +140,34 @@
     }
 }
 
+std::optional<DropReason> Coordinator::dropReason(const Job &job, const TaskRef &ref,
+                                                  const WorkerState &worker, Instant now) const
+{
+    const jobs::StepSpec &step = job.stepSpec(ref.step);
+    if (worker.zoneEvacuated) {
+        return DropReason::ZoneEvacuated;
+    }
+    // An entry of another incarnation tells nothing of the one that the start is for.
+    if (worker.entryIsCurrent() && worker.entry.service.value() != this->rulesOf(job).service) {
+        return DropReason::Service;
+    }
+    if (worker.entryIsCurrent() && !PlacementPolicy::hasRequiredLabel(worker, step)) {
+        return DropReason::Label;
+    }
+    const StepRef stepRef{ref.job, ref.occurrence, ref.step};
+    if (step.max_per_worker() > 0 && worker.countOf(stepRef) > step.max_per_worker()) {
+        return DropReason::StepBound;
+    }
+    if (worker.overcommitted()) {
+        return DropReason::Capacity;
+    }
+    return this->hasOrphanRun(ref, now) ? std::optional(DropReason::OrphanRun) : std::nullopt;
+}
+
 void Coordinator::dropStart(Job &job, const TaskRef &ref, Task &task, const WorkerState &worker,
-                            Instant now)
+                            DropReason reason, Instant now)
 {
-    this->observer.startDropped(ref, task.run, worker);
+    this->observer.startDropped(ref, task.run, worker, reason);
     this->abandonStart(job, ref, task, now);
 }
 
@@ -161,7 +184,8 @@
         Task *task = job ? job->task(ref) : nullptr;
         // Another start of the same gang may have ended this one.
         if (task && task->phase == TaskPhase::Starting && this->starts.contains(ref)) {
-            this->dropStart(*job, ref, *task, *this->findWorker(WorkerId(task->worker)), now);
+            this->dropStart(*job, ref, *task, *this->findWorker(WorkerId(task->worker)),
+                            DropReason::ZoneEvacuated, now);
         }
     }
 }
@@ -226,7 +250,7 @@
         [[fallthrough]];
     case OrderOutcome::NotSent:
         if (worker->zoneEvacuated) {
-            this->dropStart(*job, ref, *task, *worker, now);
+            this->dropStart(*job, ref, *task, *worker, DropReason::ZoneEvacuated, now);
             return;
         }
         if (open.tries < startTries) {
--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -151,10 +151,7 @@
 {
     const jobs::StepSpec &step = request.job.stepSpec(request.step);
     const WorkerEntry &entry = worker.entry;
-    if (!takesTasks(worker, now)) {
-        return false;
-    }
-    if (!step.required_label().empty() && !entry.hasLabel(step.required_label())) {
+    if (!takesTasks(worker, now) || !hasRequiredLabel(worker, step)) {
         return false;
     }
     if (!request.onlyRack.empty() && entry.rack != request.onlyRack) {
--- a/src/libgodwitfall/jobs/placementpolicy.h
+++ b/src/libgodwitfall/jobs/placementpolicy.h
@@ -47,6 +47,12 @@
     WorkerState *choose(const std::vector<WorkerState *> &candidates,
                         const PlacementRequest &request, Instant now) const;
 
+    /** Returns whether the worker has the label that the step requires, if it requires one. */
+    static bool hasRequiredLabel(const WorkerState &worker, const jobs::StepSpec &step)
+    {
+        return step.required_label().empty() || worker.entry.hasLabel(step.required_label());
+    }
+
     /** Returns whether the worker takes tasks at present, whether they fit or not. */
     static bool takesTasks(const WorkerState &worker, Instant now);
 
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -57,9 +57,10 @@
     void unplacedRunListed(const TaskRef &, std::uint32_t, const WorkerState &,
                            std::optional<RunEnd>) override
     {}
-    void startDropped(const TaskRef &task, std::uint32_t, const WorkerState &) override
+    void startDropped(const TaskRef &task, std::uint32_t, const WorkerState &,
+                      DropReason reason) override
     {
-        this->droppedStarts.push_back(task);
+        this->droppedStarts.emplace_back(task, reason);
     }
     void boundedStartSent(const BoundedStart &start, const WorkerState &) override
     {
@@ -95,7 +96,7 @@
     std::vector<JobId> endsRead; ///< Jobs of which the log says that they have ended.
     std::vector<HeldBackTask> heldBack;
     std::vector<std::pair<bool, StartsPause>> pauses;
-    std::vector<TaskRef> droppedStarts; ///< As the zone of their worker is evacuated.
+    std::vector<std::pair<TaskRef, DropReason>> droppedStarts;
     std::vector<BoundedStart> boundedStarts;
     std::vector<std::pair<TaskRef, std::uint32_t>> supersededRuns;
     std::vector<StepRef> exceededBounds; ///< Of which a worker listed too many tasks.
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -55,6 +55,7 @@
         jobs::JobSpec spec = oneTask(false);
         spec.mutable_steps(0)->set_count(2);
         spec.mutable_steps(0)->set_max_per_worker(mostPerWorker);
+        spec.mutable_steps(0)->set_required_label("a");
         this->job = this->world.submit(spec, 1000);
         jobs::JobProgress progress;
         progress.set_state(jobs::RUNNING);
@@ -225,6 +226,80 @@
     EXPECT_EQ(this->startsOf(1), 1U) << "the run has ended";
 }
 
+/** What changes while a start waits for its record or for a reply. */
+struct ChangeCase
+{
+    const char *name;
+    DropReason reason;
+    Listed moment; ///< When it changes.
+};
+
+class ChangedConditionTest : public BoundedStepTest, public testing::WithParamInterface<ChangeCase>
+{
+protected:
+    void change(std::int64_t at)
+    {
+        WorkerEntry entry = entryOf(this->worker.value());
+        switch (GetParam().reason) {
+        case DropReason::Label:
+            entry.kind = "b";
+            break;
+        case DropReason::Service:
+            entry.service = ServiceId("vineyard");
+            break;
+        default:
+            this->list(this->formerWorker, true, at);
+            this->report(this->formerWorker, at, {RunningTask{this->ref(0), 1, {}, 10, 0}});
+            return;
+        }
+        this->world.coordinator.setWorker(entry, Instant(at));
+    }
+};
+
+// ROUTE, TWICE. Guards against a start that is sent, or sent again, by what was known of the worker
+// when the task was placed. A try without a reply may be carried out yet, so its run is stopped.
+TEST_P(ChangedConditionTest, DropsTheStart)
+{
+    const Listed moment = GetParam().moment;
+    this->begin(1, false);
+    this->list(this->worker, false, 1010);
+    this->report(this->worker, 1020, {});
+    this->world.coordinator.plan(Instant(1030), 1030);
+    ASSERT_EQ(this->task(0).phase, TaskPhase::Recording);
+    if (moment == Listed::BeforeStart) {
+        this->change(1040);
+    }
+    this->world.coordinator.takeBatch();
+    this->world.coordinator.committed(Instant(1050), true);
+    if (moment != Listed::BeforeStart) {
+        ASSERT_EQ(this->startsOf(0), 1U);
+        this->answerStart(0, 1060,
+                          moment == Listed::AfterUnansweredTry ? OrderOutcome::Unanswered
+                                                               : OrderOutcome::NotSent);
+        this->change(1070);
+    }
+    this->world.tick(1060 + Coordinator::orderRetry.count() + 10);
+    EXPECT_EQ(this->startsOf(0), 0U);
+    EXPECT_EQ(this->task(0).phase,
+              moment == Listed::AfterUnansweredTry ? TaskPhase::Stopping : TaskPhase::Waiting);
+    ASSERT_EQ(this->world.host.droppedStarts.size(), 1U);
+    EXPECT_EQ(this->world.host.droppedStarts.front(), std::pair(this->ref(0), GetParam().reason));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Conditions, ChangedConditionTest,
+    testing::Values(
+        ChangeCase{"LabelBeforeStart", DropReason::Label, Listed::BeforeStart},
+        ChangeCase{"LabelAfterUnsentTry", DropReason::Label, Listed::AfterTryThatWasNotSent},
+        ChangeCase{"LabelAfterUnansweredTry", DropReason::Label, Listed::AfterUnansweredTry},
+        ChangeCase{"ServiceBeforeStart", DropReason::Service, Listed::BeforeStart},
+        ChangeCase{"ServiceAfterUnansweredTry", DropReason::Service, Listed::AfterUnansweredTry},
+        ChangeCase{"OtherRunBeforeStart", DropReason::OrphanRun, Listed::BeforeStart},
+        ChangeCase{"OtherRunAfterUnsentTry", DropReason::OrphanRun, Listed::AfterTryThatWasNotSent},
+        ChangeCase{"OtherRunAfterUnansweredTry", DropReason::OrphanRun,
+                   Listed::AfterUnansweredTry}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /** How far the first task's second run has come when its first run's end arrives. */
 enum class Progress { Sent, Unanswered, Taken, Listed };
 
@@ -408,14 +483,10 @@
     RC_ASSERT(broken.empty());
 }
 
-INSTANTIATE_TEST_SUITE_P(Moments, OrphanRunTest,
-                         testing::Values(OrphanCase{"BeforePlacement", Listed::BeforePlacement,
-                                                    TaskPhase::Waiting}),
-                         [](const auto &info) { return std::string(info.param.name); });
-
 INSTANTIATE_TEST_SUITE_P(
-    KnownRedSends, OrphanRunTest,
+    Moments, OrphanRunTest,
     testing::Values(
+        OrphanCase{"BeforePlacement", Listed::BeforePlacement, TaskPhase::Waiting},
         OrphanCase{"BeforeStart", Listed::BeforeStart, TaskPhase::Waiting},
         OrphanCase{"AfterTryThatWasNotSent", Listed::AfterTryThatWasNotSent, TaskPhase::Waiting},
         OrphanCase{"AfterUnansweredTry", Listed::AfterUnansweredTry, TaskPhase::Stopping}),
