Name the runs on a worker where a start exceeds its capacity

A violation of LIMIT named the worker and the task that was started, so that a search could not tell its cause from another. The check itself is the same.

--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -156,7 +156,7 @@
     if (!this->ledger.delayedOrder &&
         (this->knownRuns() + 1) * taskMilliCores > this->allowedMilliCores()) {
         this->ledger.broken.push_back("start over the capacity of " + this->id + ": " +
-                                      taskText(order.task));
+                                      taskText(order.task) + this->runsText());
     }
     auto &live = this->ledger.running[order.task];
     if (!live.empty()) {
@@ -217,6 +217,17 @@
     return !run.startedLate || this->nowMs > run.startedAtMs + reportMs;
 }
 
+std::string SimWorker::runsText() const
+{
+    std::string text;
+    for (const auto &[key, run] : this->runs) {
+        const bool done = this->ledger.everDone.contains(key.first);
+        text += ", run " + std::to_string(key.second) + " of " + taskText(key.first) +
+                (done ? " (done by another run)" : "") + (run.stopping ? " (stopping)" : "");
+    }
+    return text;
+}
+
 std::int64_t SimWorker::knownRuns() const
 {
     return std::count_if(this->runs.begin(), this->runs.end(),
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -141,6 +141,8 @@
     std::int64_t allowedMilliCores() const;
     /** Returns whether the coordinator can know of the run. */
     bool isKnown(const Run &run) const;
+    /** Describes all its runs, for the text of a violation. */
+    std::string runsText() const;
     /** Returns the number of such runs. */
     std::int64_t knownRuns() const;
 
