--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -802,13 +802,16 @@
                                    [](const jobs::StepSpec &step) { return step.long_running(); });
     std::size_t mostFailed = 0;
     std::size_t mostCrashed = 0;
-    for (int step = 0; step < spec.steps_size(); ++step) {
+    const int occurrences = static_cast<int>(std::max(1U, spec.repeat_count()));
+    for (int number = 0; number < occurrences * spec.steps_size(); ++number) {
+        const int step = number % spec.steps_size();
+        const auto occurrence = static_cast<std::uint32_t>(number / spec.steps_size());
         // The members of a gang fail and crash as one task.
         const bool gang = spec.steps(step).gang();
         std::set<std::uint32_t> failed;
         std::set<std::pair<std::string, std::int64_t>> crashed;
         for (std::uint32_t index = 0; index < spec.steps(step).count(); ++index) {
-            const TaskRef ref{id, 0, static_cast<std::uint32_t>(step), index};
+            const TaskRef ref{id, occurrence, static_cast<std::uint32_t>(step), index};
             if (!gang) {
                 failed.clear();
                 crashed.clear();
@@ -865,13 +868,18 @@
 
 JobId JobSimulation::submit(const std::vector<jobs::StepSpec> &steps)
 {
-    char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(++this->submitted));
-    const JobId id(text);
     jobs::JobSpec spec;
     for (const jobs::StepSpec &step : steps) {
         *spec.add_steps() = step;
     }
+    return this->submit(std::move(spec));
+}
+
+JobId JobSimulation::submit(jobs::JobSpec spec)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(++this->submitted));
+    const JobId id(text);
     this->specs.emplace(id, spec);
     if (this->disabled == DisabledMechanism::StepConditions) {
         for (jobs::StepSpec &step : *spec.mutable_steps()) {
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -169,6 +169,8 @@
 
     /** Submits a job at the first instance that runs; returns its id. */
     JobId submit(const std::vector<jobs::StepSpec> &steps);
+    /** The same for a job that may have several occurrences. */
+    JobId submit(jobs::JobSpec spec);
     void cancel(const JobId &id);
 
     /** Cancels at an instance that does not coordinate. */
