Free the place of a superseded run with its own end

A run whose task is done by an earlier run keeps its place until a report shows that it has ended. Where it began and ended between two reports, and its stop had no reply, it counted until its lease would have ended, up to 6.7 s: its own end was listed, and ignored as its task was done.

SupersededRunTest.FreesItsPlaceWithItsEnd: of seven states three failed before (sent, also to a full worker, and without a reply).

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -668,6 +668,9 @@
     if (job) {
         this->noteBegun(*job);
     }
+    if (const RunRef run{ended.task, ended.run}; worker.orphans.contains(run)) {
+        this->removeOrphan(worker, run);
+    }
     if (!task || task->phase == TaskPhase::Done) {
         return;
     }
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -364,6 +364,16 @@
     EXPECT_EQ(this->startsOf(1), 1U) << "it has ended";
 }
 
+// LOST. Guards against a task that waits for a run that has ended, where no report listed it at
+// work and its stop had no reply.
+TEST_P(SupersededRunTest, FreesItsPlaceWithItsEnd)
+{
+    this->supersede();
+    this->report(this->worker, 1090, {}, {EndedTask{1, this->ref(0), 2, RunEnd::Done, {}}});
+    this->world.commit(1100);
+    EXPECT_EQ(this->startsOf(1), 1U);
+}
+
 // LOST. Guards against a task that waits for ever for a run that never began: its worker does not
 // reply to the stop.
 TEST_P(SupersededRunTest, KeepsItsPlaceNoLongerThanItsLease)
