Send no start to a worker that is about to leave

Evidence: ChangedConditionTest, three cases of Draining.

Change: dropReason() names Draining; the start is dropped, and stopped where a try may be carried out yet.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -11,8 +11,8 @@
 constexpr std::array<const char *, 9> outcomeNames = {
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "worker_gone"};
 
-constexpr std::array<const char *, 6> dropNames = {"zone_evacuated", "service",  "label",
-                                                   "step_bound",     "capacity", "orphan_run"};
+constexpr std::array<const char *, 7> dropNames = {
+    "zone_evacuated", "draining", "service", "label", "step_bound", "capacity", "orphan_run"};
 
 /** Pause before an orphan run is stopped again. */
 constexpr Duration orphanStopGap{1000};
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -45,6 +45,7 @@
 /** Why the start of a placed task is not sent, or sent again; a closed list in logs and metrics. */
 enum class DropReason : std::uint8_t {
     ZoneEvacuated, ///< The zone of its worker is evacuated.
+    Draining,      ///< Its worker is about to leave.
     Service,       ///< Its worker belongs to another service.
     Label,         ///< Its worker lacks the label that its step requires.
     StepBound,     ///< Its worker runs as many other tasks of its step as the step allows.
--- a/src/libgodwitfall/jobs/coordinatororders.cpp
+++ b/src/libgodwitfall/jobs/coordinatororders.cpp
@@ -148,6 +148,9 @@
         return DropReason::ZoneEvacuated;
     }
     // An entry of another incarnation tells nothing of the one that the start is for.
+    if (worker.entryIsCurrent() && worker.entry.draining) {
+        return DropReason::Draining;
+    }
     if (worker.entryIsCurrent() && worker.entry.service.value() != this->rulesOf(job).service) {
         return DropReason::Service;
     }
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -244,6 +244,9 @@
         case DropReason::Label:
             entry.kind = "b";
             break;
+        case DropReason::Draining:
+            entry.draining = true;
+            break;
         case DropReason::Service:
             entry.service = ServiceId("vineyard");
             break;
@@ -256,8 +259,9 @@
     }
 };
 
-// ROUTE, TWICE. Guards against a start that is sent, or sent again, by what was known of the worker
-// when the task was placed. A try without a reply may be carried out yet, so its run is stopped.
+// ROUTE, TWICE, DRAIN. Guards against a start that is sent, or sent again, by what was known of the
+// worker when the task was placed. A try without a reply may be carried out yet, so its run is
+// stopped.
 TEST_P(ChangedConditionTest, DropsTheStart)
 {
     const Listed moment = GetParam().moment;
@@ -294,6 +298,9 @@
         ChangeCase{"LabelAfterUnansweredTry", DropReason::Label, Listed::AfterUnansweredTry},
         ChangeCase{"ServiceBeforeStart", DropReason::Service, Listed::BeforeStart},
         ChangeCase{"ServiceAfterUnansweredTry", DropReason::Service, Listed::AfterUnansweredTry},
+        ChangeCase{"DrainingBeforeStart", DropReason::Draining, Listed::BeforeStart},
+        ChangeCase{"DrainingAfterUnsentTry", DropReason::Draining, Listed::AfterTryThatWasNotSent},
+        ChangeCase{"DrainingAfterUnansweredTry", DropReason::Draining, Listed::AfterUnansweredTry},
         ChangeCase{"OtherRunBeforeStart", DropReason::OrphanRun, Listed::BeforeStart},
         ChangeCase{"OtherRunAfterUnsentTry", DropReason::OrphanRun, Listed::AfterTryThatWasNotSent},
         ChangeCase{"OtherRunAfterUnansweredTry", DropReason::OrphanRun,
