--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -668,6 +668,9 @@
     }
     const std::uint32_t most =
         this->specs.at(task.job).steps(static_cast<int>(task.step)).max_per_worker();
+    if (most == 0) {
+        return;
+    }
     std::set<std::uint32_t> others;
     std::string runs;
     for (const auto &[other, run] : worker.otherRunsOfStep(task)) {
@@ -676,7 +679,7 @@
         runs += ", run " + std::to_string(run) + " of " + std::to_string(other.index) +
                 (done ? " (done by another run)" : "");
     }
-    if (most > 0 && others.size() >= most) {
+    if (others.size() >= most) {
         this->fleet.broken.push_back(start + " beside other tasks of its step, which allows " +
                                      std::to_string(most) + " on one worker" + runs);
     }
