Judge a run that may begin by when the report was asked for

A superseded run whose start had no reply keeps its place until that start can't be carried out any more.

OrphanEndTest.LateReportDoesNotFreeThePlaceOfARunThatMayBegin failed before.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -623,7 +623,7 @@
         if (orphan.lastListedIn == this->reports) {
             continue;
         }
-        if (orphan.endedIfUnlisted(askedAt, now)) {
+        if (orphan.endedIfUnlisted(askedAt)) {
             ended.push_back(run);
         } else if (orphan.stoppedAt == Instant() && now - orphan.stopSentAt > orphanStopGap) {
             this->stopOrphan(worker, run, orphan, now);
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -42,13 +42,13 @@
     return need;
 }
 
-bool OrphanRun::endedIfUnlisted(Instant askedAt, Instant now) const
+bool OrphanRun::endedIfUnlisted(Instant askedAt) const
 {
     if (this->lastListedIn > 0) {
         return true;
     }
     const bool stopped = this->stoppedAt != Instant() && this->stoppedAt < askedAt;
-    return stopped || (this->knownSince < askedAt && now >= this->mayBeginUntil);
+    return stopped || (this->knownSince < askedAt && askedAt >= this->mayBeginUntil);
 }
 
 WorkerState::WorkerState(WorkerEntry entry)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -122,7 +122,7 @@
     Instant mayBeginUntil;
 
     /** Returns whether it is over if a report that was asked for at the time does not list it. */
-    bool endedIfUnlisted(Instant askedAt, Instant now) const;
+    bool endedIfUnlisted(Instant askedAt) const;
 };
 
 /** State of a worker as known to the coordinator: entry, lease, load and recent failures. */
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -432,6 +432,28 @@
     EXPECT_EQ(this->startsOf(1), 0U);
 }
 
+// ROUTE. Guards against the same by a report that was asked for while it may be carried out, and
+// arrives after that.
+TEST_F(OrphanEndTest, LateReportDoesNotFreeThePlaceOfARunThatMayBegin)
+{
+    this->start();
+    this->answerStart(0, 1040, OrderOutcome::Unanswered);
+    this->finishFirstRun(1070);
+    const std::int64_t until = 1070 + this->world.coordinator.longestLeasedRun().count();
+    for (std::int64_t at = 1080; at < until - 700; at += 20) {
+        this->report(this->worker, at, {});
+        this->world.tick(at);
+        this->world.commit(at);
+    }
+    ASSERT_EQ(this->startsOf(1), 0U);
+    WorkerReport late;
+    late.clockMs = until - 640;
+    this->world.coordinator.holdAnswered(this->worker, Instant(until - 650), Instant(until + 1),
+                                         OrderOutcome::Accepted, late);
+    this->world.commit(until + 2);
+    EXPECT_EQ(this->startsOf(1), 0U);
+}
+
 // ROUTE. Guards against a place that a report frees which was asked for before the run counted as
 // superseded, and is older than its start.
 TEST_F(OrphanEndTest, ReportAskedForBeforeDoesNotFreeThePlace)
