Free no place by the reply of another worker to the stop of an orphan run

A report, a restart or the lapse of its leases frees the place anyway.

OrphanEndTest.StopAnsweredByAnotherWorkerKeepsThePlaceUntilAReport failed before.

--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -609,9 +609,7 @@
     if (orphan == worker.orphans.end()) {
         return;
     }
-    if (outcome == OrderOutcome::OtherIncarnation) {
-        this->removeOrphan(worker, run);
-    } else if (isSettledStop(outcome)) {
+    if (isSettledStop(outcome)) {
         orphan->second.stoppedAt = now;
     }
 }
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -498,6 +498,20 @@
     EXPECT_EQ(this->startsOf(1), 1U);
 }
 
+// ROUTE. Guards against a place that the reply of another worker at its address frees.
+TEST_F(OrphanEndTest, StopAnsweredByAnotherWorkerKeepsThePlaceUntilAReport)
+{
+    this->start();
+    this->answerStart(0, 1040, OrderOutcome::Accepted);
+    this->report(this->worker, 1050, {this->secondRun()});
+    this->finishFirstRun(1070);
+    this->world.coordinator.stopAnswered(this->worker, this->ref(0), 2, Instant(1080),
+                                         OrderOutcome::OtherIncarnation);
+    this->list(this->worker, false, 1085);
+    this->world.commit(1090);
+    EXPECT_EQ(this->startsOf(1), 0U);
+}
+
 // LOST. Guards against a worker that is asked for ever for a run that its lease has ended.
 TEST_F(OrphanEndTest, WorkerThatHasLeftIsDiscarded)
 {
