Place nothing beside a superseded probe

A worker on probation takes one task at a time.

OrphanEndTest.WorkerOnProbationTakesNothingBesideASupersededProbe failed before.

--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -130,7 +130,8 @@
 {
     return worker.listed && worker.entryIsCurrent() && !worker.entry.draining && worker.responded &&
            !worker.zoneUnresponsive && !worker.zoneEvacuated && now >= worker.ejectedUntil &&
-           !worker.probe && now - worker.lastSeenAt <= responseTimeout;
+           !worker.probe && !(worker.onProbation && !worker.orphans.empty()) &&
+           now - worker.lastSeenAt <= responseTimeout;
 }
 
 Resources PlacementPolicy::freeCapacity(const WorkerState &worker, bool bestEffort, Instant now)
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -592,6 +592,46 @@
     EXPECT_EQ(this->startsOf(0), 1U);
 }
 
+// Guards against a second task on a worker on probation, beside a probe that is superseded.
+TEST_F(OrphanEndTest, WorkerOnProbationTakesNothingBesideASupersededProbe)
+{
+    this->begin(1, false, 0);
+    WorkerEntry entry = entryOf(this->worker.value());
+    entry.kind = "b";
+    this->world.coordinator.setWorker(entry, Instant(1010));
+    this->report(this->worker, 1020, {});
+    std::vector<EndedTask> failed;
+    for (int count = 0; count < 3; ++count) {
+        const JobId id = this->world.submit(oneTask(false), 1025);
+        failed.push_back(EndedTask{
+            static_cast<std::uint64_t>(count + 1), TaskRef{id, 0, 0, 0}, 1, RunEnd::Failed, {}});
+    }
+    this->world.commit(1030);
+    for (const StartOrder &order : std::exchange(this->world.orders.starts, {})) {
+        this->world.coordinator.startAnswered(this->worker, order.task, order.run, Instant(1040),
+                                              OrderOutcome::Accepted);
+    }
+    this->report(this->worker, 1060, {}, failed);
+    this->list(this->worker, false, 1070);
+    for (std::int64_t at = 1080; at < 3080; at += 100) {
+        this->report(this->worker, at, {});
+        this->world.commit(at);
+    }
+    ASSERT_EQ(this->world.orders.starts.size(), 0U) << "ejected";
+    this->report(this->worker, 3200, {});
+    this->world.commit(3210);
+    ASSERT_EQ(this->world.orders.starts.size(), 1U) << "the probe";
+    ASSERT_EQ(this->startsOf(0), 1U);
+    this->answerStart(0, 3220, OrderOutcome::Accepted);
+    this->report(this->worker, 3230, {this->secondRun()});
+    this->world.commit(3240);
+    ASSERT_EQ(this->startsOf(1), 0U);
+    this->finishFirstRun(3250);
+    this->report(this->worker, 3260, {this->secondRun()});
+    this->world.commit(3270);
+    EXPECT_EQ(this->startsOf(1), 0U) << "the probe may be at work";
+}
+
 // LIMIT. Guards against starts in the places of a gang that is done by an earlier run.
 TEST_F(OrphanEndTest, MembersOfASupersededGangKeepTheirPlaces)
 {
