Search workers at the former cost where steps have no bound

suits() built the name of the step for each worker, also of steps without a bound, and countOf() looked for orphan runs where a worker has none.

--- a/src/libgodwitfall/jobs/placementpolicy.cpp
+++ b/src/libgodwitfall/jobs/placementpolicy.cpp
@@ -158,8 +158,9 @@
     if (!request.onlyRack.empty() && entry.rack != request.onlyRack) {
         return false;
     }
-    const StepRef ref{request.job.id(), request.occurrence, request.step};
-    return step.max_per_worker() == 0 || worker.countOf(ref) < step.max_per_worker();
+    return step.max_per_worker() == 0 ||
+           worker.countOf(StepRef{request.job.id(), request.occurrence, request.step}) <
+               step.max_per_worker();
 }
 
 bool PlacementPolicy::admits(const WorkerState &worker, const PlacementRequest &request,
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -286,6 +286,9 @@
 
 std::uint32_t WorkerState::countOf(const StepRef &step) const
 {
+    if (this->orphans.empty()) {
+        return this->countPlaced(step);
+    }
     std::set<TaskRef> orphaned;
     for (auto at = this->orphans.lower_bound(firstRunOf(step));
          at != this->orphans.end() && isOf(at->first.task, step); ++at) {
