--- a/src/libgodwitfall/jobs/coordinator.cpp
+++ b/src/libgodwitfall/jobs/coordinator.cpp
@@ -561,7 +561,7 @@
     const bool known = worker.orphans.contains(run);
     const bool hasStep = job && static_cast<int>(run.task.step) < job->spec().steps_size();
     OrphanRun &orphan =
-        worker.addOrphan(run, hasStep ? reservedBy(job->stepSpec(run.task.step)) : Resources());
+        worker.setOrphan(run, hasStep ? reservedBy(job->stepSpec(run.task.step)) : Resources());
     orphan.lastListedIn = this->reports;
     if (!known) {
         this->orphanedTasks.emplace(run.task, worker.entry.id.value());
@@ -587,7 +587,7 @@
     }
     this->observer.runSuperseded(ref, task.run, *worker, doneRun);
     const RunRef run{ref, task.run};
-    OrphanRun &orphan = worker->addOrphan(run, reservedBy(job.stepSpec(ref.step)));
+    OrphanRun &orphan = worker->setOrphan(run, reservedBy(job.stepSpec(ref.step)));
     this->orphanedTasks.emplace(ref, worker->entry.id.value());
     orphan.knownSince = now;
     orphan.lastListedIn = task.listed ? task.lastListedIn : 0;
--- a/src/libgodwitfall/jobs/workerstate.cpp
+++ b/src/libgodwitfall/jobs/workerstate.cpp
@@ -158,14 +158,13 @@
     }
 }
 
-OrphanRun &WorkerState::addOrphan(const RunRef &run, const Resources &use)
+OrphanRun &WorkerState::setOrphan(const RunRef &run, const Resources &resources)
 {
-    const auto [orphan, added] = this->orphans.try_emplace(run);
-    if (added) {
-        orphan->second.reserved = use;
-        this->orphansReserved += use;
-    }
-    return orphan->second;
+    OrphanRun &orphan = this->orphans[run];
+    this->orphansReserved -= orphan.reserved;
+    this->orphansReserved += resources;
+    orphan.reserved = resources;
+    return orphan;
 }
 
 void WorkerState::removeOrphan(const RunRef &run)
--- a/src/libgodwitfall/jobs/workerstate.h
+++ b/src/libgodwitfall/jobs/workerstate.h
@@ -179,8 +179,8 @@
     /** Removes the task and frees its resources. */
     void release(const TaskRef &ref);
 
-    /** Returns the orphan run; adds it if it is not known, with the resources that it uses. */
-    OrphanRun &addOrphan(const RunRef &run, const Resources &reserved);
+    /** Sets the resources of the orphan run, which is added if it is not known; returns it. */
+    OrphanRun &setOrphan(const RunRef &run, const Resources &resources);
 
     /** Removes the orphan run and frees its resources. */
     void removeOrphan(const RunRef &run);
--- a/tests/jobs/test_stepbounds.cpp
+++ b/tests/jobs/test_stepbounds.cpp
@@ -632,6 +632,22 @@
     EXPECT_EQ(this->startsOf(1), 0U) << "the probe may be at work";
 }
 
+// LIMIT. Guards against a start beside an orphan run whose job was not known when it was listed
+// first.
+TEST_F(OrphanEndTest, RunOfAJobThatIsReadLaterTakesItsCapacity)
+{
+    this->milliCores = 1000;
+    this->world.coordinator.begin(2, Instant(1000), 1000, Instant(1000));
+    this->list(this->worker, false, 1010);
+    const TaskRef later{JobId("0000000000000001"), 0, 0, 0};
+    this->report(this->worker, 1020, {RunningTask{later, 1, {}, 10, 0}});
+    ASSERT_EQ(this->world.submit(oneTask(false), 1030), later.job);
+    this->report(this->worker, 1040, {RunningTask{later, 1, {}, 10, 0}});
+    this->world.submit(oneTask(false), 1050);
+    this->world.commit(1060);
+    EXPECT_EQ(this->world.orders.starts.size(), 0U);
+}
+
 // LIMIT. Guards against starts in the places of a gang that is done by an earlier run.
 TEST_F(OrphanEndTest, MembersOfASupersededGangKeepTheirPlaces)
 {
