Check the service, the label and the bound of a step at the workers of the soak

Callers now draw labels, bounds of 1 and 2 (some for steps that fill every worker) and a second queue from a random source of their own, so that faults and other draws of a seed stay.

--without-conditions tells instances of no condition.

--- a/tests/jobs/jobsimulation.cpp
+++ b/tests/jobs/jobsimulation.cpp
@@ -645,44 +645,15 @@
 {
     const std::string &label =
         this->specs.at(task.job).steps(static_cast<int>(task.step)).required_label();
-    const WorkerEntry entry = this->workers[std::stoul(worker.value().substr(1))]->entry();
-    if (!label.empty() && !entry.hasLabel(label) && !this->fleet.delayedOrder) {
-        this->fleet.broken.push_back("start of " + task.job.value() + "." +
-                                     std::to_string(task.step) + "." + std::to_string(task.index) +
-                                     ", which requires " + label + ", on " + worker.value() +
-                                     " of kind " + entry.kind);
-    }
+    this->workers[std::stoul(worker.value().substr(1))]->checkRoute(
+        task, RouteConditions{ServiceId(), label, 0});
 }
 
-void JobSimulation::checkRoute(const SimWorker &worker, const TaskRef &task)
+void JobSimulation::checkRoute(SimWorker &worker, const TaskRef &task)
 {
-    if (this->fleet.delayedOrder) {
-        return;
-    }
-    const std::string start = "start of " + task.job.value() + "." + std::to_string(task.step) +
-                              "." + std::to_string(task.index) + " on " + worker.entry().id.value();
-    const ServiceId &service = this->config.queues.front().service;
-    if (worker.service != service) {
-        this->fleet.broken.push_back(start + " of " + worker.service.value() + ", not " +
-                                     service.value());
-    }
     const std::uint32_t most =
         this->specs.at(task.job).steps(static_cast<int>(task.step)).max_per_worker();
-    if (most == 0) {
-        return;
-    }
-    std::set<std::uint32_t> others;
-    std::string runs;
-    for (const auto &[other, run] : worker.otherRunsOfStep(task)) {
-        others.insert(other.index);
-        const bool done = this->fleet.everDone.contains(other);
-        runs += ", run " + std::to_string(run) + " of " + std::to_string(other.index) +
-                (done ? " (done by another run)" : "");
-    }
-    if (others.size() >= most) {
-        this->fleet.broken.push_back(start + " beside other tasks of its step, which allows " +
-                                     std::to_string(most) + " on one worker" + runs);
-    }
+    worker.checkRoute(task, RouteConditions{this->config.queues.front().service, {}, most});
 }
 
 void JobSimulation::checkStartInZone(const WorkerId &worker, const TaskRef &task)
--- a/tests/jobs/jobsimulation.h
+++ b/tests/jobs/jobsimulation.h
@@ -337,7 +337,7 @@
     void checkStartOnKind(const WorkerId &worker, const TaskRef &task);
     /** Checks that the worker belongs to the service of the jobs and runs no more tasks of the step
      * than it allows, as a run begins there. */
-    void checkRoute(const SimWorker &worker, const TaskRef &task);
+    void checkRoute(SimWorker &worker, const TaskRef &task);
     /** Checks that the zone of the worker is not evacuated, as a start reaches it. */
     void checkStartInZone(const WorkerId &worker, const TaskRef &task);
     void readRequests(Instance &instance);
--- a/tests/jobs/simworker.cpp
+++ b/tests/jobs/simworker.cpp
@@ -234,9 +234,9 @@
                          [this](const auto &entry) { return this->isKnown(entry.second); });
 }
 
-std::vector<std::pair<TaskRef, std::uint32_t>> SimWorker::otherRunsOfStep(const TaskRef &task) const
+std::vector<SimWorker::RunKey> SimWorker::otherRunsOfStep(const TaskRef &task) const
 {
-    std::vector<std::pair<TaskRef, std::uint32_t>> others;
+    std::vector<RunKey> others;
     for (const auto &[key, run] : this->runs) {
         const TaskRef &other = key.first;
         if (other.job == task.job && other.occurrence == task.occurrence &&
@@ -247,6 +247,40 @@
     return others;
 }
 
+void SimWorker::checkRoute(const TaskRef &task, const RouteConditions &conditions)
+{
+    if (this->ledger.delayedOrder) {
+        return;
+    }
+    this->ledger.labelChecks += conditions.label.empty() ? 0 : 1;
+    this->ledger.boundChecks += conditions.mostPerWorker > 0 ? 1 : 0;
+    const std::string start = "start of " + taskText(task);
+    if (!conditions.service.value().empty() && this->service != conditions.service) {
+        this->ledger.broken.push_back(start + " on " + this->id + " of " + this->service.value() +
+                                      ", not " + conditions.service.value());
+    }
+    if (!conditions.label.empty() && !this->entry().hasLabel(conditions.label)) {
+        this->ledger.broken.push_back(start + ", which requires " + conditions.label + ", on " +
+                                      this->id + " of kind " + this->kind);
+    }
+    if (conditions.mostPerWorker == 0) {
+        return;
+    }
+    std::set<std::uint32_t> others;
+    std::string text;
+    for (const auto &[other, run] : this->otherRunsOfStep(task)) {
+        others.insert(other.index);
+        const bool done = this->ledger.everDone.contains(other);
+        text += ", run " + std::to_string(run) + " of " + std::to_string(other.index) +
+                (done ? " (done by another run)" : "");
+    }
+    if (others.size() >= conditions.mostPerWorker) {
+        this->ledger.broken.push_back(
+            start + " on " + this->id + " beside other tasks of its step, which allows " +
+            std::to_string(conditions.mostPerWorker) + " on one worker" + text);
+    }
+}
+
 OrderOutcome SimWorker::stop(const StopOrder &order)
 {
     if (this->refusesToken(order.target.fencingToken)) {
--- a/tests/jobs/simworker.h
+++ b/tests/jobs/simworker.h
@@ -53,9 +53,19 @@
     std::map<std::pair<TaskRef, std::uint32_t>, GangRun> gangs;
     bool delayedOrder = false; ///< The order carried out now was delayed.
     std::uint64_t starts = 0;
+    std::uint64_t labelChecks = 0; ///< Starts that were checked for a label.
+    std::uint64_t boundChecks = 0; ///< Starts that were checked for the bound of their step.
     std::uint64_t done = 0;
 };
 
+/** What a task requires of the workers that run it. */
+struct RouteConditions
+{
+    ServiceId service;               ///< Empty: any.
+    std::string label;               ///< Empty: none.
+    std::uint32_t mostPerWorker = 0; ///< Tasks of its step on one worker; 0: any number.
+};
+
 /** Simulates one worker of the platform. */
 class SimWorker
 {
@@ -94,9 +104,10 @@
     /** Sets the service that its incarnations from the next restart on belong to. */
     void changeServiceAtRestart(const ServiceId &next) { this->serviceAtRestart = next; }
 
-    /** Returns the runs of other tasks of the task's step here, those that are being stopped
-     * included, as far as the coordinator can know of them. */
-    std::vector<std::pair<TaskRef, std::uint32_t>> otherRunsOfStep(const TaskRef &task) const;
+    /** Notes in the ledger which conditions a start of the task here breaks. Runs that are being
+     * stopped count, those that the coordinator can't know of don't; delayed orders aren't checked.
+     */
+    void checkRoute(const TaskRef &task, const RouteConditions &conditions);
 
     /** Returns its own steady clock, in ms. */
     std::int64_t clock() const
@@ -145,6 +156,8 @@
     std::string runsText() const;
     /** Returns the number of such runs. */
     std::int64_t knownRuns() const;
+    /** Returns such runs of other tasks of the task's step. */
+    std::vector<RunKey> otherRunsOfStep(const TaskRef &task) const;
 
     std::optional<std::pair<std::string, std::int64_t>> atRestart; ///< Kind and milli-cores.
     std::optional<ServiceId> serviceAtRestart;
--- a/tests/soak/configcheck.cpp
+++ b/tests/soak/configcheck.cpp
@@ -26,11 +26,12 @@
     return std::string("/").append(queue).append("/");
 }
 
-std::string routeText(const std::string &name, const std::string &prefix)
+std::string routeText(const std::string &name, const std::string &prefix,
+                      const char *service = SoakLayout::serviceName)
 {
     return R"({"name":")" + name + R"(","host":")" + SoakLayout::queueHost +
-           R"(","path_prefix":")" + prefix + R"(","service":")" + SoakLayout::serviceName +
-           R"(","max_attempts":)" + std::to_string(SoakLayout::maxAttempts) +
+           R"(","path_prefix":")" + prefix + R"(","service":")" + service + R"(","max_attempts":)" +
+           std::to_string(SoakLayout::maxAttempts) +
            R"(,"stretch":3,"timeout_ms":3000,"target_latency_ms":1000})";
 }
 
@@ -56,6 +57,9 @@
         next.queues.insert("v" + std::to_string(this->versions.back().number));
     }
     std::string routes = routeText("plan", SoakLayout::queuePrefix);
+    routes += "," + routeText("vine", SoakLayout::otherQueuePrefix,
+                              this->layout.tellsConditions ? SoakLayout::otherServiceName
+                                                           : SoakLayout::serviceName);
     for (const std::string &queue : next.queues) {
         routes += "," + routeText(queue, prefixOf(queue));
     }
@@ -68,6 +72,8 @@
     this->store.put(platform::names::configTopic, platform::names::configKey,
                     R"({"version":)" + std::to_string(next.number) + R"(,"routes":[)" + routes +
                         R"(],"services":[{"name":")" + SoakLayout::serviceName +
+                        R"(","max_connections":8,"enforces_capacity":true},{"name":")" +
+                        SoakLayout::otherServiceName +
                         R"(","max_connections":8,"enforces_capacity":true}]})");
     this->versions.push_back(std::move(next));
     this->publishAt = now + publishGapMs;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -44,6 +44,7 @@
 constexpr std::int64_t withholdAfterMs = 3000; ///< See Weakening::newConfigs.
 constexpr Duration workerRestart{30}; ///< Time in which a worker that restarts takes no order.
 constexpr std::size_t slotsOfWorker = 4;
+constexpr std::ptrdiff_t fewestOfKind = 2;  ///< Workers that stay of each kind.
 constexpr std::size_t sparesOfExtended = 4; ///< Workers that may be lost.
 
 /** What to leave out of the platform, to show that the checks notice. */
@@ -71,11 +72,15 @@
     static std::int64_t unixMs();
     std::int64_t nowMs() const;
     void callEnded(std::size_t instance, Duration waited, bool answered);
+    std::unique_ptr<PlatformWorker> makeWorker(std::size_t index, const std::string &address,
+                                               std::mt19937_64 &orderRandom);
     void listen();
-    void publishWorker(std::size_t worker);
+    void publishWorker(const PlatformWorker &worker);
     void publishWorkerAfter(std::size_t worker, Duration time);
     void rebirthWorker(std::size_t worker, Duration listedAfter);
     void restartUnseen(std::size_t worker, Duration listedAfter);
+    /** Draws the kind of the worker's next incarnation; some workers of each kind stay. */
+    void drawKind(std::size_t worker);
     void writeSettings(std::size_t instance);
     /** Replaces the address in the record of an owner by the one of its proxy. */
     void showPeerProxy(JobRecord &record) const;
@@ -96,12 +101,14 @@
     std::mt19937_64 random;
     std::mt19937_64 clientRandom;
     std::mt19937_64 faultRandom;
+    std::mt19937_64 kindRandom; ///< Of workers; also of the orders of the other service.
     jobtests::FleetLedger ledger;
     PlatformStore store;
     ClosedCheck closed;
     std::unique_ptr<KeptCallers> kept; ///< Null without the extended or the closing plan.
     SoakClients clients;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
+    std::unique_ptr<PlatformWorker> otherWorker; ///< Of the other service; meets no faults.
     std::vector<std::unique_ptr<LinkProxy>> storeLinks;
     std::vector<std::unique_ptr<LinkProxy>> workerLinks;
     std::vector<std::unique_ptr<LinkProxy>> peerLinks;   ///< Empty without silence.
@@ -129,24 +136,20 @@
     , random(seed)
     , clientRandom(seed + 1)
     , faultRandom(seed + 2)
+    , kindRandom(seed + 8)
     , store(this->context, this->random)
     , closed(this->ledger)
     , kept(layout.extended || layout.closing
                ? std::make_unique<KeptCallers>(this->context, layout, seed + 3)
                : nullptr)
     , clients(this->context, layout, this->clientRandom, this->ledger, this->closed,
-              this->kept.get())
+              this->kept.get(), seed + 9)
     , timer(this->context)
 {
     for (std::size_t index = 0; index < layout.workers; ++index) {
-        const auto number = static_cast<std::int64_t>(index);
-        // A clock may be up to 2% slow.
-        const PlatformWorker::Clock clock{number * 77777, number % 3 * 9};
-        this->workers.push_back(std::make_unique<PlatformWorker>(
-            this->context, "w" + std::to_string(index), layout.workerProxyAddress(index), clock,
-            this->random, this->ledger, [this](const TaskRef &task, const std::string &payload) {
-                return this->clients.judge(task, payload);
-            }));
+        this->workers.push_back(
+            this->makeWorker(index, layout.workerProxyAddress(index), this->random));
+        this->workers.back()->simulation().kind = SoakLayout::kindOf(index);
         this->workers.back()->simulation().checksFence = !weakening.workerFence;
         this->workers.back()->simulation().keepsLeases = !weakening.workerLease;
         this->workers.back()->orderLate = [this](const TaskRef &task, Duration delay) {
@@ -155,6 +158,9 @@
         this->workerLinks.push_back(
             std::make_unique<LinkProxy>(this->context, layout.workerAddress(index)));
     }
+    this->otherWorker =
+        this->makeWorker(layout.workers, layout.workerAddress(layout.workers), this->kindRandom);
+    this->otherWorker->simulation().service = ServiceId(SoakLayout::otherServiceName);
     if (weakening.storeFence) {
         this->store.dropFence();
     }
@@ -218,6 +224,19 @@
     }
 }
 
+std::unique_ptr<PlatformWorker> Soak::makeWorker(std::size_t index, const std::string &address,
+                                                 std::mt19937_64 &orderRandom)
+{
+    const auto number = static_cast<std::int64_t>(index);
+    // A clock may be up to 2% slow.
+    const PlatformWorker::Clock clock{number * 77777, number % 3 * 9};
+    return std::make_unique<PlatformWorker>(
+        this->context, "w" + std::to_string(index), address, clock, orderRandom, this->ledger,
+        [this](const TaskRef &task, const std::string &payload) {
+            return this->clients.judge(task, payload);
+        });
+}
+
 void Soak::callEnded(std::size_t instance, Duration waited, bool answered)
 {
     if (!this->plan->undisturbedSince(instance, this->nowMs() - waited.count())) {
@@ -272,15 +291,17 @@
         require(this->workers[index]->listen(this->layout.workerAddress(index)));
         require(this->workerLinks[index]->listen(this->layout.workerProxyAddress(index)));
         this->workers[index]->restart(unixMs());
-        this->publishWorker(index);
+        this->publishWorker(*this->workers[index]);
     }
+    require(this->otherWorker->listen(this->layout.workerAddress(this->workers.size())));
+    this->otherWorker->restart(unixMs());
+    this->publishWorker(*this->otherWorker);
     this->configs->publish(this->nowMs());
 }
 
-void Soak::publishWorker(std::size_t worker)
+void Soak::publishWorker(const PlatformWorker &worker)
 {
-    this->store.put(platform::names::workerTopic, this->workers[worker]->name(),
-                    this->workers[worker]->registryEntry());
+    this->store.put(platform::names::workerTopic, worker.name(), worker.registryEntry());
 }
 
 void Soak::writeSettings(std::size_t instance)
@@ -347,16 +368,32 @@
         this->restartUnseen(worker, listedAfter);
         return;
     }
+    this->drawKind(worker);
     this->workers[worker]->restart(unixMs());
     this->publishWorkerAfter(worker, listedAfter);
 }
 
+void Soak::drawKind(std::size_t worker)
+{
+    jobtests::SimWorker &changed = this->workers[worker]->simulation();
+    const auto same = std::count_if(this->workers.begin(), this->workers.end(), [&](auto &other) {
+        return other->simulation().kind == changed.kind;
+    });
+    const bool changes = this->kindRandom() % 2 == 0;
+    // Workers that may be lost for good are not counted on.
+    if (changes && same > fewestOfKind && !this->layout.extended) {
+        changed.changeAtRestart(SoakLayout::kindOf(changed.kind == SoakLayout::kindOf(0) ? 1 : 0),
+                                changed.entry().capacity.milliCores);
+    }
+}
+
 void Soak::restartUnseen(std::size_t worker, Duration listedAfter)
 {
     this->workerLinks[worker]->breakTargets();
     this->workers[worker]->crash();
     // The server still reads what had arrived on connections of the former incarnation.
     callAfter(this->context, workerRestart, [this, worker, listedAfter] {
+        this->drawKind(worker);
         this->workers[worker]->restart(unixMs());
         this->publishWorkerAfter(worker, listedAfter);
     });
@@ -365,12 +402,12 @@
 void Soak::publishWorkerAfter(std::size_t worker, Duration time)
 {
     if (time == Duration(0)) {
-        this->publishWorker(worker);
+        this->publishWorker(*this->workers[worker]);
         return;
     }
     callAfter(this->context, time, [this, worker] {
         if (!this->workers[worker]->lost()) {
-            this->publishWorker(worker);
+            this->publishWorker(*this->workers[worker]);
         }
     });
 }
@@ -412,6 +449,7 @@
     for (const auto &worker : this->workers) {
         worker->tick(unixMs());
     }
+    this->otherWorker->tick(unixMs());
     this->checkLasting(now);
     switch (this->phase) {
     case Phase::Faults:
@@ -540,8 +578,10 @@
     std::cout << "jobs " << this->clients.jobCount() << ", accepted "
               << this->clients.acceptedCount() << ", rejections " << this->clients.rejections()
               << ", unknown " << this->clients.unknowns() << ", starts " << this->ledger.starts
-              << ", done " << this->ledger.done << ", answers on kept connections "
-              << this->clients.keptAnswers() << ", in planned stops " << this->answersInStops
+              << ", checked for a label " << this->ledger.labelChecks << ", for a bound "
+              << this->ledger.boundChecks << ", done " << this->ledger.done
+              << ", answers on kept connections " << this->clients.keptAnswers()
+              << ", in planned stops " << this->answersInStops
               << ", longest gap of a lasting task ms " << this->lasting.longestGap()
               << ", answers on new and removed queues " << this->configs->answers()
               << ", jobs shown as failed " << this->clients.failedCount() << ", pauses of the soak "
@@ -592,6 +632,8 @@
     TCLAP::SwitchArg workerLease("", "without-worker-lease", "workers run on past a lease", flags);
     TCLAP::SwitchArg newConfigs("", "without-new-configs",
                                 "the store hides new configurations after some seconds", flags);
+    TCLAP::SwitchArg conditions("", "without-conditions",
+                                "instances are not told which workers a step requires", flags);
     TCLAP::SwitchArg storeFence("", "without-store-fence", "the store takes any epoch", flags);
     flags.parse(argc, argv);
     SoakLayout layout;
@@ -602,6 +644,7 @@
     layout.connections = connections.getValue() || layout.silence;
     layout.closing = closing.getValue();
     layout.workers += layout.extended ? sparesOfExtended : 0;
+    layout.tellsConditions = !conditions.getValue();
     layout.folder = folder.getValue();
     const Weakening weakening{workerFence.getValue(), workerLease.getValue(), storeFence.getValue(),
                               newConfigs.getValue()};
--- a/tests/soak/platformworker.cpp
+++ b/tests/soak/platformworker.cpp
@@ -184,11 +184,10 @@
 std::string PlatformWorker::registryEntry() const
 {
     const WorkerEntry entry = this->worker.entry();
-    return R"({"service":")" + std::string(SoakLayout::serviceName) + R"(","address":")" +
-           this->address + R"(","zone":"z1","state":"ready","born":)" +
-           std::to_string(entry.incarnationStartMs) + R"(,"labels":[")" + entry.kind + R"(",")" +
-           entry.rack + R"("],"capacity":{"cpu":)" + std::to_string(milliCores) + R"(,"mem_mb":)" +
-           std::to_string(memoryMb) + "}}";
+    return R"({"service":")" + entry.service.value() + R"(","address":")" + this->address +
+           R"(","zone":"z1","state":"ready","born":)" + std::to_string(entry.incarnationStartMs) +
+           R"(,"labels":[")" + entry.kind + R"(",")" + entry.rack + R"("],"capacity":{"cpu":)" +
+           std::to_string(milliCores) + R"(,"mem_mb":)" + std::to_string(memoryMb) + "}}";
 }
 
 void PlatformWorker::handle(const HttpRequest &request, const Respond &respond)
@@ -236,7 +235,9 @@
         const std::int64_t receiver = this->worker.entry().incarnationStartMs;
         callAfter(this->context, delay, [this, order, unheard, receiver, body = request.body] {
             if (!this->lost() && this->worker.entry().incarnationStartMs == receiver) {
+                this->ledger.delayedOrder = true;
                 (this->*order)(body, unheard);
+                this->ledger.delayedOrder = false;
             }
         });
         abandonCall(this->context, respond);
@@ -297,12 +298,18 @@
     }
     order.leaseEndMs = static_cast<std::int64_t>(numberOf(message, "deadline_ms"));
     order.payload = textOf(message, "spec");
-    if (const std::string fault = this->judge(order.task, order.payload); !fault.empty()) {
-        this->ledger.broken.push_back(fault);
+    const StartVerdict verdict = this->judge(order.task, order.payload);
+    if (!verdict.fault.empty()) {
+        this->ledger.broken.push_back(verdict.fault);
     }
     const TaskBehaviour behaviour = behaviourOf(order.payload, order.run);
     this->worker.advance(this->nowMs);
+    const std::uint64_t starts = this->ledger.starts;
     const OrderOutcome outcome = this->worker.start(order, behaviour.workMs, behaviour.fails);
+    // A repeated order begins no other run.
+    if (this->ledger.starts != starts) {
+        this->worker.checkRoute(order.task, verdict.conditions);
+    }
     this->note("start", order.task, order.run, order.target.fencingToken, outcome);
     respond(this->answer(outcome));
 }
--- a/tests/soak/platformworker.h
+++ b/tests/soak/platformworker.h
@@ -12,8 +12,14 @@
 
 namespace godwitfall::soak {
 
-/** Says what is wrong with a start, from what clients have sent; empty: nothing. */
-using StartJudge = std::function<std::string(const TaskRef &task, const std::string &payload)>;
+/** What clients have sent tells of a start. */
+struct StartVerdict
+{
+    std::string fault;                    ///< Empty: none.
+    jobtests::RouteConditions conditions; ///< On its worker.
+};
+
+using StartJudge = std::function<StartVerdict(const TaskRef &task, const std::string &payload)>;
 
 /** A worker of the platform over HTTP, with faults that can be set while it runs. */
 class PlatformWorker
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -28,15 +28,21 @@
 constexpr std::uint64_t longWorkMs = 9000;
 /** The same while workers are lost, so that runs end soon after the last loss. */
 constexpr std::uint64_t longWorkExtendedMs = 7000;
+constexpr unsigned otherQueueEvery = 16; ///< One job in so many goes to the other queue.
+constexpr unsigned labelEvery = 4;       ///< One step in so many requires a kind of worker.
+constexpr unsigned boundEvery = 2;       ///< One step in so many bounds its tasks on one worker.
+constexpr unsigned wideEvery = 16;       ///< One of those in so many fills its bound everywhere.
+constexpr unsigned highestBound = 2;
 
 } // namespace
 
 SoakClients::SoakClients(boost::asio::io_context &context, const SoakLayout &layout,
                          std::mt19937_64 &random, const jobtests::FleetLedger &ledger,
-                         ClosedCheck &closed, KeptCallers *kept)
+                         ClosedCheck &closed, KeptCallers *kept, std::uint64_t conditionSeed)
     : context(context)
     , layout(layout)
     , random(random)
+    , conditionRandom(conditionSeed)
     , ledger(ledger)
     , closed(closed)
     , kept(kept)
@@ -87,6 +93,9 @@
                                                     : 50 + this->below(700);
     const bool fails = !lasts && !isLong && this->below(10) == 0;
     made->payload = "ms=" + std::to_string(work) + " fails=" + (fails ? "1" : "0");
+    if (!lasts) {
+        this->drawConditions(*made);
+    }
     SoakJob &job = *made;
     this->byId[job.id.value()] = &job;
     this->jobs.push_back(std::move(made));
@@ -100,6 +109,26 @@
     }
 }
 
+void SoakClients::drawConditions(SoakJob &job)
+{
+    const auto oneIn = [this](unsigned many) {
+        return this->conditionRandom() % many == 0;
+    };
+    job.inOtherQueue = oneIn(otherQueueEvery);
+    for (SoakStep &step : job.steps) {
+        if (oneIn(labelEvery) && !job.inOtherQueue) {
+            step.label = SoakLayout::kindOf(this->conditionRandom());
+        }
+        if (oneIn(boundEvery)) {
+            step.mostPerWorker =
+                static_cast<std::uint32_t>(1 + this->conditionRandom() % highestBound);
+            if (oneIn(wideEvery)) {
+                step.count = static_cast<std::uint32_t>(this->layout.workers) * step.mostPerWorker;
+            }
+        }
+    }
+}
+
 void SoakClients::call(std::size_t instance, KeptCallers::Caller *caller, const char *method,
                        const SoakJob &job, std::string body, const Handler &handler)
 {
@@ -108,7 +137,7 @@
     call.step = "client";
     call.address = this->layout.clientAddress(called);
     call.method = method;
-    call.target = SoakLayout::queuePrefix + job.id.value();
+    call.target = job.path();
     call.headers["Host"] = SoakLayout::queueHost;
     call.headers["X-Deadline-Ms"] = std::to_string(patience.count());
     call.body = std::move(body);
@@ -180,7 +209,8 @@
 void SoakClients::send(SoakJob &job)
 {
     ++job.attempts;
-    this->callAny("POST", job, job.body(), [this, &job](const Result<HttpResponse> &result) {
+    std::string body = job.body(this->layout.tellsConditions);
+    this->callAny("POST", job, std::move(body), [this, &job](const Result<HttpResponse> &result) {
         if (result && result->status == 200) {
             job.accepted = true;
             return;
@@ -291,28 +321,31 @@
                                                   [](const auto &job) { return job->accepted; }));
 }
 
-std::string SoakClients::judge(const TaskRef &task, const std::string &payload)
+StartVerdict SoakClients::judge(const TaskRef &task, const std::string &payload)
 {
     const std::string name =
         task.job.value() + "." + std::to_string(task.step) + "." + std::to_string(task.index);
     const auto found = this->byId.find(task.job.value());
     if (found == this->byId.end()) {
-        return "start of " + name + ", which no client sent";
+        return {"start of " + name + ", which no client sent", {}};
     }
     SoakJob &job = *found->second;
     job.started = true;
     const bool fits = task.step < job.steps.size() && task.index < job.steps[task.step].count;
     if (!fits || payload != job.payload) {
-        return "start of " + name + " with what its client did not send";
+        return {"start of " + name + " with what its client did not send", {}};
     }
+    const jobtests::RouteConditions conditions = job.conditionsOf(task.step);
     for (const std::uint32_t earlier : job.steps[task.step].after) {
         for (std::uint32_t index = 0; index < job.steps[earlier].count; ++index) {
             if (!this->ledger.everDone.contains(TaskRef{task.job, 0, earlier, index})) {
-                return "start of " + name + " before step " + std::to_string(earlier) + " was done";
+                return {"start of " + name + " before step " + std::to_string(earlier) +
+                            " was done",
+                        conditions};
             }
         }
     }
-    return {};
+    return {{}, conditions};
 }
 
 std::vector<std::string> SoakClients::faults() const
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -13,6 +13,7 @@
 #include "closedcheck.h"
 #include "httpclient.h"
 #include "keptcallers.h"
+#include "platformworker.h"
 #include "simworker.h"
 #include "soakjob.h"
 #include "soaklayout.h"
@@ -27,9 +28,10 @@
 {
 public:
     /** closed: told of each shown state; kept: callers through which half of the calls go, and
-     * questions; null: none do. */
+     * questions; null: none do. The seed draws what jobs require of workers. */
     SoakClients(boost::asio::io_context &context, const SoakLayout &layout, std::mt19937_64 &random,
-                const jobtests::FleetLedger &ledger, ClosedCheck &closed, KeptCallers *kept);
+                const jobtests::FleetLedger &ledger, ClosedCheck &closed, KeptCallers *kept,
+                std::uint64_t conditionSeed);
 
     /** Submits new jobs and cancels old ones; the time is in ms since the run began. */
     void tick(std::int64_t now);
@@ -40,8 +42,8 @@
     /** Returns whether every job is settled. */
     bool settled() const;
 
-    /** Says what is wrong with a start, for workers. */
-    std::string judge(const TaskRef &task, const std::string &payload);
+    /** Says what is wrong with a start, and what its worker has to be, for workers. */
+    StartVerdict judge(const TaskRef &task, const std::string &payload);
 
     /** Returns what was still wrong at the end, in words. */
     std::vector<std::string> faults() const;
@@ -67,6 +69,9 @@
     using Handler = std::function<void(const Result<HttpResponse> &)>;
 
     void submitNew();
+    /** Draws the queue of the job and what its steps require of workers; of a job that lasts
+     * nothing, as what keeps its task from running counts any free capacity. */
+    void drawConditions(SoakJob &job);
     void send(SoakJob &job);
     void cancel(SoakJob &job);
     void watch(SoakJob &job);
@@ -82,6 +87,7 @@
     boost::asio::io_context &context;
     const SoakLayout layout;
     std::mt19937_64 &random;
+    std::mt19937_64 conditionRandom;
     const jobtests::FleetLedger &ledger;
     ClosedCheck &closed;
     KeptCallers *const kept;
--- a/tests/soak/soakjob.cpp
+++ b/tests/soak/soakjob.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include "soaklayout.h"
+
 namespace godwitfall::soak {
 
 namespace {
@@ -19,7 +21,20 @@
     return TaskBehaviour{workMs, run <= failing};
 }
 
-std::string SoakJob::body() const
+std::string SoakJob::path() const
+{
+    return (this->inOtherQueue ? SoakLayout::otherQueuePrefix : SoakLayout::queuePrefix) +
+           this->id.value();
+}
+
+jobtests::RouteConditions SoakJob::conditionsOf(std::uint32_t step) const
+{
+    const SoakStep &spec = this->steps.at(step);
+    return {ServiceId(this->inOtherQueue ? SoakLayout::otherServiceName : SoakLayout::serviceName),
+            spec.label, spec.mostPerWorker};
+}
+
+std::string SoakJob::body(bool tellsConditions) const
 {
     std::string stepList;
     for (const SoakStep &step : this->steps) {
@@ -31,8 +46,14 @@
                     std::to_string(step.count) + R"(,"cpu":)" + std::to_string(milliCoresOfTask) +
                     R"(,"mem_mb":)" + std::to_string(memoryOfTask) + R"(,"estimated_ms":)" +
                     std::to_string(behaviourOf(this->payload, 1).workMs) +
-                    (step.lasts ? R"(,"long_running":true)" : "") + R"(,"after":[)" + earlier +
-                    "]}";
+                    (step.lasts ? R"(,"long_running":true)" : "") + R"(,"after":[)" + earlier + "]";
+        if (tellsConditions && !step.label.empty()) {
+            stepList += R"(,"requirements":")" + step.label + '"';
+        }
+        if (tellsConditions && step.mostPerWorker > 0) {
+            stepList += R"(,"anti_affinity":)" + std::to_string(step.mostPerWorker);
+        }
+        stepList += '}';
     }
     return R"({"spec":")" + this->payload + R"(","steps":[)" + stepList + "]}";
 }
--- a/tests/soak/soakjob.h
+++ b/tests/soak/soakjob.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "job.h"
+#include "simworker.h"
 
 namespace godwitfall::soak {
 
@@ -24,7 +25,9 @@
 {
     std::uint32_t count = 1;
     std::vector<std::uint32_t> after;
-    bool lasts = false; ///< Runs until the job is cancelled.
+    bool lasts = false;              ///< Runs until the job is cancelled.
+    std::string label = {};          ///< That its workers must have; empty: none.
+    std::uint32_t mostPerWorker = 0; ///< 0: any number.
 };
 
 /** A job as its client knows it. */
@@ -35,6 +38,7 @@
     std::vector<SoakStep> steps;
     unsigned attempts = 0; ///< Times that it was sent.
     unsigned rejected = 0; ///< Attempts with a final "not accepted".
+    bool inOtherQueue = false;
     bool accepted = false;
     bool cancelSent = false;
     bool cancelled = false; ///< The cancel was acknowledged.
@@ -43,8 +47,14 @@
 
     bool lasts() const { return this->steps.front().lasts; }
 
-    /** Returns the body of its submission. */
-    std::string body() const;
+    /** Returns the body of its submission, with the conditions on workers or without. */
+    std::string body(bool tellsConditions) const;
+
+    /** Returns the path under which instances know it. */
+    std::string path() const;
+
+    /** Returns what the step requires of workers. */
+    jobtests::RouteConditions conditionsOf(std::uint32_t step) const;
 };
 
 } // namespace godwitfall::soak
--- a/tests/soak/soaklayout.h
+++ b/tests/soak/soaklayout.h
@@ -22,8 +22,13 @@
     /** Also plays cuts, restarts and crashes of workers in series, beside a store that rejects
      * calls and lost coordinators: what could close a job without cause. */
     bool closing = false;
+    /** Off: instances are told of no condition on workers, to show that the checks notice. */
+    bool tellsConditions = true;
     std::filesystem::path folder; ///< Of settings, logs and process ids.
 
+    /** Returns the kind of the worker as it first starts; a label of its entry. */
+    static const char *kindOf(std::size_t worker) { return worker % 2 == 0 ? "a" : "b"; }
+
     std::string storeAddress() const { return this->address(0, 1); }
 
     /** Where the instance finds the store; a proxy. */
@@ -91,6 +96,9 @@
     static constexpr const char *queueHost = "plans.example";
     static constexpr const char *queuePrefix = "/plan/";
     static constexpr const char *serviceName = "orchard";
+    /** A queue whose service has one worker, which no fault affects. */
+    static constexpr const char *otherQueuePrefix = "/vine/";
+    static constexpr const char *otherServiceName = "vineyard";
     static constexpr int maxAttempts = 3; ///< Of a task of the queues.
 
 private:
