--- a/tests/soak/lastingcheck.cpp
+++ b/tests/soak/lastingcheck.cpp
@@ -17,15 +17,13 @@
 
 std::vector<std::string> LastingCheck::check(std::int64_t now, const std::vector<TaskRef> &tasks,
                                              const jobtests::FleetLedger &ledger,
-                                             std::size_t freeSlots)
+                                             const FreeSlots &freeSlotsFor)
 {
     std::vector<std::string> broken;
-    if (freeSlots < slotsNeeded) {
-        this->roomSince = never;
-    } else {
-        this->roomSince = std::min(this->roomSince, now);
-    }
     for (const TaskRef &task : tasks) {
+        const std::size_t freeSlots = freeSlotsFor(task);
+        std::int64_t &room = this->roomSince.try_emplace(task, never).first->second;
+        room = freeSlots < slotsNeeded ? never : std::min(room, now);
         // The time before a first run counts from when the task is known.
         std::int64_t &runEnd = this->lastRunEnd.try_emplace(task, now).first->second;
         const auto runs = ledger.running.find(task);
@@ -40,7 +38,7 @@
         if (now >= calm) {
             this->longest = std::max(this->longest, now - runEnd);
         }
-        if (now > std::max(from, this->roomSince) + waitMs && this->reported.insert(task).second) {
+        if (now > std::max(from, room) + waitMs && this->reported.insert(task).second) {
             broken.push_back("task " + platform::taskName(task) +
                              " lasts and does not run: " + std::to_string(now - runEnd) +
                              " ms after its last run, " + std::to_string(now - calm) +
--- a/tests/soak/lastingcheck.h
+++ b/tests/soak/lastingcheck.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -17,9 +18,13 @@
 class LastingCheck
 {
 public:
-    /** Returns what is broken now; freeSlots: tasks that workers could start. Times are in ms. */
+    /** Returns how many tasks workers that may run the task could start. */
+    using FreeSlots = std::function<std::size_t(const TaskRef &task)>;
+
+    /** Returns what is broken now; times are in ms. */
     std::vector<std::string> check(std::int64_t nowMs, const std::vector<TaskRef> &tasks,
-                                   const jobtests::FleetLedger &ledger, std::size_t freeSlots);
+                                   const jobtests::FleetLedger &ledger,
+                                   const FreeSlots &freeSlotsFor);
 
     /** Notes that something was wrong until the time, and is no more. */
     void calmSince(std::int64_t atMs);
@@ -34,8 +39,8 @@
     static constexpr std::int64_t never = INT64_MAX / 2;
 
     std::int64_t calmAt = never;
-    std::int64_t roomSince = never;
     std::int64_t longest = 0;
+    std::map<TaskRef, std::int64_t> roomSince;
     std::map<TaskRef, std::int64_t> lastRunEnd;
     std::map<TaskRef, std::int64_t> lateUntil;
     std::set<TaskRef> reported;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <boost/asio/signal_set.hpp>
@@ -513,13 +514,24 @@
             ++taken[worker];
         }
     }
-    std::size_t freeSlots = 0;
-    for (const auto &worker : this->workers) {
-        const std::size_t used = std::min(slotsOfWorker, taken[worker->name()]);
-        freeSlots += worker->lost() ? 0 : slotsOfWorker - used;
-    }
-    for (const std::string &broken :
-         this->lasting.check(now, this->clients.lastingTasks(), this->ledger, freeSlots)) {
+    const std::vector<TaskRef> tasks = this->clients.lastingTasks();
+    const auto freeSlotsFor = [&](const TaskRef &task) {
+        std::set<std::size_t> excluded;
+        for (const TaskRef &other : tasks) {
+            if (other.job == task.job && other != task && this->clients.keepsApart(task)) {
+                const std::vector<std::size_t> there = this->workersOf(other);
+                excluded.insert(there.begin(), there.end());
+            }
+        }
+        std::size_t freeSlots = 0;
+        for (std::size_t index = 0; index < this->workers.size(); ++index) {
+            const std::size_t used = std::min(slotsOfWorker, taken[this->workers[index]->name()]);
+            const bool usable = !this->workers[index]->lost() && !excluded.contains(index);
+            freeSlots += usable ? slotsOfWorker - used : 0;
+        }
+        return freeSlots;
+    };
+    for (const std::string &broken : this->lasting.check(now, tasks, this->ledger, freeSlotsFor)) {
         this->breakPromise(broken);
     }
 }
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -93,9 +93,7 @@
                                                     : 50 + this->below(700);
     const bool fails = !lasts && !isLong && this->below(10) == 0;
     made->payload = "ms=" + std::to_string(work) + " fails=" + (fails ? "1" : "0");
-    if (!lasts) {
-        this->drawConditions(*made);
-    }
+    this->drawConditions(*made);
     SoakJob &job = *made;
     this->byId[job.id.value()] = &job;
     this->jobs.push_back(std::move(made));
@@ -114,6 +112,10 @@
     const auto oneIn = [this](unsigned many) {
         return this->conditionRandom() % many == 0;
     };
+    if (job.lasts()) {
+        job.steps.front().mostPerWorker = oneIn(boundEvery) ? 1 : 0;
+        return;
+    }
     job.inOtherQueue = oneIn(otherQueueEvery);
     for (SoakStep &step : job.steps) {
         if (oneIn(labelEvery) && !job.inOtherQueue) {
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -51,6 +51,12 @@
     /** Returns the tasks that are to run until their jobs are cancelled. */
     std::vector<TaskRef> lastingTasks() const;
 
+    /** Returns whether the tasks of a job that lasts run on different workers. */
+    bool keepsApart(const TaskRef &task) const
+    {
+        return this->byId.at(task.job.value())->conditionsOf(task.step).mostPerWorker > 0;
+    }
+
     std::size_t jobCount() const { return this->jobs.size(); }
     std::size_t acceptedCount() const;
     std::size_t rejections() const { return this->rejected; }
@@ -69,8 +75,8 @@
     using Handler = std::function<void(const Result<HttpResponse> &)>;
 
     void submitNew();
-    /** Draws the queue of the job and what its steps require of workers; of a job that lasts
-     * nothing, as what keeps its task from running counts any free capacity. */
+    /** Draws the queue of the job and what its steps require of workers; of a job that lasts only
+     * a bound, so that any free capacity of other workers will do. */
     void drawConditions(SoakJob &job);
     void send(SoakJob &job);
     void cancel(SoakJob &job);
