--- a/src/godwitfall/entryinstance.cpp
+++ b/src/godwitfall/entryinstance.cpp
@@ -1090,7 +1090,7 @@
              {"tries", std::to_string(start.tries)},
              {"most", std::to_string(start.most)},
              {"placed", std::to_string(start.placed)},
-             {"unplaced", std::to_string(start.orphans)},
+             {"orphans", std::to_string(start.orphans)},
              {"report_age_ms", std::to_string(start.sinceReport.count())},
              {"placed_ago_ms", std::to_string(start.sincePlaced.count())}});
 }
--- a/src/libgodwitfall/jobs/coordinator.h
+++ b/src/libgodwitfall/jobs/coordinator.h
@@ -87,7 +87,7 @@
     unsigned tries = 0;        ///< To start the run, this one included.
     std::uint32_t most = 0;    ///< Tasks of the step that may run on one worker.
     std::uint32_t placed = 0;  ///< Tasks of the step that are placed there, this one included.
-    std::uint32_t orphans = 0; ///< Runs of the step that the worker lists and that are not placed.
+    std::uint32_t orphans = 0; ///< Runs of the step that may be there and that are not placed.
     Duration sinceReport{0};   ///< Since the worker's newest report.
     Duration sincePlaced{0};   ///< Since the task was placed there.
 };
